--- /dev/null
+++ b/scripts/install.js
@@ -0,0 +1,16 @@
+/**
+ * Installs the dependencies if they are missing, so that the README's commands work from a clean
+ * clone.
+ */
+import { spawnSync } from 'node:child_process';
+import { existsSync } from 'node:fs';
+
+export const installMissing = () => {
+  if (existsSync('node_modules/.package-lock.json')) {
+    return;
+  }
+  const { status } = spawnSync('npm', ['ci', '--no-audit', '--no-fund'], { stdio: 'inherit' });
+  if (status !== 0) {
+    process.exit(status ?? 1);
+  }
+};
--- /dev/null
+++ b/src/utils/timer.ts
@@ -0,0 +1,144 @@
+/**
+ * Time service. Parts subscribe to it instead of reading the clock or setting timers themselves, so
+ * that a test can replace it by a timer that is advanced by hand. `now` is monotonic, in
+ * milliseconds; `wallClock` is the time of day for logs and records.
+ */
+import { performance } from 'node:perf_hooks';
+
+/** Cancels a subscription. */
+export type Cancel = () => void;
+
+export interface Timer {
+  /** Monotonic time in ms. */
+  now(): number;
+  /** Time of day in ms since 1970. */
+  wallClock(): number;
+  /** Calls `listener` once after `delayMs`. */
+  after(delayMs: number, listener: () => void): Cancel;
+  /** Calls `listener` every `periodMs` until cancelled. */
+  every(periodMs: number, listener: () => void): Cancel;
+  /** Resolves after `delayMs`, or at once when `signal` aborts. */
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
+  /** Cancels all subscriptions. */
+  stop(): void;
+}
+
+export interface ManualTimer extends Timer {
+  /** Moves time forward and runs all listeners that become due, in order. */
+  advance(ms: number): void;
+}
+
+const createSleep =
+  (after: Timer['after']): Timer['sleep'] =>
+  (delayMs, signal) =>
+    new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const onAbort: { current?: () => void } = {};
+      const cancel = after(delayMs, () => {
+        if (onAbort.current) {
+          signal?.removeEventListener('abort', onAbort.current);
+        }
+        resolve();
+      });
+      onAbort.current = () => {
+        cancel();
+        resolve();
+      };
+      signal?.addEventListener('abort', onAbort.current, { once: true });
+    });
+
+/** Creates the timer of a process, based on the system's clocks. */
+export const createTimer = (): Timer => {
+  const cancels = new Set<Cancel>();
+
+  const after: Timer['after'] = (delayMs, listener) => {
+    const cancel = () => {
+      clearTimeout(handle);
+      cancels.delete(cancel);
+    };
+    const handle = setTimeout(() => {
+      cancels.delete(cancel);
+      listener();
+    }, delayMs);
+    cancels.add(cancel);
+    return cancel;
+  };
+
+  const every: Timer['every'] = (periodMs, listener) => {
+    const handle = setInterval(listener, periodMs);
+    const cancel = () => {
+      clearInterval(handle);
+      cancels.delete(cancel);
+    };
+    cancels.add(cancel);
+    return cancel;
+  };
+
+  return {
+    now: () => performance.now(),
+    wallClock: () => Date.now(),
+    after,
+    every,
+    sleep: createSleep(after),
+    stop: () => [...cancels].forEach((cancel) => cancel()),
+  };
+};
+
+interface Subscription {
+  dueAt: number;
+  readonly order: number;
+  readonly periodMs: number | undefined;
+  readonly listener: () => void;
+}
+
+/** Creates a timer for tests that moves only when `advance` is called. */
+export const createManualTimer = (startMs = 0): ManualTimer => {
+  const subscriptions = new Set<Subscription>();
+  let now = startMs;
+  let order = 0;
+
+  const subscribe = (delayMs: number, listener: () => void, periodMs?: number): Cancel => {
+    order += 1;
+    const subscription: Subscription = { dueAt: now + delayMs, order, periodMs, listener };
+    subscriptions.add(subscription);
+    return () => subscriptions.delete(subscription);
+  };
+
+  const nextDue = (limit: number): Subscription | undefined =>
+    [...subscriptions]
+      .filter(({ dueAt }) => dueAt <= limit)
+      .sort((a, b) => a.dueAt - b.dueAt || a.order - b.order)[0];
+
+  const run = (subscription: Subscription) => {
+    now = Math.max(now, subscription.dueAt);
+    if (subscription.periodMs === undefined) {
+      subscriptions.delete(subscription);
+    } else {
+      subscription.dueAt += subscription.periodMs;
+    }
+    subscription.listener();
+  };
+
+  const after: Timer['after'] = (delayMs, listener) => subscribe(delayMs, listener);
+
+  return {
+    now: () => now,
+    wallClock: () => now,
+    after,
+    every: (periodMs, listener) => subscribe(periodMs, listener, periodMs),
+    sleep: createSleep(after),
+    stop: () => subscriptions.clear(),
+    advance: (ms) => {
+      const limit = now + ms;
+      let due = nextDue(limit);
+      while (due) {
+        run(due);
+        due = nextDue(limit);
+      }
+      now = limit;
+    },
+  };
+};
