Let the test script flush its output before it ends

Cause: process.exit cut off the reporter's last lines on a pipe. Change: set process.exitCode. Result: the spec lines of all files are printed.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -88,4 +88,4 @@
 totals.known.forEach((name) => console.log(`known red, see KNOWN-RED.txt: ${name}`));
 totals.failed.forEach((name) => console.log(`failed: ${name}`));
 console.log(`${totals.passed} passed, ${totals.failed.length} failed`);
-process.exit(totals.failed.length === 0 ? 0 : 1);
+process.exitCode = totals.failed.length === 0 ? 0 : 1;
