--- a/eslint.config.js
+++ b/eslint.config.js
@@ -17,6 +17,8 @@
       // Node.js ESM needs the extension of the emitted file.
       'import-x/extensions': 'off',
       'import-x/no-unresolved': 'off',
+      // node:test, Headers and import.meta.filename are complete enough in the supported 20.x.
+      'n/no-unsupported-features/node-builtins': 'off',
       // Logs go through winston; scripts print.
       'no-console': ['error'],
       // Loops that await in turn are the point of a retry or a stream.
@@ -37,8 +39,6 @@
       'no-await-in-loop': 'off',
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
-      // node:test and import.meta.filename are complete enough in the supported 20.x releases.
-      'n/no-unsupported-features/node-builtins': 'off',
     },
   },
   prettier,
--- /dev/null
+++ b/src/plugins/rpc.ts
@@ -0,0 +1,130 @@
+/**
+ * RPC between processes: connect-es over cleartext HTTP/2. A server bounds message size and the
+ * number of sessions; a transport keeps one session for each peer and notices by pings when it has
+ * gone silent.
+ */
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+import { isIP } from 'node:net';
+import type { ConnectRouter, Interceptor, Transport } from '@connectrpc/connect';
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+  Http2SessionManager,
+} from '@connectrpc/connect-node';
+import { Failure } from '../utils/failure.js';
+
+/** Largest message that a process accepts, in bytes. */
+export const maxMessageBytes = 4 * 1024 * 1024;
+const maxSessions = 512;
+const pingIntervalMs = 2_000;
+const pingTimeoutMs = 3_000;
+const idleConnectionTimeoutMs = 60_000;
+const defaultCallTimeoutMs = 5_000;
+
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Parses `ip:port`; IPv6 addresses stand in brackets. Returns undefined for any other text. */
+export const parseAddress = (text: string): Address | undefined => {
+  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  const host = match?.[1] ?? match?.[2] ?? '';
+  const port = Number(match?.[3]);
+  return isIP(host) !== 0 && port <= 65_535 ? { host, port } : undefined;
+};
+
+export interface RpcServer {
+  listen(): Promise<Address>;
+  /** Refuses new sessions, lets open RPCs end until `graceMs` has passed, then closes. */
+  close(graceMs: number): Promise<void>;
+}
+
+export interface RpcServerOptions {
+  readonly address: Address;
+  readonly routes: (router: ConnectRouter) => void;
+  readonly interceptors: Interceptor[];
+}
+
+const listenOn = (server: Http2Server, { host, port }: Address): Promise<Address> =>
+  new Promise((resolve, reject) => {
+    const onError = (error: NodeJS.ErrnoException) => {
+      const reason = error.code === 'EADDRINUSE' ? 'address_in_use' : 'invalid_settings';
+      reject(new Failure(reason, `${host}:${port}`, { cause: error }));
+    };
+    server.once('error', onError);
+    server.listen(port, host, () => {
+      server.removeListener('error', onError);
+      const bound = server.address();
+      resolve({ host, port: typeof bound === 'object' && bound ? bound.port : port });
+    });
+  });
+
+/** Creates a server for the RPC services of a process. */
+export const createRpcServer = ({ address, routes, interceptors }: RpcServerOptions): RpcServer => {
+  const sessions = new Set<ServerHttp2Session>();
+  const handler = connectNodeAdapter({
+    routes,
+    interceptors,
+    readMaxBytes: maxMessageBytes,
+    writeMaxBytes: maxMessageBytes,
+  });
+  const server = createServer(handler);
+  server.on('session', (session) => {
+    if (sessions.size >= maxSessions) {
+      session.destroy();
+      return;
+    }
+    sessions.add(session);
+    session.on('error', () => session.destroy());
+    session.on('close', () => sessions.delete(session));
+  });
+  server.on('sessionError', () => undefined);
+
+  return {
+    listen: () => listenOn(server, address),
+    close: (graceMs) =>
+      new Promise((resolve) => {
+        const deadline = setTimeout(() => {
+          sessions.forEach((session) => session.destroy());
+        }, graceMs);
+        server.close(() => {
+          clearTimeout(deadline);
+          resolve();
+        });
+        sessions.forEach((session) => session.close());
+      }),
+  };
+};
+
+export interface RpcTransport {
+  readonly transport: Transport;
+  /** Drops the session and all RPCs on it. */
+  close(): void;
+}
+
+/** Creates a transport to the peer at `address` (`ip:port`). */
+export const createRpcTransport = (
+  address: string,
+  interceptors: Interceptor[],
+  callTimeoutMs: number = defaultCallTimeoutMs,
+): RpcTransport => {
+  const baseUrl = `http://${address}`;
+  const sessionManager = new Http2SessionManager(baseUrl, {
+    pingIntervalMs,
+    pingTimeoutMs,
+    pingIdleConnection: true,
+    idleConnectionTimeoutMs,
+  });
+  const transport = createConnectTransport({
+    baseUrl,
+    httpVersion: '2',
+    sessionManager,
+    interceptors,
+    readMaxBytes: maxMessageBytes,
+    writeMaxBytes: maxMessageBytes,
+    defaultTimeoutMs: callTimeoutMs,
+    useBinaryFormat: true,
+  });
+  return { transport, close: () => sessionManager.abort() };
+};
