Add the replicated log as a pure state machine

The core takes events and returns effects: persist, send, reply, apply. Sends that rest on a write name the persist sequence that has to be synced first.

--- /dev/null
+++ b/src/core/consensus.ts
@@ -0,0 +1,384 @@
+/**
+ * A replicated log as a pure state machine: pre-vote, check-quorum, read index, membership changes
+ * one at a time, learners, snapshots. `step` takes an event and returns effects, which the caller
+ * carries out in order. The caller tells by `persisted` what has been synced, and holds a `send` or
+ * `reply` back until its `afterSync` is.
+ */
+import type { Member, ReplicaRole } from '../types/internal.js';
+import type {
+  AnswerMessage,
+  LogEntry,
+  MemberChange,
+  RefusalReason,
+  Replica,
+  ReplicaEffect,
+  ReplicaEvent,
+  ReplicaOptions,
+  RequestMessage,
+  Sender,
+} from './consensusTypes.js';
+import { applyCommitted, restoreSnapshot } from './consensusEffects.js';
+import { createReplicaLog } from './consensusLog.js';
+import {
+  adoptTerm,
+  checkElection,
+  checkQuorum,
+  continueTransfer,
+  refreshRole,
+  restartElectionTimer,
+  startTransfer,
+  stepDown,
+  takePersisted,
+  takeTimeoutNow,
+  takeVoteAnswer,
+  takeVoteRequest,
+} from './consensusElection.js';
+import {
+  advanceCommit,
+  appendMembers,
+  appendOwn,
+  heartbeat,
+  isRemoved,
+  replicate,
+  takeAppend,
+  takeAppendAnswer,
+  updateConfirmation,
+} from './consensusReplication.js';
+import {
+  changedMembers,
+  currentMembers,
+  findMember,
+  mayChangeMembers,
+  nextAutomaticMembers,
+} from './consensusMembership.js';
+import { compact, takeSnapshot, takeSnapshotAnswer } from './consensusSnapshot.js';
+
+export interface ReplicaStatus {
+  readonly role: ReplicaRole;
+  readonly term: number;
+  readonly leaderName: string;
+  readonly commitIndex: number;
+  readonly appliedIndex: number;
+  readonly lastIndex: number;
+  readonly snapshotIndex: number;
+  readonly members: readonly Member[];
+}
+
+export interface ReplicaCore {
+  /** Effects of the loaded state, to be carried out before the first event. */
+  start(now: number): readonly ReplicaEffect[];
+  step(event: ReplicaEvent, now: number): readonly ReplicaEffect[];
+  readonly queries: {
+    status(): ReplicaStatus;
+    confirmedAgeMs(now: number): number;
+    contactAgeMs(name: string, now: number): number;
+    matchIndex(name: string): number;
+    leader(): Member | undefined;
+  };
+}
+
+/** Smallest state of a replica that has never taken part. */
+export const emptySnapshot = { index: 0, term: 0, members: [], data: new Uint8Array() } as const;
+export const emptyHardState = { term: 0, votedFor: '' } as const;
+
+const createState = (options: ReplicaOptions): Replica => ({
+  options,
+  log: createReplicaLog(options.snapshot, options.entries),
+  effects: [],
+  now: 0,
+  role: 'learner',
+  term: options.hardState.term,
+  votedFor: options.hardState.votedFor,
+  leaderName: '',
+  commitIndex: options.snapshot.index,
+  appliedIndex: 0,
+  electionDeadline: 0,
+  leaderHeardAt: 0,
+  confirmedAt: -Infinity,
+  sequence: 0,
+  syncedSequence: 0,
+  preVoting: false,
+  votes: new Set(),
+  voteSequence: 0,
+  progress: new Map(),
+  round: 0,
+  roundSentAt: new Map(),
+  heartbeatAt: 0,
+  leaderSince: 0,
+  reads: [],
+  transferUntil: undefined,
+  transferTarget: '',
+  incoming: undefined,
+});
+
+const isFromLeader = ({ type }: RequestMessage): boolean =>
+  type === 'appendEntries' || type === 'installSnapshot';
+
+type AnswerOf = (replica: Replica, message: RequestMessage) => AnswerMessage;
+
+/** Answer to a request of an earlier term: it tells the sender the current one. */
+const refuseRequest: Record<RequestMessage['type'], AnswerOf> = {
+  requestVote: ({ term }, message) => ({
+    type: 'voteAnswer',
+    term,
+    granted: false,
+    preVote: message.type === 'requestVote' && message.preVote,
+  }),
+  appendEntries: ({ term }) => ({
+    type: 'appendAnswer',
+    term,
+    success: false,
+    matchIndex: 0,
+    round: 0,
+  }),
+  installSnapshot: ({ term }) => ({
+    type: 'snapshotAnswer',
+    term,
+    nextOffset: 0,
+    installed: false,
+    lastIndex: 0,
+    round: 0,
+  }),
+  timeoutNow: ({ term }) => ({ type: 'timeoutNowAnswer', term }),
+};
+
+type Handle<Kind, Result> = (replica: Replica, from: Sender, message: Kind) => Result;
+
+type Handlers<Kinds extends { type: string }, Result> = {
+  [Type in Kinds['type']]: Handle<Extract<Kinds, { type: Type }>, Result>;
+};
+
+const requestHandlers: Handlers<RequestMessage, AnswerMessage> = {
+  requestVote: takeVoteRequest,
+  appendEntries: (replica, _, message) => takeAppend(replica, message),
+  installSnapshot: takeSnapshot,
+  timeoutNow: (replica, _, message) => {
+    takeTimeoutNow(replica, message);
+    return { type: 'timeoutNowAnswer', term: replica.term };
+  },
+};
+
+const answerHandlers: Handlers<AnswerMessage, void> = {
+  voteAnswer: takeVoteAnswer,
+  appendAnswer: takeAppendAnswer,
+  snapshotAnswer: takeSnapshotAnswer,
+  timeoutNowAnswer: () => undefined,
+};
+
+const followLeader = (replica: Replica, from: Sender): void => {
+  if (replica.role === 'leader') {
+    throw new Error(`two leaders in term ${replica.term}: this replica and ${from.name}`);
+  }
+  if (replica.role === 'candidate') {
+    stepDown(replica);
+  }
+  replica.leaderName = from.name;
+  replica.leaderHeardAt = replica.now;
+  restartElectionTimer(replica);
+};
+
+const takeRequest = (replica: Replica, from: Sender, message: RequestMessage): AnswerMessage => {
+  const isPreVote = message.type === 'requestVote' && message.preVote;
+  if (message.term < replica.term) {
+    return refuseRequest[message.type](replica, message);
+  }
+  if (message.term > replica.term && !isPreVote) {
+    adoptTerm(replica, message.term);
+  }
+  if (isFromLeader(message)) {
+    followLeader(replica, from);
+  }
+  const handle = requestHandlers[message.type] as Handle<RequestMessage, AnswerMessage>;
+  return handle(replica, from, message);
+};
+
+const isGrantedPreVote = (message: AnswerMessage): boolean =>
+  message.type === 'voteAnswer' && message.preVote && message.granted;
+
+const isForLeader = ({ type }: AnswerMessage): boolean =>
+  type === 'appendAnswer' || type === 'snapshotAnswer';
+
+const takeAnswer = (replica: Replica, from: Sender, message: AnswerMessage): void => {
+  if (message.term > replica.term && !isGrantedPreVote(message)) {
+    adoptTerm(replica, message.term);
+    return;
+  }
+  if (isForLeader(message) && (replica.role !== 'leader' || message.term < replica.term)) {
+    return;
+  }
+  const handle = answerHandlers[message.type] as Handle<AnswerMessage, void>;
+  handle(replica, from, message);
+};
+
+/** What a leader does after any event: it counts, confirms and sends. */
+const lead = (replica: Replica): void => {
+  advanceCommit(replica);
+  updateConfirmation(replica);
+  replicate(replica);
+  continueTransfer(replica);
+  if (isRemoved(replica)) {
+    replica.leaderName = '';
+    stepDown(replica);
+  }
+};
+
+const tickLeader = (replica: Replica): void => {
+  checkQuorum(replica);
+  if (replica.role !== 'leader') {
+    return;
+  }
+  if (replica.now - replica.heartbeatAt >= replica.options.heartbeatMs) {
+    heartbeat(replica);
+  }
+  const members = nextAutomaticMembers(replica);
+  if (members) {
+    appendMembers(replica, members);
+  }
+};
+
+const refuse = (replica: Replica, id: number, reason: RefusalReason): void => {
+  replica.effects.push({ type: 'refused', id, reason });
+};
+
+const takesProposals = (replica: Replica): boolean =>
+  replica.role === 'leader' && replica.transferUntil === undefined;
+
+const announceEntry = (replica: Replica, id: number, { term, index }: LogEntry): void => {
+  replica.effects.push({ type: 'proposed', id, term, index });
+};
+
+const changeMembers = (replica: Replica, id: number, change: MemberChange): void => {
+  if (!takesProposals(replica)) {
+    refuse(replica, id, 'not_leader');
+    return;
+  }
+  if (!mayChangeMembers(replica)) {
+    refuse(replica, id, 'change_pending');
+    return;
+  }
+  const changed = changedMembers(currentMembers(replica), change);
+  if (typeof changed === 'string') {
+    refuse(replica, id, changed);
+    return;
+  }
+  announceEntry(replica, id, appendMembers(replica, changed));
+};
+
+/** A read is valid at the commit index once an entry of the own term is committed. */
+const startRead = (replica: Replica, id: number): void => {
+  const { queries } = replica.log;
+  if (replica.role !== 'leader' || queries.termAt(replica.commitIndex) !== replica.term) {
+    replica.effects.push({ type: 'readFailed', id });
+    return;
+  }
+  replica.reads.push({ id, index: replica.commitIndex, round: replica.round + 1 });
+  heartbeat(replica);
+};
+
+type EventHandlers = {
+  [Type in ReplicaEvent['type']]: (
+    replica: Replica,
+    event: Extract<ReplicaEvent, { type: Type }>,
+  ) => void;
+};
+
+const eventHandlers: EventHandlers = {
+  tick: (replica) => {
+    if (replica.role === 'leader') {
+      tickLeader(replica);
+    } else {
+      checkElection(replica);
+    }
+  },
+  request: (replica, { from, message, token }) => {
+    const answer = takeRequest(replica, from, message);
+    replica.effects.push({
+      type: 'reply',
+      token,
+      message: answer,
+      afterSync: replica.sequence,
+    });
+  },
+  answer: (replica, { from, message }) => takeAnswer(replica, from, message),
+  unreachable: (replica, { name }) => {
+    const progress = replica.progress.get(name);
+    if (progress) {
+      progress.inflightAt = undefined;
+      progress.snapshotOffset = undefined;
+    }
+  },
+  persisted: (replica, { sequence }) => {
+    takePersisted(replica, sequence);
+    applyCommitted(replica);
+  },
+  propose: (replica, { id, payload }) => {
+    if (takesProposals(replica)) {
+      announceEntry(replica, id, appendOwn(replica, 'command', payload));
+    } else {
+      refuse(replica, id, 'not_leader');
+    }
+  },
+  changeMembers: (replica, { id, change }) => changeMembers(replica, id, change),
+  read: (replica, { id }) => startRead(replica, id),
+  transfer: (replica) => {
+    if (replica.role === 'leader') {
+      startTransfer(replica);
+    }
+  },
+  compact: (replica, { index, data }) => compact(replica, index, data),
+};
+
+const takeEffects = (replica: Replica): readonly ReplicaEffect[] => replica.effects.splice(0);
+
+/** Creates a replica from what its disk holds. */
+export const createReplica = (options: ReplicaOptions): ReplicaCore => {
+  const replica = createState(options);
+  const { queries } = replica.log;
+
+  return {
+    start: (now) => {
+      replica.now = now;
+      restartElectionTimer(replica);
+      refreshRole(replica);
+      if (options.snapshot.index > 0) {
+        restoreSnapshot(replica, options.snapshot);
+      }
+      return takeEffects(replica);
+    },
+    step: (event, now) => {
+      replica.now = Math.max(replica.now, now);
+      const handle = eventHandlers[event.type] as (state: Replica, taken: ReplicaEvent) => void;
+      handle(replica, event);
+      if (replica.role === 'leader') {
+        lead(replica);
+      }
+      refreshRole(replica);
+      return takeEffects(replica);
+    },
+    queries: {
+      status: () => ({
+        role: replica.role,
+        term: replica.term,
+        leaderName: replica.leaderName,
+        commitIndex: replica.commitIndex,
+        appliedIndex: replica.appliedIndex,
+        lastIndex: queries.lastIndex(),
+        snapshotIndex: queries.snapshot().index,
+        members: currentMembers(replica),
+      }),
+      confirmedAgeMs: (now) => Math.max(0, now - replica.confirmedAt),
+      contactAgeMs: (name, now) => {
+        if (name === options.self.name) {
+          return 0;
+        }
+        const progress = replica.progress.get(name);
+        return progress ? Math.max(0, now - progress.contactAt) : Infinity;
+      },
+      matchIndex: (name) =>
+        name === options.self.name
+          ? queries.syncedIndex()
+          : (replica.progress.get(name)?.matchIndex ?? 0),
+      leader: () => findMember(replica, replica.leaderName),
+    },
+  };
+};
--- /dev/null
+++ b/src/core/consensusEffects.ts
@@ -0,0 +1,47 @@
+/**
+ * Effects that several parts of the replicated log produce.
+ */
+import type { Member } from '../types/internal.js';
+import type { PersistEffect, Replica, ReplicaSnapshot, RequestMessage } from './consensusTypes.js';
+
+type Write = Omit<PersistEffect, 'type' | 'sequence'>;
+
+/** Hands a write to the disk and returns its sequence. */
+export const persist = (replica: Replica, write: Write): number => {
+  replica.sequence += 1;
+  const { sequence } = replica;
+  replica.effects.push({ type: 'persist', sequence, ...write });
+  return sequence;
+};
+
+export const persistHardState = (replica: Replica): number =>
+  persist(replica, { hardState: { term: replica.term, votedFor: replica.votedFor } });
+
+export const send = (
+  replica: Replica,
+  to: Member,
+  message: RequestMessage,
+  afterSync = 0,
+): void => {
+  replica.effects.push({ type: 'send', to, message, afterSync });
+};
+
+const readyToApply = (replica: Replica): number =>
+  Math.min(replica.commitIndex, replica.log.queries.syncedIndex());
+
+export const applyCommitted = (replica: Replica): void => {
+  const to = readyToApply(replica);
+  if (to <= replica.appliedIndex) {
+    return;
+  }
+  const entries = replica.log.queries.slice(replica.appliedIndex + 1, to);
+  replica.appliedIndex = to;
+  replica.effects.push({ type: 'apply', entries });
+};
+
+/** Restores the state machine from a snapshot that covers more than was applied. */
+export const restoreSnapshot = (replica: Replica, snapshot: ReplicaSnapshot): void => {
+  replica.commitIndex = Math.max(replica.commitIndex, snapshot.index);
+  replica.appliedIndex = snapshot.index;
+  replica.effects.push({ type: 'restore', snapshot });
+};
--- /dev/null
+++ b/src/core/consensusElection.ts
@@ -0,0 +1,251 @@
+/**
+ * Elections: pre-vote, votes, check-quorum and leadership transfer. A pre-vote asks whether an
+ * election could be won and changes no state, so that a member that was cut off does not disturb a
+ * leader when it returns.
+ */
+import type { ReplicaRole } from '../types/internal.js';
+import type { Replica, RequestVote, Sender, TimeoutNow, VoteAnswer } from './consensusTypes.js';
+import { isMember, isQuorum, isVoter, otherMembers, voters } from './consensusMembership.js';
+import { persistHardState, send } from './consensusEffects.js';
+import { syncProgress } from './consensusProgress.js';
+import { appendOwn, heartbeat } from './consensusReplication.js';
+
+export const restartElectionTimer = (replica: Replica): void => {
+  const { electionTimeoutMs, random } = replica.options;
+  replica.electionDeadline = replica.now + electionTimeoutMs * (1 + random());
+};
+
+const restingRole = (replica: Replica): ReplicaRole =>
+  isVoter(replica, replica.options.self) ? 'follower' : 'learner';
+
+const changeRole = (replica: Replica, role: ReplicaRole): void => {
+  if (replica.role !== role) {
+    replica.role = role;
+    replica.effects.push({ type: 'roleChanged', role, term: replica.term });
+  }
+};
+
+/** Adapts follower and learner to a membership that may have changed. */
+export const refreshRole = (replica: Replica): void => {
+  if (replica.role === 'follower' || replica.role === 'learner') {
+    changeRole(replica, restingRole(replica));
+  }
+};
+
+const failReads = (replica: Replica): void => {
+  replica.reads.forEach(({ id }) => replica.effects.push({ type: 'readFailed', id }));
+  replica.reads = [];
+};
+
+/** Stops leading or standing for election; the term stays. */
+export const stepDown = (replica: Replica): void => {
+  replica.votes = new Set();
+  replica.preVoting = false;
+  replica.transferUntil = undefined;
+  replica.progress.clear();
+  failReads(replica);
+  changeRole(replica, restingRole(replica));
+  restartElectionTimer(replica);
+};
+
+/** Enters a later term as follower. */
+export const adoptTerm = (replica: Replica, term: number): void => {
+  replica.term = term;
+  replica.votedFor = '';
+  replica.leaderName = '';
+  persistHardState(replica);
+  stepDown(replica);
+};
+
+const sendVoteRequests = (replica: Replica, preVote: boolean): void => {
+  const { queries } = replica.log;
+  const message: RequestVote = {
+    type: 'requestVote',
+    term: preVote ? replica.term + 1 : replica.term,
+    lastLogIndex: queries.lastIndex(),
+    lastLogTerm: queries.lastTerm(),
+    preVote,
+  };
+  otherMembers(replica)
+    .filter(({ kind }) => kind === 'voter')
+    .forEach((member) => send(replica, member, message, replica.sequence));
+};
+
+const becomeLeader = (replica: Replica): void => {
+  replica.leaderName = replica.options.self.name;
+  replica.votes = new Set();
+  replica.leaderSince = replica.now;
+  replica.roundSentAt.clear();
+  replica.progress.clear();
+  changeRole(replica, 'leader');
+  syncProgress(replica);
+  // Commits the entries of earlier terms, and confirms reads and membership changes.
+  appendOwn(replica, 'noop', new Uint8Array());
+  heartbeat(replica);
+};
+
+const startVote = (replica: Replica): void => {
+  replica.preVoting = false;
+  replica.term += 1;
+  replica.votedFor = replica.options.self.name;
+  replica.leaderName = '';
+  replica.votes = new Set();
+  replica.voteSequence = persistHardState(replica);
+  changeRole(replica, 'candidate');
+  restartElectionTimer(replica);
+  sendVoteRequests(replica, false);
+};
+
+const countVotes = (replica: Replica): void => {
+  if (replica.role !== 'candidate' || !isQuorum(replica, replica.votes)) {
+    return;
+  }
+  if (replica.preVoting) {
+    startVote(replica);
+  } else {
+    becomeLeader(replica);
+  }
+};
+
+/** Counts the own vote once it is synced: a vote that a crash can undo could be given twice. */
+export const countOwnVote = (replica: Replica): void => {
+  const isOpen = replica.role === 'candidate' && !replica.preVoting;
+  if (isOpen && replica.syncedSequence >= replica.voteSequence) {
+    replica.votes.add(replica.options.self.name);
+    countVotes(replica);
+  }
+};
+
+const startPreVote = (replica: Replica): void => {
+  replica.preVoting = true;
+  replica.leaderName = '';
+  replica.votes = new Set([replica.options.self.name]);
+  changeRole(replica, 'candidate');
+  restartElectionTimer(replica);
+  sendVoteRequests(replica, true);
+  countVotes(replica);
+};
+
+/** Starts an election if the leader has been silent for the election timeout. */
+export const checkElection = (replica: Replica): void => {
+  if (replica.role === 'leader' || replica.now < replica.electionDeadline) {
+    return;
+  }
+  if (isVoter(replica, replica.options.self)) {
+    startPreVote(replica);
+  } else {
+    replica.leaderName = '';
+    stepDown(replica);
+  }
+};
+
+const hasNewerLog = (replica: Replica, { lastLogTerm, lastLogIndex }: RequestVote): boolean => {
+  const { queries } = replica.log;
+  return lastLogTerm === queries.lastTerm()
+    ? queries.lastIndex() > lastLogIndex
+    : queries.lastTerm() > lastLogTerm;
+};
+
+const hearsLeader = (replica: Replica): boolean =>
+  replica.role === 'leader' ||
+  (replica.leaderName !== '' &&
+    replica.now - replica.leaderHeardAt < replica.options.electionTimeoutMs);
+
+/**
+ * A replica votes only if its own log names its incarnation: an empty disk has forgotten the votes
+ * and entries that it acknowledged before. The candidate need not be a member by this replica's log,
+ * which may lack the entry that added it; the candidate counts only votes of its own membership.
+ */
+const mayVote = (replica: Replica, from: Sender, message: RequestVote): boolean => {
+  if (!isMember(replica, replica.options.self) || hasNewerLog(replica, message)) {
+    return false;
+  }
+  if (message.preVote) {
+    return message.term > replica.term && !hearsLeader(replica);
+  }
+  const isFree = replica.votedFor === '' || replica.votedFor === from.name;
+  return message.term === replica.term && isFree;
+};
+
+/** Answers a request for a vote. A later term was adopted before. */
+export const takeVoteRequest = (
+  replica: Replica,
+  from: Sender,
+  message: RequestVote,
+): VoteAnswer => {
+  const granted = mayVote(replica, from, message);
+  const { preVote } = message;
+  if (granted && !preVote && replica.votedFor === '') {
+    replica.votedFor = from.name;
+    persistHardState(replica);
+    restartElectionTimer(replica);
+  }
+  // A granted pre-vote is answered in the term that the candidate would have.
+  const term = granted && preVote ? message.term : replica.term;
+  return { type: 'voteAnswer', term, granted, preVote };
+};
+
+/** Counts a vote, if it belongs to the election in progress and to a voter's incarnation. */
+export const takeVoteAnswer = (replica: Replica, from: Sender, answer: VoteAnswer): void => {
+  const electionTerm = replica.preVoting ? replica.term + 1 : replica.term;
+  const belongs =
+    replica.role === 'candidate' &&
+    answer.preVote === replica.preVoting &&
+    answer.term === electionTerm;
+  if (belongs && answer.granted && isVoter(replica, from)) {
+    replica.votes.add(from.name);
+    countVotes(replica);
+  }
+};
+
+/** Steps down if no quorum has answered within the election timeout. */
+export const checkQuorum = (replica: Replica): void => {
+  const confirmedAt = Math.max(replica.confirmedAt, replica.leaderSince);
+  if (replica.now - confirmedAt > replica.options.electionTimeoutMs) {
+    replica.leaderName = '';
+    stepDown(replica);
+  }
+};
+
+/** Starts to hand the leadership to the voter that holds most of the log. */
+export const startTransfer = (replica: Replica): void => {
+  replica.transferUntil = replica.now + replica.options.electionTimeoutMs;
+  replica.transferTarget = '';
+  continueTransfer(replica);
+};
+
+/** Asks a voter that holds the whole log to start an election, and gives up after a while. */
+export const continueTransfer = (replica: Replica): void => {
+  if (replica.transferUntil === undefined) {
+    return;
+  }
+  if (replica.now >= replica.transferUntil) {
+    replica.transferUntil = undefined;
+    return;
+  }
+  const lastIndex = replica.log.queries.lastIndex();
+  const target = voters(replica)
+    .filter(({ name }) => replica.progress.get(name)?.matchIndex === lastIndex)
+    .sort(
+      (a, b) => replica.progress.get(b.name)!.contactAt - replica.progress.get(a.name)!.contactAt,
+    )
+    .at(0);
+  if (target && replica.transferTarget === '') {
+    replica.transferTarget = target.name;
+    send(replica, target, { type: 'timeoutNow', term: replica.term });
+  }
+};
+
+export const takeTimeoutNow = (replica: Replica, message: TimeoutNow): void => {
+  const isCurrent = message.term === replica.term && replica.role === 'follower';
+  if (isCurrent && isVoter(replica, replica.options.self)) {
+    startVote(replica);
+  }
+};
+
+/** Counts what became durable: the own vote of a candidate, the own entries of a leader. */
+export const takePersisted = (replica: Replica, sequence: number): void => {
+  replica.syncedSequence = Math.max(replica.syncedSequence, sequence);
+  replica.log.commands.synced(sequence);
+  countOwnVote(replica);
+};
--- /dev/null
+++ b/src/core/consensusProgress.ts
@@ -0,0 +1,57 @@
+/**
+ * What a leader records about the other members.
+ */
+import type { Member } from '../types/internal.js';
+import type { Progress, Replica, Sender } from './consensusTypes.js';
+import { findMember, isSame, otherMembers } from './consensusMembership.js';
+
+const createProgress = (replica: Replica, { incarnation }: Member): Progress => ({
+  incarnation,
+  sinceRound: replica.round,
+  matchIndex: 0,
+  nextIndex: replica.log.queries.lastIndex() + 1,
+  ackedRound: 0,
+  inflightAt: undefined,
+  snapshotOffset: undefined,
+  createdAt: replica.now,
+  contactAt: -Infinity,
+  otherIncarnation: undefined,
+});
+
+/** Adapts a leader's records to the current membership. */
+export const syncProgress = (replica: Replica): void => {
+  const members = otherMembers(replica);
+  const names = new Set(members.map(({ name }) => name));
+  [...replica.progress.keys()]
+    .filter((name) => !names.has(name))
+    .forEach((name) => replica.progress.delete(name));
+  members
+    .filter(({ name, incarnation }) => replica.progress.get(name)?.incarnation !== incarnation)
+    .forEach((member) => replica.progress.set(member.name, createProgress(replica, member)));
+};
+
+/**
+ * Returns the leader's record of the answering member. An answer of another incarnation than the
+ * membership names is noted and does not count.
+ */
+export const countedProgress = (
+  replica: Replica,
+  from: Sender,
+  round: number,
+): Progress | undefined => {
+  const member = findMember(replica, from.name);
+  const progress = replica.progress.get(from.name);
+  if (!member || !progress) {
+    return undefined;
+  }
+  if (!isSame(member, from)) {
+    if (round > progress.sinceRound) {
+      progress.otherIncarnation = from.incarnation;
+    }
+    return undefined;
+  }
+  progress.contactAt = replica.now;
+  progress.otherIncarnation = undefined;
+  progress.ackedRound = Math.max(progress.ackedRound, round);
+  return progress;
+};
--- /dev/null
+++ b/src/core/consensusSnapshot.ts
@@ -0,0 +1,129 @@
+/**
+ * Snapshots: a member that lacks entries which the leader has compacted gets the leader's snapshot
+ * in chunks, in place of the entries.
+ */
+import type { Member } from '../types/internal.js';
+import type {
+  InstallSnapshot,
+  Progress,
+  Replica,
+  ReplicaSnapshot,
+  Sender,
+  SnapshotAnswer,
+} from './consensusTypes.js';
+import { persist, restoreSnapshot, send } from './consensusEffects.js';
+import { countedProgress } from './consensusProgress.js';
+
+/** Below the 4 MiB that a process accepts in one message. */
+export const snapshotChunkBytes = 1024 * 1024;
+
+export const sendSnapshotChunk = (replica: Replica, to: Member, progress: Progress): void => {
+  const { index, term, members, data } = replica.log.queries.snapshot();
+  const offset = Math.min(progress.snapshotOffset ?? 0, data.length);
+  const chunk = data.subarray(offset, offset + snapshotChunkBytes);
+  progress.snapshotOffset = offset;
+  progress.inflightAt = replica.now;
+  send(replica, to, {
+    type: 'installSnapshot',
+    term: replica.term,
+    lastIndex: index,
+    lastTerm: term,
+    offset,
+    chunk,
+    done: offset + chunk.length === data.length,
+    members,
+    round: replica.round,
+  });
+};
+
+export const takeSnapshotAnswer = (
+  replica: Replica,
+  from: Sender,
+  answer: SnapshotAnswer,
+): void => {
+  const progress = countedProgress(replica, from, answer.round);
+  if (!progress) {
+    return;
+  }
+  progress.inflightAt = undefined;
+  if (answer.installed) {
+    progress.matchIndex = Math.max(progress.matchIndex, answer.lastIndex);
+    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+    progress.snapshotOffset = undefined;
+  } else if (answer.lastIndex === replica.log.queries.snapshot().index) {
+    progress.snapshotOffset = answer.nextOffset;
+  } else {
+    progress.snapshotOffset = 0;
+  }
+};
+
+const install = (replica: Replica, snapshot: ReplicaSnapshot): void => {
+  const { queries, commands } = replica.log;
+  const resetLog = queries.termAt(snapshot.index) !== snapshot.term;
+  persist(replica, { snapshot, resetLog });
+  commands.compact(snapshot, resetLog);
+  restoreSnapshot(replica, snapshot);
+};
+
+const joinChunks = (chunks: readonly Uint8Array[]): Uint8Array =>
+  new Uint8Array(Buffer.concat(chunks));
+
+const receiveChunk = (replica: Replica, from: Sender, message: InstallSnapshot): number => {
+  const { lastIndex, lastTerm, offset, chunk } = message;
+  const { incoming } = replica;
+  const continues =
+    incoming?.index === lastIndex && incoming.term === lastTerm && incoming.from === from.name;
+  if (offset === 0 && !(continues && incoming.size > 0)) {
+    replica.incoming = { index: lastIndex, term: lastTerm, from: from.name, chunks: [], size: 0 };
+  }
+  const current = replica.incoming;
+  if (!current || (offset > 0 && !continues)) {
+    return 0;
+  }
+  if (offset === current.size) {
+    current.chunks.push(chunk);
+    current.size += chunk.length;
+  }
+  return current.size;
+};
+
+/** Takes a chunk of the leader's snapshot and installs the snapshot with the last one. */
+export const takeSnapshot = (
+  replica: Replica,
+  from: Sender,
+  message: InstallSnapshot,
+): SnapshotAnswer => {
+  const { lastIndex, lastTerm, offset, chunk, done, members, round } = message;
+  const answer = { type: 'snapshotAnswer', term: replica.term, lastIndex, round } as const;
+  if (lastIndex <= replica.commitIndex) {
+    return { ...answer, nextOffset: 0, installed: true };
+  }
+  const nextOffset = receiveChunk(replica, from, message);
+  const { incoming } = replica;
+  if (!done || !incoming || nextOffset !== offset + chunk.length) {
+    return { ...answer, nextOffset, installed: false };
+  }
+  replica.incoming = undefined;
+  install(replica, {
+    index: lastIndex,
+    term: lastTerm,
+    members,
+    data: joinChunks(incoming.chunks),
+  });
+  return { ...answer, nextOffset, installed: true };
+};
+
+/** Replaces applied entries by the state machine's state after them. */
+export const compact = (replica: Replica, index: number, data: Uint8Array): void => {
+  const { queries, commands } = replica.log;
+  const term = queries.termAt(index);
+  if (term === undefined || index <= queries.snapshot().index || index > replica.appliedIndex) {
+    return;
+  }
+  const snapshot = { index, term, members: queries.membersAt(index), data };
+  persist(replica, { snapshot });
+  commands.compact(snapshot, false);
+  replica.progress.forEach((progress) => {
+    progress.snapshotOffset = undefined;
+  });
+};
