--- /dev/null
+++ b/src/plugins/adminServer.ts
@@ -0,0 +1,97 @@
+/**
+ * The admin address of a process: health, readiness, metrics and the routes that the process adds.
+ * `/healthz` answers whether the process itself works, `/readyz` whether it should get work; a
+ * process that starts or stops is healthy and not ready.
+ */
+import { createServer, type ServerResponse } from 'node:http';
+import polka, { type Polka } from 'polka';
+import { Failure } from '../utils/failure.js';
+import { listenHttp } from './httpListen.js';
+import type { Address } from './rpc.js';
+
+const requestTimeoutMs = 10_000;
+const maxConnections = 64;
+
+/** State of one check. `reasons` says in short sentences why it is not ok. */
+export interface CheckState {
+  readonly ok: boolean;
+  readonly reasons: readonly string[];
+}
+
+export interface AdminServerOptions {
+  readonly address: Address;
+  readonly health: () => CheckState;
+  readonly ready: () => CheckState;
+  /** Metrics in the text format of Prometheus. */
+  readonly metrics: () => Promise<{ contentType: string; body: string }>;
+  /** Adds the routes of the process. */
+  readonly routes?: (router: Polka) => void;
+}
+
+export interface AdminServer {
+  listen(): Promise<Address>;
+  close(): Promise<void>;
+}
+
+/** Sends a JSON body. */
+export const sendJson = (response: ServerResponse, status: number, value: unknown) => {
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+};
+
+const sendCheck = (response: ServerResponse, { ok, reasons }: CheckState) => {
+  sendJson(response, ok ? 200 : 503, { ok, reasons });
+};
+
+const sendError = (response: ServerResponse, error: unknown) => {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const { status, code, reason } =
+    error instanceof Failure ? error : { status: 500, code: 'E000', reason: 'internal' };
+  const message = error instanceof Error ? error.message : String(error);
+  sendJson(response, status, { code, reason, message });
+};
+
+/** Creates the admin server of a process. */
+export const createAdminServer = ({
+  address,
+  health,
+  ready,
+  metrics,
+  routes,
+}: AdminServerOptions): AdminServer => {
+  const server = createServer({ requestTimeout: requestTimeoutMs });
+  server.maxConnections = maxConnections;
+  const router = polka({
+    server,
+    onError: (error, _request, response) => sendError(response, error),
+    onNoMatch: (_request, response) => sendJson(response, 404, { message: 'not found' }),
+  });
+  router.get('/healthz', (_request, response) => sendCheck(response, health()));
+  router.get('/readyz', (_request, response) => sendCheck(response, ready()));
+  router.get('/metrics', (_request, response) => {
+    metrics()
+      .then(({ contentType, body }) => {
+        response.writeHead(200, { 'content-type': contentType });
+        response.end(body);
+      })
+      .catch((error: unknown) => sendError(response, error));
+  });
+  routes?.(router);
+  server.on('request', router.handler);
+
+  return {
+    listen: () => listenHttp(server, address),
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+};
