--- /dev/null
+++ b/src/core/configuration.ts
@@ -0,0 +1,12 @@
+/**
+ * Configurations: parsing, checks, canonical form and matching, gathered for the other parts.
+ */
+export { parseTargets, maxTargetBytes } from './targets.js';
+export { checkConfiguration } from './configurationChecks.js';
+export {
+  decodeConfiguration,
+  digestConfiguration,
+  encodeConfiguration,
+} from './configurationCodec.js';
+export { diffLines } from './configurationDiff.js';
+export { matchClass, type CallShape } from './classMatching.js';
--- /dev/null
+++ b/src/core/configurationCodec.ts
@@ -0,0 +1,63 @@
+/**
+ * Canonical form of a configuration: JSON with sorted keys, so that equal configurations have equal
+ * bytes and an equal digest on every process.
+ */
+import { createHash } from 'node:crypto';
+import { z } from 'zod';
+import type { Configuration } from '../types/public.js';
+import { Failure } from '../utils/failure.js';
+
+const matchSchema = z.strictObject({
+  method: z.string().optional(),
+  pathPrefix: z.string().optional(),
+});
+
+const classSchema = z.strictObject({
+  name: z.string(),
+  service: z.string(),
+  match: z.array(matchSchema),
+  answerWithinMs: z.number().nonnegative().optional(),
+  share: z.number().min(0).max(1),
+  atMostOnce: z.boolean(),
+  idempotent: z.boolean(),
+  mayWaitMs: z.number().nonnegative(),
+  availability: z.number().min(0).max(1),
+  importance: z.number().int().min(1).max(100),
+  ratePerSecond: z.number().positive().optional(),
+  workMs: z.number().nonnegative().optional(),
+});
+
+const configurationSchema = z.strictObject({
+  services: z.record(z.string(), z.strictObject({ name: z.string(), expected: z.boolean() })),
+  classes: z.record(z.string(), classSchema),
+});
+
+const sortKeys = (_: string, value: unknown): unknown =>
+  typeof value === 'object' && value !== null && !Array.isArray(value)
+    ? Object.fromEntries(Object.entries(value).sort(([a], [b]) => Number(a > b) - Number(a < b)))
+    : value;
+
+/** Encodes a configuration in its canonical form. */
+export const encodeConfiguration = (configuration: Configuration): Uint8Array =>
+  new TextEncoder().encode(JSON.stringify(configuration, sortKeys));
+
+const parseJson = (bytes: Uint8Array): unknown => {
+  try {
+    return JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(bytes));
+  } catch (cause) {
+    throw new Failure('malformed_message', 'configuration is not JSON', { cause });
+  }
+};
+
+/** Decodes a configuration. Throws a Failure with `malformed_message` for anything else. */
+export const decodeConfiguration = (bytes: Uint8Array): Configuration => {
+  const result = configurationSchema.safeParse(parseJson(bytes));
+  if (!result.success) {
+    throw new Failure('malformed_message', `configuration: ${result.error.issues[0]?.message}`);
+  }
+  return result.data;
+};
+
+/** SHA-256 of the canonical form. */
+export const digestConfiguration = (configuration: Configuration): Uint8Array =>
+  createHash('sha256').update(encodeConfiguration(configuration)).digest();
