--- /dev/null
+++ b/bench/support/load.ts
@@ -0,0 +1,214 @@
+/**
+ * Open-loop load: calls start at times that are fixed in advance, whether or not earlier calls have
+ * ended, and latency counts from the planned start, so that a stall is charged to every call that
+ * it delayed. The generator runs in a process of its own.
+ */
+import { fork } from 'node:child_process';
+import { join } from 'node:path';
+import { build as createHistogram } from 'hdr-histogram-js';
+import { Agent, request } from 'undici';
+
+export interface CallPattern {
+  readonly name: string;
+  readonly method: 'GET' | 'POST' | 'PUT';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly bodyBytes?: number;
+  /** Sends a fresh idempotency key with each call. */
+  readonly withKey?: boolean;
+  readonly ratePerSecond: number;
+}
+
+export interface LoadOptions {
+  /** `ip:port` of the nodes that calls are sent to, in turn. */
+  readonly targets: readonly string[];
+  readonly patterns: readonly CallPattern[];
+  readonly warmUpMs: number;
+  readonly measureMs: number;
+  readonly timeoutMs?: number;
+  readonly seed?: number;
+}
+
+export interface PatternResult {
+  readonly name: string;
+  readonly calls: number;
+  /** Answers by status; `0` counts calls without an answer. */
+  readonly statuses: Readonly<Record<string, number>>;
+  /** Refusals by their reason. */
+  readonly reasons: Readonly<Record<string, number>>;
+  readonly failed: number;
+  /** Latency from the planned start to the last byte, in ms, of answers with status below 400. */
+  readonly latencyMs: Readonly<Record<'mean' | 'p50' | 'p90' | 'p99' | 'p999' | 'max', number>>;
+}
+
+export interface LoadResult {
+  readonly patterns: readonly PatternResult[];
+  readonly measuredMs: number;
+  /** Largest delay between a call's planned and its true start, in ms: the generator's own lag. */
+  readonly maxStartLagMs: number;
+}
+
+const defaultTimeoutMs = 30_000;
+const tickMs = 1;
+const microsecondsPerMs = 1_000;
+const highestLatencyUs = 120_000_000;
+
+const createRecorder = (pattern: CallPattern) => {
+  const histogram = createHistogram({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: highestLatencyUs,
+    numberOfSignificantValueDigits: 3,
+  });
+  const statuses: Record<string, number> = {};
+  const reasons: Record<string, number> = {};
+  let calls = 0;
+  let failed = 0;
+  const atPercentile = (percentile: number): number =>
+    histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+  return {
+    record: (status: number, latencyMs: number, reason?: string) => {
+      calls += 1;
+      statuses[status] = (statuses[status] ?? 0) + 1;
+      if (reason) {
+        reasons[reason] = (reasons[reason] ?? 0) + 1;
+      }
+      if (status === 0 || status >= 400) {
+        failed += 1;
+        return;
+      }
+      const latencyUs = Math.round(latencyMs * microsecondsPerMs);
+      histogram.recordValue(Math.min(highestLatencyUs, Math.max(1, latencyUs)));
+    },
+    result: (): PatternResult => ({
+      name: pattern.name,
+      calls,
+      statuses,
+      reasons,
+      failed,
+      latencyMs: {
+        mean: histogram.mean / microsecondsPerMs,
+        p50: atPercentile(50),
+        p90: atPercentile(90),
+        p99: atPercentile(99),
+        p999: atPercentile(99.9),
+        max: histogram.maxValue / microsecondsPerMs,
+      },
+    }),
+  };
+};
+
+const reasonOf = (body: string): string => {
+  try {
+    return String(JSON.parse(body).reason ?? '');
+  } catch {
+    return '';
+  }
+};
+
+/** Reads a body and throws if it ends early. */
+const readToEnd = async (body: AsyncIterable<unknown>) => {
+  const chunks = body[Symbol.asyncIterator]();
+  while (!(await chunks.next()).done);
+};
+
+/** Generates the load in this process. Use `runLoad` to keep the generator apart. */
+export const generateLoad = async (options: LoadOptions): Promise<LoadResult> => {
+  const { targets, patterns, warmUpMs, measureMs, timeoutMs = defaultTimeoutMs } = options;
+  const agent = new Agent({ connections: 256, pipelining: 1, keepAliveTimeout: 30_000 });
+  const startedAt = performance.now();
+  const endAt = warmUpMs + measureMs;
+  const open = new Set<Promise<void>>();
+  let sequence = 0;
+  let maxStartLagMs = 0;
+
+  const call = async (
+    pattern: CallPattern,
+    plannedAt: number,
+    recorder: ReturnType<typeof createRecorder>,
+  ) => {
+    sequence += 1;
+    const id = `load-${options.seed ?? 1}-${sequence}`;
+    const target = targets[sequence % targets.length];
+    const isMeasured = plannedAt >= warmUpMs;
+    const finish = (status: number, reason?: string) => {
+      if (isMeasured) {
+        recorder.record(status, performance.now() - startedAt - plannedAt, reason);
+      }
+    };
+    try {
+      const answer = await request(`http://${target}${pattern.path}`, {
+        method: pattern.method,
+        dispatcher: agent,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        headers: {
+          'x-request-id': id,
+          ...(pattern.withKey ? { 'idempotency-key': id } : {}),
+          ...pattern.headers,
+        },
+        body: pattern.bodyBytes ? Buffer.alloc(pattern.bodyBytes, 'x') : undefined,
+      });
+      if (answer.statusCode < 400) {
+        await readToEnd(answer.body);
+        finish(answer.statusCode);
+      } else {
+        finish(answer.statusCode, reasonOf(await answer.body.text()));
+      }
+    } catch (error) {
+      finish(0, error instanceof Error ? error.message : String(error));
+    }
+  };
+
+  const streams = patterns.map((pattern) => ({
+    pattern,
+    recorder: createRecorder(pattern),
+    periodMs: 1_000 / pattern.ratePerSecond,
+    nextAt: 0,
+  }));
+
+  const startDue = () => {
+    const now = performance.now() - startedAt;
+    streams.forEach((stream) => {
+      while (stream.nextAt <= now && stream.nextAt < endAt) {
+        if (stream.nextAt >= warmUpMs) {
+          maxStartLagMs = Math.max(maxStartLagMs, now - stream.nextAt);
+        }
+        const running: Promise<void> = call(stream.pattern, stream.nextAt, stream.recorder).finally(
+          () => open.delete(running),
+        );
+        open.add(running);
+        stream.nextAt += stream.periodMs;
+      }
+    });
+  };
+
+  await new Promise<void>((resolve) => {
+    const ticker = setInterval(() => {
+      startDue();
+      if (performance.now() - startedAt >= endAt) {
+        clearInterval(ticker);
+        resolve();
+      }
+    }, tickMs);
+  });
+  await Promise.all(open);
+  await agent.close();
+  return {
+    patterns: streams.map(({ recorder }) => recorder.result()),
+    measuredMs: measureMs,
+    maxStartLagMs,
+  };
+};
+
+/** Runs the generator in a process of its own and resolves with its result. */
+export const runLoad = (options: LoadOptions): Promise<LoadResult> =>
+  new Promise((resolve, reject) => {
+    const child = fork(join(import.meta.dirname, 'loadProcess.ts'), {
+      execArgv: ['--import', 'tsx'],
+      cwd: join(import.meta.dirname, '../..'),
+    });
+    child.once('message', (result) => resolve(result as LoadResult));
+    child.once('error', reject);
+    child.once('exit', (code) => reject(new Error(`the load generator ended with ${code}`)));
+    child.send(options);
+  });
