--- /dev/null
+++ b/src/core/acceptance.ts
@@ -0,0 +1,213 @@
+/**
+ * State machine of the group `configuration`: accepts changes by compare-and-set on the version that
+ * the operator saw. The first outcome of a change id is kept, so that a resend has no second effect.
+ */
+import { createHash } from 'node:crypto';
+import type { CommittedEntry, StateMachine } from '../types/internal.js';
+import type { Configuration, Version } from '../types/public.js';
+import { decodeConfiguration, digestConfiguration, encodeConfiguration } from './configuration.js';
+import { compareVersions, noVersion } from './version.js';
+
+/** Changes whose outcome is kept. */
+export const maxChangesKept = 10_000;
+/** Configurations that are kept as bases of deltas: more than a fifth of a day's changes. */
+export const maxConfigurationsKept = 256;
+
+/** A change as an operator proposes it. */
+export interface Change {
+  readonly changeId: string;
+  readonly baseVersion: Version;
+  /** Targets in TOML, as the operator wrote them. */
+  readonly targets: string;
+  readonly fileName: string;
+  readonly operator: string;
+  readonly note: string;
+  /** Time of day at the leader, in ms. */
+  readonly proposedAtMs: number;
+}
+
+export type ChangeResult =
+  | { readonly outcome: 'accepted' | 'unchanged'; readonly version: Version }
+  | { readonly outcome: 'refused'; readonly reason: RefusalCause; readonly version: Version };
+
+export type RefusalCause = 'version_conflict' | 'change_id_reused' | 'malformed_message';
+
+/** Outcome of a change, as kept under its id. */
+export interface ChangeRecord {
+  readonly changeId: string;
+  readonly fingerprint: string;
+  readonly operator: string;
+  readonly note: string;
+  readonly decidedAtMs: number;
+  readonly result: ChangeResult;
+}
+
+/** Outcome of an entry; `replayed` if it was decided by an earlier one. */
+export interface AppliedChange {
+  readonly result: ChangeResult;
+  readonly replayed: boolean;
+}
+
+export interface StoredConfiguration {
+  readonly version: Version;
+  readonly configuration: Configuration;
+  readonly digest: Uint8Array;
+  readonly targets: string;
+  readonly acceptedAtMs: number;
+}
+
+export interface Acceptance {
+  readonly machine: StateMachine<AppliedChange>;
+  readonly queries: {
+    head(): StoredConfiguration | undefined;
+    at(version: Version): StoredConfiguration | undefined;
+    record(changeId: string): ChangeRecord | undefined;
+    /** Newest first. */
+    history(limit: number): readonly ChangeRecord[];
+    /** What the change would lead to now, without an entry. */
+    judge(change: Change): AppliedChange | undefined;
+  };
+}
+
+interface Command extends Change {
+  readonly configuration: Configuration;
+}
+
+interface Snapshot {
+  readonly records: readonly ChangeRecord[];
+  readonly configurations: readonly (Omit<StoredConfiguration, 'digest' | 'configuration'> & {
+    configuration: string;
+  })[];
+}
+
+const encodeText = (text: string): Uint8Array => new TextEncoder().encode(text);
+const decodeText = (bytes: Uint8Array): string => new TextDecoder().decode(bytes);
+
+/** Encodes a change together with the configuration that its targets stand for. */
+export const encodeChange = (change: Change, configuration: Configuration): Uint8Array => {
+  const canonical = decodeText(encodeConfiguration(configuration));
+  return encodeText(JSON.stringify({ ...change, configuration: canonical }));
+};
+
+const decodeChange = (payload: Uint8Array): Command => {
+  const { configuration, ...change } = JSON.parse(decodeText(payload)) as Change & {
+    configuration: string;
+  };
+  return { ...change, configuration: decodeConfiguration(encodeText(configuration)) };
+};
+
+/** Digest of what makes two requests the same change. */
+const fingerprintOf = ({ baseVersion, targets }: Change): string =>
+  createHash('sha256')
+    .update(JSON.stringify([baseVersion.term, baseVersion.index, targets]))
+    .digest('hex');
+
+/** Creates the state machine of the group `configuration`. */
+export const createAcceptance = (): Acceptance => {
+  let records = new Map<string, ChangeRecord>();
+  let configurations: StoredConfiguration[] = [];
+
+  const head = () => configurations.at(-1);
+  const headVersion = () => head()?.version ?? noVersion;
+
+  const replayOf = (change: Change): AppliedChange | undefined => {
+    const record = records.get(change.changeId);
+    if (!record) {
+      return undefined;
+    }
+    if (record.fingerprint === fingerprintOf(change)) {
+      return { result: record.result, replayed: true };
+    }
+    const result: ChangeResult = {
+      outcome: 'refused',
+      reason: 'change_id_reused',
+      version: headVersion(),
+    };
+    return { result, replayed: false };
+  };
+
+  const conflictOf = (change: Change): ChangeResult | undefined =>
+    compareVersions(change.baseVersion, headVersion()) === 0
+      ? undefined
+      : { outcome: 'refused', reason: 'version_conflict', version: headVersion() };
+
+  const keepRecord = (change: Change, result: ChangeResult) => {
+    records.set(change.changeId, {
+      changeId: change.changeId,
+      fingerprint: fingerprintOf(change),
+      operator: change.operator,
+      note: change.note,
+      decidedAtMs: change.proposedAtMs,
+      result,
+    });
+    if (records.size > maxChangesKept) {
+      const oldest = records.keys().next().value!;
+      records.delete(oldest);
+    }
+  };
+
+  const accept = (command: Command, version: Version): ChangeResult => {
+    const { configuration, targets, proposedAtMs } = command;
+    const digest = digestConfiguration(configuration);
+    const current = head();
+    if (current && Buffer.compare(current.digest, digest) === 0 && current.targets === targets) {
+      return { outcome: 'unchanged', version: current.version };
+    }
+    const acceptedAtMs = proposedAtMs;
+    configurations.push({ version, configuration, digest, targets, acceptedAtMs });
+    configurations = configurations.slice(-maxConfigurationsKept);
+    return { outcome: 'accepted', version };
+  };
+
+  const apply = ({ term, index, payload }: CommittedEntry): AppliedChange => {
+    const command = decodeChange(payload);
+    const replay = replayOf(command);
+    if (replay) {
+      return replay;
+    }
+    const result = conflictOf(command) ?? accept(command, { term, index });
+    keepRecord(command, result);
+    return { result, replayed: false };
+  };
+
+  const snapshot = (): Uint8Array => {
+    const content: Snapshot = {
+      records: [...records.values()],
+      configurations: configurations.map(({ version, configuration, targets, acceptedAtMs }) => ({
+        version,
+        configuration: decodeText(encodeConfiguration(configuration)),
+        targets,
+        acceptedAtMs,
+      })),
+    };
+    return encodeText(JSON.stringify(content));
+  };
+
+  const restore = (data: Uint8Array) => {
+    const content: Snapshot =
+      data.length === 0
+        ? { records: [], configurations: [] }
+        : (JSON.parse(decodeText(data)) as Snapshot);
+    records = new Map(content.records.map((record) => [record.changeId, record]));
+    configurations = content.configurations.map((stored) => {
+      const configuration = decodeConfiguration(encodeText(stored.configuration));
+      return { ...stored, configuration, digest: digestConfiguration(configuration) };
+    });
+  };
+
+  return {
+    machine: { apply, snapshot, restore },
+    queries: {
+      head,
+      at: (version) =>
+        configurations.find((stored) => compareVersions(stored.version, version) === 0),
+      record: (changeId) => records.get(changeId),
+      history: (limit) => [...records.values()].slice(-limit).reverse(),
+      judge: (change) => {
+        const replay = replayOf(change);
+        const conflict = conflictOf(change);
+        return replay ?? (conflict && { result: conflict, replayed: false });
+      },
+    },
+  };
+};
--- a/src/core/consensus.ts
+++ b/src/core/consensus.ts
@@ -2,7 +2,7 @@
  * A replicated log as a pure state machine: pre-vote, check-quorum, read index, membership changes
  * one at a time, learners, snapshots. `step` takes an event and returns effects, which the caller
  * carries out in order. The caller tells by `persisted` what has been synced, and holds a `send` or
- * `reply` back until its `afterSync` is.
+ * `reply` back until its `afterSequence` is.
  */
 import type { Member, ReplicaRole } from '../types/internal.js';
 import type {
@@ -296,7 +296,7 @@
       type: 'reply',
       token,
       message: answer,
-      afterSync: replica.sequence,
+      afterSequence: replica.sequence,
     });
   },
   answer: (replica, { from, message }) => takeAnswer(replica, from, message),
--- a/src/core/consensusEffects.ts
+++ b/src/core/consensusEffects.ts
@@ -21,9 +21,9 @@
   replica: Replica,
   to: Member,
   message: RequestMessage,
-  afterSync = 0,
+  afterSequence = 0,
 ): void => {
-  replica.effects.push({ type: 'send', to, message, afterSync });
+  replica.effects.push({ type: 'send', to, message, afterSequence });
 };
 
 const readyToApply = (replica: Replica): number =>
--- a/src/core/consensusSnapshot.ts
+++ b/src/core/consensusSnapshot.ts
@@ -57,11 +57,20 @@
   }
 };
 
+const persistSnapshot = (replica: Replica): void => {
+  const { queries } = replica.log;
+  persist(replica, {
+    snapshot: queries.snapshot(),
+    hardState: { term: replica.term, votedFor: replica.votedFor },
+    entries: queries.slice(queries.firstIndex(), queries.lastIndex()),
+  });
+};
+
 const install = (replica: Replica, snapshot: ReplicaSnapshot): void => {
   const { queries, commands } = replica.log;
-  const resetLog = queries.termAt(snapshot.index) !== snapshot.term;
-  persist(replica, { snapshot, resetLog });
-  commands.compact(snapshot, resetLog);
+  const dropAll = queries.termAt(snapshot.index) !== snapshot.term;
+  commands.compact(snapshot, dropAll);
+  persistSnapshot(replica);
   restoreSnapshot(replica, snapshot);
 };
 
@@ -121,8 +130,8 @@
     return;
   }
   const snapshot = { index, term, members: queries.membersAt(index), data };
-  persist(replica, { snapshot });
   commands.compact(snapshot, false);
+  persistSnapshot(replica);
   replica.progress.forEach((progress) => {
     progress.snapshotOffset = undefined;
   });
--- a/src/core/consensusTypes.ts
+++ b/src/core/consensusTypes.ts
@@ -140,10 +140,11 @@
   /** Entries from this index on are dropped before `entries` are appended. */
   readonly truncateFrom?: number;
   readonly entries?: readonly LogEntry[];
-  /** Replaces the log up to its index. */
+  /**
+   * Replaces all that was written before: `hardState` is set, and `entries` are all entries that are
+   * kept after the snapshot.
+   */
   readonly snapshot?: ReplicaSnapshot;
-  /** With `snapshot`: no entry after it is kept. */
-  readonly resetLog?: boolean;
 }
 
 export type RefusalReason = 'not_leader' | 'change_pending' | 'already_member' | 'not_a_member';
@@ -155,13 +156,13 @@
       readonly to: Member;
       readonly message: RequestMessage;
       /** Not to be sent before the persist effects up to this sequence are synced. */
-      readonly afterSync: number;
+      readonly afterSequence: number;
     }
   | {
       readonly type: 'reply';
       readonly token: number;
       readonly message: AnswerMessage;
-      readonly afterSync: number;
+      readonly afterSequence: number;
     }
   | { readonly type: 'apply'; readonly entries: readonly LogEntry[] }
   | { readonly type: 'restore'; readonly snapshot: ReplicaSnapshot }
--- /dev/null
+++ b/src/core/ledger.ts
@@ -0,0 +1,222 @@
+/**
+ * State machine of the group `ledger`: claims of idempotency keys, so that a call that must not run
+ * twice is sent by one attempt only. Times are in the commands, since a state machine has no clock.
+ */
+import type { ClaimOutcome, LedgerAnswer, StateMachine } from '../types/internal.js';
+
+/** How long a key is kept, in ms. */
+export const ledgerRetentionMs = 24 * 3_600_000;
+/** Keys that are kept; further claims are refused, since dropping a key would let its call repeat. */
+export const maxKeys = 200_000;
+/** Sum of the recorded bodies; the oldest are dropped first, and their resends get no answer. */
+export const maxBodyBytes = 16 * 1024 * 1024;
+/** Largest recorded body. */
+export const maxAnswerBodyBytes = 64 * 1024;
+
+interface KeyCommand {
+  readonly service: string;
+  readonly key: string;
+  readonly attemptId: string;
+}
+
+export type LedgerCommand =
+  | (KeyCommand & { readonly type: 'claim'; readonly fingerprint: string; readonly atMs: number })
+  | (KeyCommand & { readonly type: 'complete'; readonly answer: LedgerAnswer })
+  | (KeyCommand & { readonly type: 'release' })
+  | { readonly type: 'expire'; readonly beforeMs: number };
+
+export type LedgerResult =
+  | ClaimOutcome
+  | { readonly outcome: 'recorded' | 'released' | 'expired' | 'unknown_claim' | 'full' };
+
+interface Claim {
+  readonly attemptId: string;
+  readonly fingerprint: string;
+  readonly atMs: number;
+  readonly answer?: LedgerAnswer;
+}
+
+export interface LedgerLimits {
+  readonly maxKeys: number;
+  readonly maxBodyBytes: number;
+}
+
+export interface Ledger {
+  readonly machine: StateMachine<LedgerResult>;
+  readonly queries: {
+    size(): number;
+    bodyBytes(): number;
+    /** Time of the oldest claim, in ms. */
+    oldestAtMs(): number | undefined;
+  };
+}
+
+type WireAnswer = Omit<LedgerAnswer, 'body'> & { readonly body: string };
+
+const encodeText = (text: string): Uint8Array => new TextEncoder().encode(text);
+const decodeText = (bytes: Uint8Array): string => new TextDecoder().decode(bytes);
+
+const toWire = ({ body, ...answer }: LedgerAnswer): WireAnswer => ({
+  ...answer,
+  body: Buffer.from(body).toString('base64'),
+});
+
+const fromWire = ({ body, ...answer }: WireAnswer): LedgerAnswer => ({
+  ...answer,
+  body: new Uint8Array(Buffer.from(body, 'base64')),
+});
+
+const limitBody = (answer: LedgerAnswer): LedgerAnswer =>
+  answer.body.length <= maxAnswerBodyBytes
+    ? answer
+    : { ...answer, body: new Uint8Array(), bodyOmitted: true };
+
+export const encodeLedgerCommand = (command: LedgerCommand): Uint8Array =>
+  encodeText(
+    JSON.stringify(
+      command.type === 'complete'
+        ? { ...command, answer: toWire(limitBody(command.answer)) }
+        : command,
+    ),
+  );
+
+const decodeLedgerCommand = (payload: Uint8Array): LedgerCommand => {
+  const command = JSON.parse(decodeText(payload)) as LedgerCommand;
+  return command.type === 'complete'
+    ? { ...command, answer: fromWire(command.answer as unknown as WireAnswer) }
+    : command;
+};
+
+const keyOf = ({ service, key }: KeyCommand): string => JSON.stringify([service, key]);
+
+/** Creates the state machine of the group `ledger`. */
+export const createLedger = (limits: LedgerLimits = { maxKeys, maxBodyBytes }): Ledger => {
+  let claims = new Map<string, Claim>();
+  let bodyBytes = 0;
+
+  const sizeOf = ({ answer }: Claim): number => answer?.body.length ?? 0;
+
+  const drop = (id: string, claim: Claim) => {
+    claims.delete(id);
+    bodyBytes -= sizeOf(claim);
+  };
+
+  const outcomeOf = (claim: Claim, command: Extract<LedgerCommand, { type: 'claim' }>) => {
+    if (claim.fingerprint !== command.fingerprint) {
+      return { outcome: 'mismatch' } as const;
+    }
+    if (claim.answer) {
+      return { outcome: 'completed', answer: claim.answer } as const;
+    }
+    // The same attempt asks again when the answer to its claim was lost.
+    const isSame = claim.attemptId === command.attemptId;
+    return { outcome: isSame ? 'granted' : 'in_progress' } as const;
+  };
+
+  const claim = (command: Extract<LedgerCommand, { type: 'claim' }>): LedgerResult => {
+    const id = keyOf(command);
+    const existing = claims.get(id);
+    if (existing) {
+      return outcomeOf(existing, command);
+    }
+    if (claims.size >= limits.maxKeys) {
+      return { outcome: 'full' };
+    }
+    const { attemptId, fingerprint, atMs } = command;
+    claims.set(id, { attemptId, fingerprint, atMs });
+    return { outcome: 'granted' };
+  };
+
+  const limitBodies = () => {
+    for (const [id, kept] of claims) {
+      if (bodyBytes <= limits.maxBodyBytes) {
+        return;
+      }
+      if (kept.answer && sizeOf(kept) > 0) {
+        bodyBytes -= sizeOf(kept);
+        const answer = { ...kept.answer, body: new Uint8Array(), bodyOmitted: true };
+        claims.set(id, { ...kept, answer });
+      }
+    }
+  };
+
+  const complete = (command: Extract<LedgerCommand, { type: 'complete' }>): LedgerResult => {
+    const id = keyOf(command);
+    const existing = claims.get(id);
+    if (existing?.attemptId !== command.attemptId) {
+      return { outcome: 'unknown_claim' };
+    }
+    if (!existing.answer) {
+      claims.set(id, { ...existing, answer: command.answer });
+      bodyBytes += command.answer.body.length;
+      limitBodies();
+    }
+    return { outcome: 'recorded' };
+  };
+
+  const release = (command: Extract<LedgerCommand, { type: 'release' }>): LedgerResult => {
+    const id = keyOf(command);
+    const existing = claims.get(id);
+    if (existing?.attemptId !== command.attemptId || existing.answer) {
+      return { outcome: 'unknown_claim' };
+    }
+    drop(id, existing);
+    return { outcome: 'released' };
+  };
+
+  const expire = ({ beforeMs }: Extract<LedgerCommand, { type: 'expire' }>): LedgerResult => {
+    claims.forEach((kept, id) => {
+      if (kept.atMs < beforeMs) {
+        drop(id, kept);
+      }
+    });
+    return { outcome: 'expired' };
+  };
+
+  const handlers: {
+    [Type in LedgerCommand['type']]: (
+      command: Extract<LedgerCommand, { type: Type }>,
+    ) => LedgerResult;
+  } = { claim, complete, release, expire };
+
+  const snapshot = (): Uint8Array =>
+    encodeText(
+      JSON.stringify(
+        [...claims].map(([id, { answer, ...kept }]) => [
+          id,
+          answer ? { ...kept, answer: toWire(answer) } : kept,
+        ]),
+      ),
+    );
+
+  const restore = (data: Uint8Array) => {
+    const content = (data.length === 0 ? [] : JSON.parse(decodeText(data))) as [
+      string,
+      Omit<Claim, 'answer'> & { answer?: WireAnswer },
+    ][];
+    claims = new Map(
+      content.map(([id, { answer, ...kept }]) => [
+        id,
+        answer ? { ...kept, answer: fromWire(answer) } : kept,
+      ]),
+    );
+    bodyBytes = [...claims.values()].reduce((sum, kept) => sum + sizeOf(kept), 0);
+  };
+
+  return {
+    machine: {
+      apply: ({ payload }) => {
+        const command = decodeLedgerCommand(payload);
+        const handle = handlers[command.type] as (taken: LedgerCommand) => LedgerResult;
+        return handle(command);
+      },
+      snapshot,
+      restore,
+    },
+    queries: {
+      size: () => claims.size,
+      bodyBytes: () => bodyBytes,
+      oldestAtMs: () => claims.values().next().value?.atMs,
+    },
+  };
+};
--- /dev/null
+++ b/src/plugins/consensusTransport.ts
@@ -0,0 +1,203 @@
+/**
+ * Consensus messages over connect-es. Every message names the cluster, the group and the sender with
+ * its incarnation; one of another cluster or of an unknown group is refused before it reaches the
+ * core.
+ */
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+  type ConnectRouter,
+  type Interceptor,
+} from '@connectrpc/connect';
+import type { AnswerMessage, RequestMessage, Sender } from '../core/consensusTypes.js';
+import { Consensus, type Sender as WireSender } from '../gen/auburnsill/v1/consensus_pb.js';
+import {
+  decodeAppend,
+  decodeAppendAnswer,
+  decodeInstall,
+  decodeSnapshotAnswer,
+  decodeTimeoutNow,
+  decodeTimeoutNowAnswer,
+  decodeVote,
+  decodeVoteAnswer,
+  encodeAppend,
+  encodeAppendAnswer,
+  encodeInstall,
+  encodeSnapshotAnswer,
+  encodeTimeoutNow,
+  encodeTimeoutNowAnswer,
+  encodeVote,
+  encodeVoteAnswer,
+  toSender,
+} from './consensusCodec.js';
+import { createRpcTransport, type RpcTransport } from './rpc.js';
+
+/** Timeouts in a row after which a connection counts as silent and is replaced. */
+const maxTimeouts = 2;
+
+export interface ConsensusTransportOptions {
+  readonly cluster: string;
+  readonly self: Sender;
+  readonly interceptors: Interceptor[];
+  readonly callTimeoutMs: number;
+}
+
+export interface Answer {
+  readonly from: Sender;
+  readonly message: AnswerMessage;
+}
+
+/** Takes a request for a group. Rejects if there is no such group. */
+export type Receiver = (
+  group: string,
+  from: Sender,
+  message: RequestMessage,
+) => Promise<AnswerMessage>;
+
+export interface ConsensusTransport {
+  /** Sends a request to the member at `address`. Rejects if no answer comes. */
+  request(address: string, group: string, message: RequestMessage): Promise<Answer>;
+  routes(router: ConnectRouter, receive: Receiver): void;
+  close(): void;
+}
+
+interface Peer {
+  connection: RpcTransport;
+  client: Client<typeof Consensus>;
+  timeouts: number;
+}
+
+type SenderInit = Pick<WireSender, 'cluster' | 'group' | 'member' | 'incarnation'>;
+
+type Senders = {
+  [Type in RequestMessage['type']]: (
+    client: Client<typeof Consensus>,
+    message: Extract<RequestMessage, { type: Type }>,
+    sender: SenderInit,
+  ) => Promise<{ sender: WireSender | undefined; message: AnswerMessage }>;
+};
+
+const senders: Senders = {
+  requestVote: async (client, message, sender) => {
+    const answer = await client.requestVote(encodeVote(message, sender));
+    return { sender: answer.sender, message: decodeVoteAnswer(answer) };
+  },
+  appendEntries: async (client, message, sender) => {
+    const answer = await client.appendEntries(encodeAppend(message, sender));
+    return { sender: answer.sender, message: decodeAppendAnswer(answer) };
+  },
+  installSnapshot: async (client, message, sender) => {
+    const answer = await client.installSnapshot(encodeInstall(message, sender));
+    return { sender: answer.sender, message: decodeSnapshotAnswer(answer) };
+  },
+  timeoutNow: async (client, message, sender) => {
+    const answer = await client.timeoutNow(encodeTimeoutNow(message, sender));
+    return { sender: answer.sender, message: decodeTimeoutNowAnswer(answer) };
+  },
+};
+
+const isTimeout = (error: unknown): boolean =>
+  error instanceof ConnectError && error.code === Code.DeadlineExceeded;
+
+export const createConsensusTransport = ({
+  cluster,
+  self,
+  interceptors,
+  callTimeoutMs,
+}: ConsensusTransportOptions): ConsensusTransport => {
+  const peers = new Map<string, Peer>();
+
+  const createPeer = (address: string): Peer => {
+    const connection = createRpcTransport(address, interceptors, callTimeoutMs);
+    return { connection, client: createClient(Consensus, connection.transport), timeouts: 0 };
+  };
+
+  const peerAt = (address: string): Peer => {
+    const peer = peers.get(address) ?? createPeer(address);
+    peers.set(address, peer);
+    return peer;
+  };
+
+  const noteFailure = (address: string, peer: Peer, error: unknown) => {
+    peer.timeouts += isTimeout(error) ? 1 : 0;
+    // A connection can go silent for good while new ones work.
+    if (peer.timeouts >= maxTimeouts && peers.get(address) === peer) {
+      peers.delete(address);
+      peer.connection.close();
+    }
+  };
+
+  const senderOf = (group: string): SenderInit => ({
+    cluster,
+    group,
+    member: self.name,
+    incarnation: self.incarnation,
+  });
+
+  const request: ConsensusTransport['request'] = async (address, group, message) => {
+    const peer = peerAt(address);
+    try {
+      const sendMessage = senders[message.type] as (
+        client: Peer['client'],
+        sent: RequestMessage,
+        sender: SenderInit,
+      ) => ReturnType<Senders['requestVote']>;
+      const answer = await sendMessage(peer.client, message, senderOf(group));
+      peer.timeouts = 0;
+      return { from: toSender(answer.sender), message: answer.message };
+    } catch (error) {
+      noteFailure(address, peer, error);
+      throw error;
+    }
+  };
+
+  const routes: ConsensusTransport['routes'] = (router, receive) => {
+    const take = async <Type extends AnswerMessage['type']>(
+      sender: WireSender | undefined,
+      message: RequestMessage,
+    ): Promise<{ sender: SenderInit; answer: Extract<AnswerMessage, { type: Type }> }> => {
+      if (sender?.cluster !== cluster) {
+        const detail = `this is cluster "${cluster}", not "${sender?.cluster}"`;
+        throw new ConnectError(detail, Code.PermissionDenied);
+      }
+      const answer = await receive(sender.group, toSender(sender), message);
+      return {
+        sender: senderOf(sender.group),
+        answer: answer as Extract<AnswerMessage, { type: Type }>,
+      };
+    };
+
+    router.service(Consensus, {
+      requestVote: async (wire) => {
+        const { sender, answer } = await take<'voteAnswer'>(wire.sender, decodeVote(wire));
+        return { sender, ...encodeVoteAnswer(answer) };
+      },
+      appendEntries: async (wire) => {
+        const { sender, answer } = await take<'appendAnswer'>(wire.sender, decodeAppend(wire));
+        return { sender, ...encodeAppendAnswer(answer) };
+      },
+      installSnapshot: async (wire) => {
+        const { sender, answer } = await take<'snapshotAnswer'>(wire.sender, decodeInstall(wire));
+        return { sender, ...encodeSnapshotAnswer(answer) };
+      },
+      timeoutNow: async (wire) => {
+        const { sender, answer } = await take<'timeoutNowAnswer'>(
+          wire.sender,
+          decodeTimeoutNow(wire),
+        );
+        return { sender, ...encodeTimeoutNowAnswer(answer) };
+      },
+    });
+  };
+
+  return {
+    request,
+    routes,
+    close: () => {
+      peers.forEach(({ connection }) => connection.close());
+      peers.clear();
+    },
+  };
+};
