--- /dev/null
+++ b/src/core/configurationStore.ts
@@ -0,0 +1,145 @@
+/**
+ * Configurations that a process can pass on: the newest one and a few older ones as bases of
+ * deltas. An update is checked whole before it is stored, and an older one is never stored.
+ */
+import type { Configuration, Version } from '../types/public.js';
+import { Failure } from '../utils/failure.js';
+import { decodeConfiguration, digestConfiguration, encodeConfiguration } from './configuration.js';
+import { applyDelta, decodeDelta, diffConfigurations, encodeDelta, equalBytes } from './delta.js';
+import { compareVersions, formatVersion, isNewer, noVersion } from './version.js';
+
+/** Older configurations that are kept as bases. A child that is further behind gets a full one. */
+const keptVersions = 8;
+
+export interface StoredConfiguration {
+  readonly version: Version;
+  readonly configuration: Configuration;
+  readonly digest: Uint8Array;
+}
+
+/** A configuration as it travels: full, or the delta from a base. */
+export interface ConfigurationChange {
+  readonly version: Version;
+  readonly base?: { readonly version: Version; readonly digest: Uint8Array };
+  readonly resultDigest: Uint8Array;
+  readonly body: Uint8Array;
+}
+
+export interface ConfigurationCursor {
+  readonly version: Version;
+  readonly digest: Uint8Array;
+}
+
+/** Result of an update: stored, not newer than what is held, or not applicable to what is held. */
+export type ChangeResult = 'stored' | 'not_newer' | 'wrong_base';
+
+export interface ConfigurationStore {
+  readonly commands: {
+    /** Stores a configuration that was already checked. */
+    put(stored: StoredConfiguration): boolean;
+    /** Throws a Failure with `bad_update` if the update does not have its digest. */
+    receive(change: ConfigurationChange): ChangeResult;
+  };
+  readonly queries: {
+    newest(): StoredConfiguration | undefined;
+    /** What a holder of the cursor's version needs, or undefined if it needs nothing. */
+    changeSince(cursor: ConfigurationCursor | undefined): ConfigurationChange | undefined;
+  };
+}
+
+const decodeFull = (change: ConfigurationChange): Configuration => {
+  let configuration: Configuration;
+  try {
+    configuration = decodeConfiguration(change.body);
+  } catch (cause) {
+    throw new Failure('bad_update', `version ${formatVersion(change.version)}`, { cause });
+  }
+  if (!equalBytes(digestConfiguration(configuration), change.resultDigest)) {
+    throw new Failure('bad_update', `version ${formatVersion(change.version)}: wrong digest`);
+  }
+  return configuration;
+};
+
+/** Creates a store. `at` finds an older configuration that is kept elsewhere. */
+export const createConfigurationStore = (
+  at: (version: Version) => Configuration | undefined = () => undefined,
+): ConfigurationStore => {
+  const kept: StoredConfiguration[] = [];
+  // One delta serves all children that hold the same base.
+  const changes = new Map<string, ConfigurationChange>();
+  let newest: StoredConfiguration | undefined;
+
+  const put = (stored: StoredConfiguration): boolean => {
+    if (newest && !isNewer(stored.version, newest.version)) {
+      return false;
+    }
+    newest = stored;
+    kept.push(stored);
+    kept.splice(0, Math.max(0, kept.length - keptVersions));
+    changes.clear();
+    return true;
+  };
+
+  const baseOf = ({ version, digest }: ConfigurationCursor): Configuration | undefined => {
+    const found =
+      kept.find((stored) => compareVersions(stored.version, version) === 0)?.configuration ??
+      at(version);
+    return found && equalBytes(digestConfiguration(found), digest) ? found : undefined;
+  };
+
+  const fullChange = ({ version, configuration, digest }: StoredConfiguration) => ({
+    version,
+    resultDigest: digest,
+    body: encodeConfiguration(configuration),
+  });
+
+  const buildChange = (
+    target: StoredConfiguration,
+    cursor: ConfigurationCursor | undefined,
+  ): ConfigurationChange => {
+    const full = fullChange(target);
+    const base = cursor && baseOf(cursor);
+    if (!cursor || !base) {
+      return full;
+    }
+    const body = encodeDelta(diffConfigurations(base, target.configuration));
+    return body.length < full.body.length
+      ? { ...full, base: { version: cursor.version, digest: cursor.digest }, body }
+      : full;
+  };
+
+  const receive = (change: ConfigurationChange): ChangeResult => {
+    if (newest && !isNewer(change.version, newest.version)) {
+      return 'not_newer';
+    }
+    const { base } = change;
+    if (!base) {
+      const configuration = decodeFull(change);
+      put({ version: change.version, configuration, digest: change.resultDigest });
+      return 'stored';
+    }
+    if (!newest || !equalBytes(newest.digest, base.digest)) {
+      return 'wrong_base';
+    }
+    const delta = decodeDelta(change.body, base.digest, change.resultDigest);
+    const configuration = applyDelta(newest.configuration, delta);
+    put({ version: change.version, configuration, digest: change.resultDigest });
+    return 'stored';
+  };
+
+  const changeSince = (cursor: ConfigurationCursor | undefined): ConfigurationChange | undefined => {
+    const held = cursor?.version ?? noVersion;
+    if (!newest || !isNewer(newest.version, held)) {
+      return undefined;
+    }
+    const key = cursor ? `${formatVersion(held)} ${Buffer.from(cursor.digest).toString('hex')}` : '';
+    const change = changes.get(key) ?? buildChange(newest, cursor);
+    changes.set(key, change);
+    return change;
+  };
+
+  return {
+    commands: { put, receive },
+    queries: { newest: () => newest, changeSince },
+  };
+};
--- /dev/null
+++ b/src/core/delta.ts
@@ -0,0 +1,106 @@
+/**
+ * Deltas between configurations. A delta names the digest of its base and of its result, and both
+ * are checked, so that a delta is applied whole or not at all.
+ */
+import { createHash } from 'node:crypto';
+import { z } from 'zod';
+import type { Configuration } from '../types/public.js';
+import { Failure } from '../utils/failure.js';
+import { decodeConfiguration, digestConfiguration, encodeConfiguration } from './configuration.js';
+
+type Records = Readonly<Record<string, unknown>>;
+
+interface RecordsDelta {
+  /** Entries that are new or changed. */
+  readonly set: Records;
+  /** Keys that are gone. */
+  readonly removed: readonly string[];
+}
+
+/** Difference between a base and a result. */
+export interface ConfigurationDelta {
+  readonly baseDigest: Uint8Array;
+  readonly resultDigest: Uint8Array;
+  readonly services: RecordsDelta;
+  readonly classes: RecordsDelta;
+}
+
+const recordsDeltaSchema = z.strictObject({
+  set: z.record(z.string(), z.unknown()),
+  removed: z.array(z.string()),
+});
+
+const bodySchema = z.strictObject({ services: recordsDeltaSchema, classes: recordsDeltaSchema });
+
+export const equalBytes = (a: Uint8Array, b: Uint8Array): boolean =>
+  a.length === b.length && a.every((byte, index) => byte === b[index]);
+
+export const sha256 = (data: Uint8Array | string): Uint8Array =>
+  new Uint8Array(createHash('sha256').update(data).digest());
+
+const canonicalText = (configuration: Configuration): string =>
+  new TextDecoder().decode(encodeConfiguration(configuration));
+
+const diffRecords = (base: Records, next: Records): RecordsDelta => ({
+  set: Object.fromEntries(
+    Object.entries(next).filter(
+      ([key, value]) => !Object.hasOwn(base, key) || JSON.stringify(base[key]) !== JSON.stringify(value),
+    ),
+  ),
+  removed: Object.keys(base).filter((key) => !Object.hasOwn(next, key)),
+});
+
+/** Computes the delta that turns `base` into `next`. */
+export const diffConfigurations = (base: Configuration, next: Configuration): ConfigurationDelta => {
+  // The canonical form orders the keys, so that equal entries have equal text.
+  const from = JSON.parse(canonicalText(base)) as Configuration;
+  const to = JSON.parse(canonicalText(next)) as Configuration;
+  return {
+    baseDigest: digestConfiguration(base),
+    resultDigest: digestConfiguration(next),
+    services: diffRecords(from.services, to.services),
+    classes: diffRecords(from.classes, to.classes),
+  };
+};
+
+const applyRecords = (base: Records, { set, removed }: RecordsDelta): Records =>
+  Object.fromEntries(
+    Object.entries({ ...base, ...set }).filter(([key]) => !removed.includes(key)),
+  );
+
+/**
+ * Applies a delta. Throws a Failure with `bad_update` if the digest of the base or of the result
+ * differs; the base is never changed.
+ */
+export const applyDelta = (base: Configuration, delta: ConfigurationDelta): Configuration => {
+  if (!equalBytes(digestConfiguration(base), delta.baseDigest)) {
+    throw new Failure('bad_update', 'the delta has another base');
+  }
+  const merged = {
+    services: applyRecords(base.services, delta.services),
+    classes: applyRecords(base.classes, delta.classes),
+  };
+  const result = decodeConfiguration(new TextEncoder().encode(JSON.stringify(merged)));
+  if (!equalBytes(digestConfiguration(result), delta.resultDigest)) {
+    throw new Failure('bad_update', 'the result of the delta has another digest');
+  }
+  return result;
+};
+
+/** Encodes the body of a delta; the digests travel beside it. */
+export const encodeDelta = ({ services, classes }: ConfigurationDelta): Uint8Array =>
+  new TextEncoder().encode(JSON.stringify({ services, classes }));
+
+/** Decodes the body of a delta. Throws a Failure with `bad_update` for anything else. */
+export const decodeDelta = (
+  body: Uint8Array,
+  baseDigest: Uint8Array,
+  resultDigest: Uint8Array,
+): ConfigurationDelta => {
+  try {
+    const parsed: unknown = JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(body));
+    return { ...bodySchema.parse(parsed), baseDigest, resultDigest };
+  } catch (cause) {
+    throw new Failure('bad_update', 'the delta is malformed', { cause });
+  }
+};
--- /dev/null
+++ b/src/core/parentChoice.ts
@@ -0,0 +1,170 @@
+/**
+ * Choice of a parent in the fan-out tree, and the time to wait before the next attempt. The control
+ * instance of the own data centre comes first, then other nodes, then other control instances.
+ * Attempts wait for an exponential delay with full jitter, so that a herd does not arrive at once.
+ */
+export const minBackoffMs = 100;
+export const maxBackoffMs = 5_000;
+/** Redirects that are followed before the choice starts again from the top. */
+const maxRedirects = 16;
+/** Peers that are remembered. */
+const maxPeers = 32;
+/** A longer retry-after is not obeyed. */
+const maxRetryAfterMs = 10_000;
+/** A parent that was left for a fault is not chosen again for this time, if another one is left. */
+const avoidMs = 30_000;
+
+export interface ControlAddress {
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+export interface ParentChoiceOptions {
+  readonly dataCentre: string;
+  /** Own feed address, which is never chosen. */
+  readonly ownAddress: string;
+  readonly controls: readonly ControlAddress[];
+  readonly peers: readonly string[];
+  readonly random: () => number;
+}
+
+export interface ParentAttempt {
+  readonly address: string;
+  readonly delayMs: number;
+}
+
+export interface ParentChoice {
+  readonly commands: {
+    /** Chooses the next parent to try. Undefined if there is none at all. */
+    chooseParent(now: number): ParentAttempt | undefined;
+    /** The last parent sent the node on. */
+    redirected(addresses: readonly string[], retryAfterMs: number): void;
+    /** The feed has been up for long enough to start the delays anew. */
+    settled(): void;
+    /** Leaves an address out for a while. */
+    avoid(address: string, now: number): void;
+    /** Makes an address the next one, without a delay. */
+    prefer(address: string): void;
+    learnPeers(addresses: readonly string[]): void;
+  };
+  readonly queries: {
+    ownControls(): string[];
+    otherControls(): string[];
+    peers(): string[];
+  };
+}
+
+type Tier = 'own' | 'peers' | 'other';
+
+// Peers come twice, since in an outage of the source they are the ones that answer.
+const tierOrder: readonly Tier[] = ['own', 'peers', 'own', 'peers', 'other', 'peers'];
+
+export const createParentChoice = (options: ParentChoiceOptions): ParentChoice => {
+  const { dataCentre, ownAddress, controls, random } = options;
+  const peers = new Set(options.peers.filter((address) => address !== ownAddress));
+  const triedAt = new Map<string, number>();
+  const avoidUntil = new Map<string, number>();
+  let queue: string[] = [];
+  let redirects = 0;
+  let attempt = 0;
+  let tries = 0;
+  let retryAfterMs = 0;
+
+  const tiers: Record<Tier, () => string[]> = {
+    own: () => controls.filter((each) => each.dataCentre === dataCentre).map((c) => c.address),
+    peers: () => [...peers],
+    other: () => controls.filter((each) => each.dataCentre !== dataCentre).map((c) => c.address),
+  };
+
+  const isAvoided = (address: string, now: number): boolean =>
+    (avoidUntil.get(address) ?? Number.NEGATIVE_INFINITY) > now;
+
+  const leastRecentlyTried = (addresses: readonly string[]): string | undefined =>
+    addresses
+      .map((address) => ({ address, at: triedAt.get(address) ?? 0, tie: random() }))
+      .sort((a, b) => a.at - b.at || a.tie - b.tie)[0]?.address;
+
+  const chooseFromTiers = (now: number): string | undefined => {
+    for (let offset = 0; offset < tierOrder.length; offset += 1) {
+      const tier = tierOrder[(attempt + offset) % tierOrder.length] ?? 'own';
+      const usable = tiers[tier]().filter((address) => !isAvoided(address, now));
+      const found = leastRecentlyTried(usable);
+      if (found !== undefined) {
+        return found;
+      }
+    }
+    // Everything is avoided: the one that was tried longest ago is better than none.
+    return leastRecentlyTried([...tiers.own(), ...tiers.peers(), ...tiers.other()]);
+  };
+
+  const backoff = (): number => {
+    const limit = Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(attempt, 10));
+    const delayMs = random() * limit;
+    const asked = retryAfterMs * (1 + random());
+    retryAfterMs = 0;
+    return Math.max(delayMs, asked);
+  };
+
+  const take = (address: string, delayMs: number): ParentAttempt => {
+    tries += 1;
+    triedAt.set(address, tries);
+    return { address, delayMs };
+  };
+
+  const chooseParent = (now: number): ParentAttempt | undefined => {
+    const redirectTarget = queue.find((address) => !isAvoided(address, now));
+    queue = queue.slice(redirectTarget === undefined ? queue.length : queue.indexOf(redirectTarget) + 1);
+    if (redirectTarget !== undefined) {
+      return take(redirectTarget, 0);
+    }
+    redirects = 0;
+    const address = chooseFromTiers(now);
+    if (address === undefined) {
+      return undefined;
+    }
+    const delayMs = backoff();
+    attempt += 1;
+    return take(address, delayMs);
+  };
+
+  const learnPeers = (addresses: readonly string[]) => {
+    addresses
+      .filter((address) => address !== ownAddress && address !== '')
+      .forEach((address) => {
+        peers.delete(address);
+        peers.add(address);
+      });
+    [...peers].slice(0, Math.max(0, peers.size - maxPeers)).forEach((address) => peers.delete(address));
+  };
+
+  return {
+    commands: {
+      chooseParent,
+      redirected: (addresses, retryAfter) => {
+        redirects += 1;
+        retryAfterMs = Math.max(retryAfterMs, Math.min(maxRetryAfterMs, retryAfter));
+        const targets = addresses.filter((address) => address !== ownAddress);
+        learnPeers(targets);
+        queue = redirects > maxRedirects ? [] : [...targets, ...queue].slice(0, maxPeers);
+      },
+      settled: () => {
+        attempt = 0;
+        retryAfterMs = 0;
+        queue = [];
+      },
+      avoid: (address, now) => {
+        avoidUntil.set(address, now + avoidMs);
+      },
+      prefer: (address) => {
+        queue = [address];
+        avoidUntil.delete(address);
+      },
+      learnPeers,
+    },
+    queries: {
+      ownControls: tiers.own,
+      otherControls: tiers.other,
+      peers: tiers.peers,
+    },
+  };
+};
--- /dev/null
+++ b/src/core/registry.ts
@@ -0,0 +1,128 @@
+/**
+ * Endpoints that a control instance knows, by service and with revisions. What the branches and the
+ * other control instances report is reconciled into one set. Removals are held back while the
+ * registry has just started, and when most endpoints would go at once: both look the same as a
+ * fault of this process or its network, and a caller's own evidence covers dead endpoints.
+ */
+import type { Cluster, Endpoint } from '../types/public.js';
+import { leaseMs } from './branches.js';
+import { createClusterLog, recordChange, settle, type ClusterLog } from './clusterLog.js';
+
+/** Time after the start in which all live nodes have reported again. */
+export const settleMs = leaseMs;
+/** Longest time for which a removal is held back. */
+export const massHoldMs = 3 * leaseMs;
+/** Removals are held back if more than this share of the endpoints would go at once. */
+const massShare = 0.5;
+/** Below this number, a mass and an ordinary stop of single endpoints cannot be told apart. */
+const massMinimum = 3;
+
+/** The set of endpoints that should be known. */
+export interface DesiredEndpoints {
+  readonly endpoints: ReadonlyMap<string, Endpoint>;
+  /** True if the endpoint's node withdrew it: such a removal is never held back. */
+  isWithdrawn(endpoint: Endpoint): boolean;
+}
+
+export interface Registry {
+  readonly commands: {
+    /** Brings the clusters to the desired set. Returns the services that changed. */
+    reconcile(desired: DesiredEndpoints, now: number): string[];
+  };
+  readonly queries: {
+    /** Log of a service; a service without endpoints has an empty one. */
+    log(service: string): ClusterLog;
+    services(): string[];
+    clusters(): Map<string, Cluster>;
+    isSettling(): boolean;
+  };
+}
+
+interface ServiceChange {
+  readonly upserts: Endpoint[];
+  readonly removals: string[];
+}
+
+const isSame = (a: Endpoint, b: Endpoint | undefined): boolean =>
+  b !== undefined && a.incarnation === b.incarnation && a.sequence === b.sequence;
+
+/** Creates the registry of a process that started at `startedAt`. */
+export const createRegistry = (registryId: string, startedAt: number): Registry => {
+  const logs = new Map<string, ClusterLog>();
+  const known = new Map<string, Endpoint>();
+  // Time since when an endpoint's removal is held back, by endpoint id.
+  const heldBack = new Map<string, number>();
+  let settling = true;
+
+  const log = (service: string): ClusterLog => {
+    const found = logs.get(service) ?? createClusterLog(service, registryId, settling);
+    logs.set(service, found);
+    return found;
+  };
+
+  const settleIfDue = (now: number): string[] => {
+    if (!settling || now - startedAt < settleMs) {
+      return [];
+    }
+    settling = false;
+    logs.forEach(settle);
+    return [...logs.keys()];
+  };
+
+  const releaseDue = (missing: readonly Endpoint[], now: number): Endpoint[] => {
+    missing.forEach(({ id }) => heldBack.set(id, heldBack.get(id) ?? now));
+    return missing.filter(({ id }) => now - (heldBack.get(id) ?? now) >= massHoldMs);
+  };
+
+  const chooseRemovals = (desired: DesiredEndpoints, now: number): Endpoint[] => {
+    const gone = [...known.values()].filter(({ id }) => !desired.endpoints.has(id));
+    const withdrawn = gone.filter((endpoint) => desired.isWithdrawn(endpoint));
+    const missing = gone.filter((endpoint) => !desired.isWithdrawn(endpoint));
+    const stillMissing = new Set(missing.map(({ id }) => id));
+    [...heldBack.keys()].filter((id) => !stillMissing.has(id)).forEach((id) => heldBack.delete(id));
+    const isMass = missing.length >= massMinimum && missing.length > known.size * massShare;
+    const allowed = settling || isMass ? releaseDue(missing, now) : missing;
+    return [...withdrawn, ...allowed];
+  };
+
+  const reconcile = (desired: DesiredEndpoints, now: number): string[] => {
+    const settled = settleIfDue(now);
+    const changes = new Map<string, ServiceChange>();
+    const changeOf = (service: string): ServiceChange => {
+      const change = changes.get(service) ?? { upserts: [], removals: [] };
+      changes.set(service, change);
+      return change;
+    };
+    chooseRemovals(desired, now).forEach(({ id, service }) => {
+      changeOf(service).removals.push(id);
+      known.delete(id);
+      heldBack.delete(id);
+    });
+    for (const endpoint of desired.endpoints.values()) {
+      if (!isSame(endpoint, known.get(endpoint.id))) {
+        changeOf(endpoint.service).upserts.push(endpoint);
+        known.set(endpoint.id, endpoint);
+      }
+    }
+    changes.forEach(({ upserts, removals }, service) =>
+      recordChange(log(service), upserts, removals),
+    );
+    return [...new Set([...settled, ...changes.keys()])];
+  };
+
+  return {
+    commands: { reconcile },
+    queries: {
+      log,
+      services: () => [...logs.keys()],
+      clusters: () =>
+        new Map(
+          [...logs].map(([service, { endpoints }]) => [
+            service,
+            { service, endpoints: [...endpoints.values()] },
+          ]),
+        ),
+      isSettling: () => settling,
+    },
+  };
+};
--- /dev/null
+++ b/src/core/reports.ts
@@ -0,0 +1,53 @@
+/**
+ * What a child reports about its subtree, and how the reports of several children are merged into
+ * the one that goes further up.
+ */
+import type { Version } from '../types/public.js';
+import type { FleetNode } from '../types/internal.js';
+import { compareVersions, formatVersion } from './version.js';
+
+/** Laggards that travel in one report. The counts stay exact beyond it. */
+export const maxLaggards = 32;
+/** Version counts that travel in one report; the oldest versions are added together beyond it. */
+const maxCounts = 64;
+
+export interface VersionCount {
+  readonly version: Version;
+  readonly dataCentre: string;
+  readonly nodes: number;
+}
+
+/** Versions in force in a subtree. */
+export interface SubtreeStatus {
+  readonly counts: readonly VersionCount[];
+  readonly laggards: readonly FleetNode[];
+}
+
+const sumCounts = (counts: readonly VersionCount[]): VersionCount[] => {
+  const sums = new Map<string, VersionCount>();
+  counts.forEach((count) => {
+    const key = `${formatVersion(count.version)} ${count.dataCentre}`;
+    const nodes = (sums.get(key)?.nodes ?? 0) + count.nodes;
+    sums.set(key, { ...count, nodes });
+  });
+  return [...sums.values()];
+};
+
+const boundCounts = (counts: readonly VersionCount[]): VersionCount[] => {
+  const sorted = [...counts].sort((a, b) => compareVersions(b.version, a.version));
+  const last = sorted[maxCounts - 1];
+  if (sorted.length <= maxCounts || !last) {
+    return sorted;
+  }
+  const rest = sorted.slice(maxCounts - 1).map((count) => ({ ...count, version: last.version }));
+  return sumCounts([...sorted.slice(0, maxCounts - 1), ...rest]);
+};
+
+/** Merges the statuses of a node and its children. */
+export const mergeReports = (statuses: readonly SubtreeStatus[]): SubtreeStatus => ({
+  counts: boundCounts(sumCounts(statuses.flatMap(({ counts }) => counts))),
+  laggards: statuses
+    .flatMap(({ laggards }) => laggards)
+    .sort((a, b) => compareVersions(a.version, b.version))
+    .slice(0, maxLaggards),
+});
--- /dev/null
+++ b/src/plugins/feedMessages.ts
@@ -0,0 +1,193 @@
+/**
+ * Conversion between the messages of the feed and the types of the core. Texts, lists and numbers
+ * from the network are bounded here; what exceeds a bound is refused as malformed.
+ */
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import type { Version as VersionMessage } from '../gen/auburnsill/v1/common_pb.js';
+import {
+  ClusterUpdateSchema,
+  ConfigurationUpdateSchema,
+  FeedMessageSchema,
+  type ClusterCursor as ClusterCursorMessage,
+  type ClusterUpdate,
+  type ConfigurationUpdate,
+  type EndpointRecord,
+  type FeedMessage,
+  type NodeVersion as NodeVersionMessage,
+  type ReportRequest,
+  type VersionCount as VersionCountMessage,
+} from '../gen/auburnsill/v1/feed_pb.js';
+import type { Endpoint, Version } from '../types/public.js';
+import type { FleetNode } from '../types/internal.js';
+import type { BranchReport, NodeVersion, VersionCount } from '../core/feed.js';
+import type { ClusterChange, ClusterCursor } from '../core/clusterLog.js';
+import type { ConfigurationChange } from '../core/configurationStore.js';
+import { noVersion } from '../core/version.js';
+import { Failure } from '../utils/failure.js';
+
+const maxTextLength = 256;
+const maxListLength = 20_000;
+const maxNumber = BigInt(Number.MAX_SAFE_INTEGER);
+
+const checkText = (text: string, field: string): string => {
+  if (text.length > maxTextLength) {
+    throw new Failure('malformed_message', `${field} is longer than ${maxTextLength}`);
+  }
+  return text;
+};
+
+const checkList = <Item>(list: readonly Item[], field: string): readonly Item[] => {
+  if (list.length > maxListLength) {
+    throw new Failure('malformed_message', `${field} has more than ${maxListLength} items`);
+  }
+  return list;
+};
+
+const readNumber = (value: bigint, field: string): number => {
+  if (value > maxNumber) {
+    throw new Failure('malformed_message', `${field} is above ${maxNumber}`);
+  }
+  return Number(value);
+};
+
+export const readVersion = (message: VersionMessage | undefined): Version =>
+  message
+    ? {
+        term: readNumber(message.term, 'version.term'),
+        index: readNumber(message.index, 'version.index'),
+      }
+    : noVersion;
+
+export const writeVersion = ({ term, index }: Version) => ({
+  term: BigInt(term),
+  index: BigInt(index),
+});
+
+export const readEndpoint = (record: EndpointRecord): Endpoint => {
+  if (record.state !== 'ready' && record.state !== 'leaving') {
+    throw new Failure('malformed_message', `endpoint state ${record.state}`);
+  }
+  return {
+    id: checkText(record.id, 'endpoint.id'),
+    service: checkText(record.service, 'endpoint.service'),
+    dataCentre: checkText(record.dataCentre, 'endpoint.data_centre'),
+    region: checkText(record.region, 'endpoint.region'),
+    address: checkText(record.address, 'endpoint.address'),
+    forwardAddress: checkText(record.forwardAddress, 'endpoint.forward_address'),
+    slots: record.slots,
+    connections: record.connections,
+    state: record.state,
+    incarnation: readNumber(record.incarnation, 'endpoint.incarnation'),
+    sequence: readNumber(record.sequence, 'endpoint.sequence'),
+    node: checkText(record.node, 'endpoint.node'),
+  };
+};
+
+export const writeEndpoint = (endpoint: Endpoint) => ({
+  ...endpoint,
+  incarnation: BigInt(endpoint.incarnation),
+  sequence: BigInt(endpoint.sequence),
+});
+
+export const readCursor = (message: ClusterCursorMessage): ClusterCursor => ({
+  service: checkText(message.service, 'cursor.service'),
+  registry: checkText(message.registry, 'cursor.registry'),
+  revision: readNumber(message.revision, 'cursor.revision'),
+});
+
+export const writeCursor = ({ service, registry, revision }: ClusterCursor) => ({
+  service,
+  registry,
+  revision: BigInt(revision),
+});
+
+export const readCluster = (message: ClusterUpdate): ClusterChange => ({
+  service: checkText(message.service, 'cluster.service'),
+  registry: checkText(message.registry, 'cluster.registry'),
+  baseRevision: readNumber(message.baseRevision, 'cluster.base_revision'),
+  revision: readNumber(message.revision, 'cluster.revision'),
+  full: message.full,
+  settling: message.settling,
+  upserts: checkList(message.upserts, 'cluster.upserts').map(readEndpoint),
+  removals: checkList(message.removals, 'cluster.removals'),
+  resultDigest: message.resultDigest,
+});
+
+export const writeCluster = (change: ClusterChange) =>
+  create(ClusterUpdateSchema, {
+    service: change.service,
+    registry: change.registry,
+    baseRevision: BigInt(change.baseRevision),
+    revision: BigInt(change.revision),
+    full: change.full,
+    settling: change.settling,
+    upserts: change.upserts.map(writeEndpoint),
+    removals: [...change.removals],
+    resultDigest: change.resultDigest,
+  });
+
+export const readConfiguration = (message: ConfigurationUpdate): ConfigurationChange => ({
+  version: readVersion(message.version),
+  base: message.baseVersion && {
+    version: readVersion(message.baseVersion),
+    digest: message.baseDigest,
+  },
+  resultDigest: message.resultDigest,
+  body: message.body,
+});
+
+export const writeConfiguration = (change: ConfigurationChange) =>
+  create(ConfigurationUpdateSchema, {
+    version: writeVersion(change.version),
+    baseVersion: change.base && writeVersion(change.base.version),
+    baseDigest: change.base?.digest,
+    resultDigest: change.resultDigest,
+    body: change.body,
+  });
+
+export const writeMessage = (
+  message: MessageInitShape<typeof FeedMessageSchema>['message'],
+): FeedMessage => create(FeedMessageSchema, { message });
+
+const readCount = (message: VersionCountMessage): VersionCount => ({
+  version: readVersion(message.version),
+  dataCentre: checkText(message.dataCentre, 'count.data_centre'),
+  nodes: message.nodes,
+});
+
+export const readNodeVersion = (message: NodeVersionMessage): NodeVersion => ({
+  name: checkText(message.name, 'node_version.name'),
+  version: readVersion(message.version),
+});
+
+export const writeNodeVersion = ({ name, version }: NodeVersion) => ({
+  name,
+  version: writeVersion(version),
+});
+
+const readLaggard = (message: ReportRequest['laggards'][number]): FleetNode => ({
+  name: checkText(message.name, 'laggard.name'),
+  dataCentre: checkText(message.dataCentre, 'laggard.data_centre'),
+  version: readVersion(message.version),
+  reason: checkText(message.reason, 'laggard.reason'),
+});
+
+/** Reads the part of a report that concerns the sender's subtree. */
+export const readBranchReport = (message: ReportRequest): BranchReport => ({
+  status: {
+    counts: checkList(message.subtree, 'report.subtree').map(readCount),
+    laggards: checkList(message.laggards, 'report.laggards').map(readLaggard),
+  },
+  announcements: checkList(message.announcements, 'report.announcements').map(readEndpoint),
+  withdrawals: checkList(message.withdrawals, 'report.withdrawals').map((each) => ({
+    id: checkText(each.id, 'withdrawal.id'),
+    incarnation: readNumber(each.incarnation, 'withdrawal.incarnation'),
+    sequence: readNumber(each.sequence, 'withdrawal.sequence'),
+  })),
+  dropped: checkList(message.dropped, 'report.dropped'),
+  digest: message.endpointsDigest,
+  full: message.full,
+});
+
+export const readNodeVersions = (messages: readonly NodeVersionMessage[]): NodeVersion[] =>
+  checkList(messages, 'node_versions').map(readNodeVersion);
--- /dev/null
+++ b/src/plugins/feedMetrics.ts
@@ -0,0 +1,81 @@
+/**
+ * Prometheus metrics of the feed: messages and bytes by kind and direction, as encoded, without the
+ * headers of HTTP/2.
+ */
+import { toBinary } from '@bufbuild/protobuf';
+import { Counter, type Registry } from 'prom-client';
+import {
+  FeedMessageSchema,
+  ReportRequestSchema,
+  type FeedMessage,
+  type ReportRequest,
+} from '../gen/auburnsill/v1/feed_pb.js';
+
+export interface FeedMetrics {
+  sent(message: FeedMessage | ReportRequest): void;
+  received(message: FeedMessage | ReportRequest): void;
+  redirected(): void;
+  /** A parent was lost or left, by reason. */
+  parentLost(reason: string): void;
+  /** An update was refused, by reason. */
+  refused(reason: string): void;
+}
+
+const isReport = (message: FeedMessage | ReportRequest): message is ReportRequest =>
+  message.$typeName === 'auburnsill.v1.ReportRequest';
+
+const kindOf = (message: FeedMessage | ReportRequest): string =>
+  isReport(message) ? 'report' : (message.message.case ?? 'unknown');
+
+const sizeOf = (message: FeedMessage | ReportRequest): number =>
+  isReport(message)
+    ? toBinary(ReportRequestSchema, message).length
+    : toBinary(FeedMessageSchema, message).length;
+
+/** Creates the metrics of the feed in a registry. */
+export const createFeedMetrics = (registry: Registry): FeedMetrics => {
+  const registers = [registry];
+  const messages = new Counter({
+    name: 'auburnsill_feed_messages_total',
+    help: 'Messages of the feed.',
+    labelNames: ['direction', 'kind'],
+    registers,
+  });
+  const bytes = new Counter({
+    name: 'auburnsill_feed_bytes_total',
+    help: 'Encoded bytes of the messages of the feed.',
+    labelNames: ['direction', 'kind'],
+    registers,
+  });
+  const redirects = new Counter({
+    name: 'auburnsill_feed_redirects_total',
+    help: 'Children that were sent on to another parent.',
+    registers,
+  });
+  const losses = new Counter({
+    name: 'auburnsill_feed_parent_losses_total',
+    help: 'Parents that were lost or left.',
+    labelNames: ['reason'],
+    registers,
+  });
+  const refusals = new Counter({
+    name: 'auburnsill_feed_refused_updates_total',
+    help: 'Updates that failed their check.',
+    labelNames: ['reason'],
+    registers,
+  });
+
+  const record = (direction: string, message: FeedMessage | ReportRequest) => {
+    const labels = { direction, kind: kindOf(message) };
+    messages.inc(labels);
+    bytes.inc(labels, sizeOf(message));
+  };
+
+  return {
+    sent: (message) => record('sent', message),
+    received: (message) => record('received', message),
+    redirected: () => redirects.inc(),
+    parentLost: (reason) => losses.inc({ reason }),
+    refused: (reason) => refusals.inc({ reason }),
+  };
+};
