Distribute configuration and endpoints down a tree of nodes

The feed of control instances and nodes: full and delta configurations with checked digests, clusters with revisions, leases by digest, redirects, floors and reports of the versions in force. Two tests over real connections pass; the test file still fails for an uncaught ERR_HTTP2_INVALID_SESSION at shutdown.

--- /dev/null
+++ b/__tests__/feedTree.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import { after, describe, it } from 'node:test';
+import type { Version } from '../src/types/public.js';
+import type { NodeFeed } from '../src/plugins/nodeFeed.js';
+import {
+  configurationOf,
+  createManualSource,
+  endpointOf,
+  startControl,
+  startNode,
+  until,
+  type RunningFeed,
+} from './support/feedFleet.js';
+
+const inForce = (node: RunningFeed<NodeFeed>): Version | undefined =>
+  node.feed.holding.queries.current()?.version;
+
+const allAt = (nodes: readonly RunningFeed<NodeFeed>[], version: Version): boolean =>
+  nodes.every((node) => inForce(node)?.index === version.index);
+
+describe('feed over connections', () => {
+  const stops: (() => Promise<void>)[] = [];
+  after(() => Promise.all(stops.map((stop) => stop())));
+
+  it('brings configuration and endpoints to nodes and versions in force back', async () => {
+    const source = createManualSource();
+    const control = await startControl({ name: 'control-a' }, source);
+    stops.push(control.stop);
+    const parents = [{ address: control.address, dataCentre: 'dc-a' }];
+    const nodes = await Promise.all(
+      ['node-1', 'node-2', 'node-3'].map((name) => startNode({ name }, parents)),
+    );
+    stops.push(...nodes.map(({ stop }) => stop));
+    nodes[0]?.feed.announcer.announce(endpointOf('endpoint-1', 'lookup'));
+    const version = source.accept(configurationOf(['lookup']));
+    await until(() => allAt(nodes, version), 'the first version on all nodes');
+    await until(
+      () =>
+        nodes.every(
+          ({ feed }) =>
+            feed.holding.queries.current()?.clusters.get('lookup')?.endpoints.length === 1,
+        ),
+      'the endpoint on all nodes',
+    );
+    await until(
+      () =>
+        control.feed.fleet.counts().some(({ nodes: n, version: v }) => n === 3 && v.index === 1),
+      'the report of 3 nodes at the first version',
+    );
+    assert.equal(control.feed.fleet.inventory().clusters.get('lookup')?.endpoints.length, 1);
+    const next = source.accept(configurationOf(['lookup'], 60));
+    await until(() => allAt(nodes, next), 'the second version on all nodes');
+    nodes[0]?.feed.announcer.withdraw('endpoint-1');
+    await until(
+      () =>
+        nodes.every(
+          ({ feed }) =>
+            feed.holding.queries.current()?.clusters.get('lookup')?.endpoints.length === 0,
+        ),
+      'the withdrawal on all nodes',
+    );
+  });
+
+  it('builds a tree when a parent is full and moves children of a lost one', async () => {
+    const source = createManualSource();
+    const control = await startControl({ name: 'control-b' }, source);
+    stops.push(control.stop);
+    const first = source.accept(configurationOf(['lookup']));
+    const parents = [{ address: control.address, dataCentre: 'dc-a' }];
+    const names = Array.from({ length: 24 }, (_, index) => `node-${index}`);
+    const nodes = await Promise.all(names.map((name) => startNode({ name }, parents)));
+    await until(() => allAt(nodes, first), 'the first version on 24 nodes');
+    const [lost, ...rest] = nodes;
+    stops.push(...rest.map(({ stop }) => stop));
+    await lost?.stop();
+    const next = source.accept(configurationOf(['lookup'], 60));
+    await until(() => allAt(rest, next), 'the second version on 23 nodes');
+    await until(
+      () =>
+        control.feed.fleet.counts().some(({ nodes: n, version: v }) => n === 23 && v.index === 2),
+      'the report of 23 nodes at the second version',
+    );
+  });
+});
--- a/src/core/childAdmission.ts
+++ b/src/core/childAdmission.ts
@@ -78,8 +78,7 @@
   const nodeChildren = (): Child[] => [...children.values()].filter(({ role }) => role === 'node');
 
   const weightOf = (child: Child, parent: ParentState, now: number): number =>
-    parent.sizeOf(child.name) +
-    (now - child.redirectedAt < redirectMemoryMs ? child.redirects : 0);
+    parent.sizeOf(child.name) + (now - child.redirectedAt < redirectMemoryMs ? child.redirects : 0);
 
   const chooseTargets = (request: ChildRequest, parent: ParentState, now: number): string[] => {
     const targets = nodeChildren()
@@ -133,9 +132,7 @@
     if (nodeChildren().length >= maxChildren) {
       return redirect(request, parent, now, refusedRetryMs);
     }
-    return bucket.take(now)
-      ? admit(request, now)
-      : redirect(request, parent, now, bucket.waitMs());
+    return bucket.take(now) ? admit(request, now) : redirect(request, parent, now, bucket.waitMs());
   };
 
   return {
--- a/src/core/clusterLog.ts
+++ b/src/core/clusterLog.ts
@@ -68,7 +68,11 @@
 export const digestEndpoints = (endpoints: Iterable<Endpoint>): Uint8Array =>
   sha256([...endpoints].map(describeEndpoint).sort().join('\n'));
 
-export const createClusterLog = (service: string, registry: string, settling: boolean): ClusterLog => ({
+export const createClusterLog = (
+  service: string,
+  registry: string,
+  settling: boolean,
+): ClusterLog => ({
   service,
   registry,
   // 0 stands for nothing held, so that an empty cluster is a revision of its own.
@@ -160,7 +164,10 @@
     return !change.settling || !held || compareRecords(endpoint, held) >= 0;
   };
   const received = change.upserts.filter(isNewerThanKept);
-  log.endpoints = new Map([...kept, ...received.map((each): [string, Endpoint] => [each.id, each])]);
+  log.endpoints = new Map([
+    ...kept,
+    ...received.map((each): [string, Endpoint] => [each.id, each]),
+  ]);
   log.registry = change.registry;
   log.revision = change.revision;
   log.oldestBase = change.revision;
--- a/src/core/configurationStore.ts
+++ b/src/core/configurationStore.ts
@@ -127,12 +127,16 @@
     return 'stored';
   };
 
-  const changeSince = (cursor: ConfigurationCursor | undefined): ConfigurationChange | undefined => {
+  const changeSince = (
+    cursor: ConfigurationCursor | undefined,
+  ): ConfigurationChange | undefined => {
     const held = cursor?.version ?? noVersion;
     if (!newest || !isNewer(newest.version, held)) {
       return undefined;
     }
-    const key = cursor ? `${formatVersion(held)} ${Buffer.from(cursor.digest).toString('hex')}` : '';
+    const key = cursor
+      ? `${formatVersion(held)} ${Buffer.from(cursor.digest).toString('hex')}`
+      : '';
     const change = changes.get(key) ?? buildChange(newest, cursor);
     changes.set(key, change);
     return change;
--- a/src/core/delta.ts
+++ b/src/core/delta.ts
@@ -44,14 +44,18 @@
 const diffRecords = (base: Records, next: Records): RecordsDelta => ({
   set: Object.fromEntries(
     Object.entries(next).filter(
-      ([key, value]) => !Object.hasOwn(base, key) || JSON.stringify(base[key]) !== JSON.stringify(value),
+      ([key, value]) =>
+        !Object.hasOwn(base, key) || JSON.stringify(base[key]) !== JSON.stringify(value),
     ),
   ),
   removed: Object.keys(base).filter((key) => !Object.hasOwn(next, key)),
 });
 
 /** Computes the delta that turns `base` into `next`. */
-export const diffConfigurations = (base: Configuration, next: Configuration): ConfigurationDelta => {
+export const diffConfigurations = (
+  base: Configuration,
+  next: Configuration,
+): ConfigurationDelta => {
   // The canonical form orders the keys, so that equal entries have equal text.
   const from = JSON.parse(canonicalText(base)) as Configuration;
   const to = JSON.parse(canonicalText(next)) as Configuration;
@@ -64,9 +68,7 @@
 };
 
 const applyRecords = (base: Records, { set, removed }: RecordsDelta): Records =>
-  Object.fromEntries(
-    Object.entries({ ...base, ...set }).filter(([key]) => !removed.includes(key)),
-  );
+  Object.fromEntries(Object.entries({ ...base, ...set }).filter(([key]) => !removed.includes(key)));
 
 /**
  * Applies a delta. Throws a Failure with `bad_update` if the digest of the base or of the result
--- a/src/core/parentChoice.ts
+++ b/src/core/parentChoice.ts
@@ -113,7 +113,9 @@
 
   const chooseParent = (now: number): ParentAttempt | undefined => {
     const redirectTarget = queue.find((address) => !isAvoided(address, now));
-    queue = queue.slice(redirectTarget === undefined ? queue.length : queue.indexOf(redirectTarget) + 1);
+    queue = queue.slice(
+      redirectTarget === undefined ? queue.length : queue.indexOf(redirectTarget) + 1,
+    );
     if (redirectTarget !== undefined) {
       return take(redirectTarget, 0);
     }
@@ -134,7 +136,9 @@
         peers.delete(address);
         peers.add(address);
       });
-    [...peers].slice(0, Math.max(0, peers.size - maxPeers)).forEach((address) => peers.delete(address));
+    [...peers]
+      .slice(0, Math.max(0, peers.size - maxPeers))
+      .forEach((address) => peers.delete(address));
   };
 
   return {
--- /dev/null
+++ b/src/core/subtree.ts
@@ -0,0 +1,154 @@
+/**
+ * A process and everything below it in the fan-out tree: own endpoints, the branches of the
+ * children, withdrawals and versions in force. This is what a process reports to its parent.
+ */
+import type { Endpoint } from '../types/public.js';
+import { compareRecords } from './clusterLog.js';
+import { createBranches, type BranchReport } from './branches.js';
+import { createFloors, type Floors, type NodeVersion } from './floors.js';
+import { mergeReports, type SubtreeStatus } from './reports.js';
+import { createTombstones, type Withdrawal } from './tombstones.js';
+import type { ReportedState } from './upwardReport.js';
+
+/** A longer pause between two ticks means that this process was suspended. */
+const suspensionMs = 5_000;
+
+export interface Subtree {
+  readonly commands: {
+    announce(endpoint: Endpoint, now: number): void;
+    withdraw(endpointId: string, now: number): void;
+    /** Applies a child's report. Returns false if the child has to report in full. */
+    applyReport(
+      child: string,
+      report: BranchReport,
+      nodeVersions: readonly NodeVersion[],
+      now: number,
+    ): boolean;
+    detach(child: string): void;
+    /** Records the version that this process itself has in force. */
+    recordOwn(nodeVersion: NodeVersion, now: number): void;
+    /** Ends leases that are due; called about once a second. */
+    tick(now: number): void;
+  };
+  readonly queries: {
+    state(): ReportedState;
+    status(own: SubtreeStatus): SubtreeStatus;
+    isWithdrawn(endpoint: Endpoint): boolean;
+    sizeOf(child: string): number;
+  };
+  /** Floors of this process's own subtree and of its siblings. */
+  readonly floors: Floors;
+  /** Calls the listener when the endpoints or withdrawals have changed. */
+  onChange(listener: () => void): void;
+}
+
+const isEndpointChange = ({ announcements, withdrawals, dropped, full }: BranchReport): boolean =>
+  full || announcements.length + withdrawals.length + dropped.length > 0;
+
+export const createSubtree = (startedAt: number): Subtree => {
+  const branches = createBranches();
+  const tombstones = createTombstones();
+  const floors = createFloors();
+  const reported = createFloors();
+  const own = new Map<string, Endpoint>();
+  const listeners: (() => void)[] = [];
+  let endpoints: ReadonlyMap<string, Endpoint> | undefined;
+  let tickedAt = startedAt;
+
+  const changed = () => {
+    endpoints = undefined;
+    listeners.forEach((listener) => listener());
+  };
+
+  const mergeEndpoints = (): ReadonlyMap<string, Endpoint> => {
+    const merged = branches.queries.endpoints();
+    own.forEach((endpoint, id) => merged.set(id, endpoint));
+    return new Map([...merged].filter(([, endpoint]) => !tombstones.queries.covers(endpoint)));
+  };
+
+  const announce = (endpoint: Endpoint, now: number) => {
+    const held = own.get(endpoint.id);
+    const isOlder = held !== undefined && compareRecords(endpoint, held) < 0;
+    if (isOlder || tombstones.queries.covers(endpoint)) {
+      return;
+    }
+    own.set(endpoint.id, endpoint);
+    tombstones.commands.expire(now);
+    changed();
+  };
+
+  const applyWithdrawals = (withdrawals: readonly Withdrawal[], now: number) => {
+    const added = withdrawals.filter((each) => tombstones.commands.add(each, now));
+    branches.commands.withdraw(added);
+  };
+
+  const withdraw = (endpointId: string, now: number) => {
+    const held = own.get(endpointId);
+    if (!held) {
+      return;
+    }
+    own.delete(endpointId);
+    const { incarnation, sequence } = held;
+    applyWithdrawals([{ id: endpointId, incarnation, sequence: sequence + 1 }], now);
+    changed();
+  };
+
+  const recordVersion = (nodeVersion: NodeVersion, now: number) => {
+    floors.commands.record(nodeVersion, now);
+    reported.commands.record(nodeVersion, now);
+  };
+
+  const applyReport: Subtree['commands']['applyReport'] = (child, report, nodeVersions, now) => {
+    const known = branches.commands.applyReport(child, report, now);
+    applyWithdrawals(report.withdrawals, now);
+    nodeVersions.forEach((nodeVersion) => recordVersion(nodeVersion, now));
+    floors.commands.keep(child, now);
+    if (isEndpointChange(report)) {
+      changed();
+    }
+    return known;
+  };
+
+  const tick = (now: number) => {
+    const pauseMs = now - tickedAt;
+    tickedAt = now;
+    // Children could not renew their leases while this process was suspended.
+    if (pauseMs > suspensionMs) {
+      branches.commands.extend(pauseMs);
+    }
+    tombstones.commands.expire(now);
+    floors.commands.expire(now);
+    reported.commands.expire(now);
+    if (branches.commands.expire(now).length > 0) {
+      changed();
+    }
+  };
+
+  return {
+    commands: {
+      announce,
+      withdraw,
+      applyReport,
+      detach: branches.commands.detach,
+      recordOwn: recordVersion,
+      tick,
+    },
+    queries: {
+      state: () => {
+        endpoints ??= mergeEndpoints();
+        return {
+          endpoints,
+          withdrawals: tombstones.queries.list(),
+          nodeVersions: reported.queries.list(),
+        };
+      },
+      status: (ownStatus) => mergeReports([ownStatus, ...branches.queries.statuses()]),
+      isWithdrawn: tombstones.queries.covers,
+      sizeOf: branches.queries.sizeOf,
+    },
+    floors,
+    onChange: (listener) => {
+      listeners.push(listener);
+    },
+  };
+};
--- a/src/core/tombstones.ts
+++ b/src/core/tombstones.ts
@@ -50,9 +50,7 @@
     commands: {
       add,
       expire: (now) => {
-        [...entries]
-          .filter(([, { until }]) => until <= now)
-          .forEach(([id]) => entries.delete(id));
+        [...entries].filter(([, { until }]) => until <= now).forEach(([id]) => entries.delete(id));
       },
     },
     queries: {
--- /dev/null
+++ b/src/plugins/controlExchange.ts
@@ -0,0 +1,235 @@
+/**
+ * Exchange between control instances: each one subscribes to the endpoints that the others lease
+ * and reports the versions in force of its own tree. The round trips of the reports give the delays
+ * between data centres.
+ */
+import type { DataCentreDelay } from '../gen/auburnsill/v1/feed_pb.js';
+import type { Endpoint } from '../types/public.js';
+import {
+  applyChange,
+  createClusterLog,
+  digestEndpoints,
+  type ClusterLog,
+} from '../core/clusterLog.js';
+import type { SubtreeStatus } from '../core/feed.js';
+import type { Log } from '../utils/log.js';
+import type { Timer } from '../utils/timer.js';
+import type { Access } from './access.js';
+import { createFeedLink, type FeedLink } from './feedClient.js';
+import type { FeedMetrics } from './feedMetrics.js';
+import { readCluster, writeCursor, writeVersion } from './feedMessages.js';
+
+/** Endpoints of a control instance that cannot be reached are kept for this time. */
+const remoteKeepMs = 600_000;
+const minBackoffMs = 100;
+const maxBackoffMs = 5_000;
+/** The least of this many round trips counts, so that a busy moment does not. */
+const keptRoundTrips = 20;
+const maxServices = 1_024;
+
+export interface ControlMember {
+  readonly name: string;
+  /** Peer address, `ip:port`. */
+  readonly address: string;
+  readonly dataCentre: string;
+}
+
+export interface ControlExchangeOptions {
+  readonly control: {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly peerAddress: string;
+  };
+  readonly cluster: { readonly name: string; readonly members: readonly ControlMember[] };
+  readonly incarnation: string;
+  readonly access: Access;
+  readonly timer: Timer;
+  readonly log: Log;
+  readonly random: () => number;
+  readonly metrics?: FeedMetrics;
+  /** Versions in force of the own tree. */
+  status(): SubtreeStatus;
+  /** The endpoints of another control instance have changed. */
+  changed(): void;
+}
+
+export interface ControlExchange {
+  start(): void;
+  stop(): Promise<void>;
+  /** Forgets what is too old; called about once a second. */
+  tick(): void;
+  endpoints(): Endpoint[];
+  /** One-way delay in ms; 0 where it is not measured. */
+  delayMs(fromDataCentre: string, toDataCentre: string): number;
+  /** Takes delays that another control instance measured. */
+  learnDelays(delays: readonly DataCentreDelay[]): void;
+}
+
+interface Remote {
+  readonly member: ControlMember;
+  readonly logs: Map<string, ClusterLog>;
+  readonly roundTrips: number[];
+  lostAt: number | undefined;
+  link: FeedLink | undefined;
+}
+
+interface MeasuredDelay {
+  readonly fromDataCentre: string;
+  readonly toDataCentre: string;
+  readonly delayUs: number;
+}
+
+const delayKey = (from: string, to: string): string => JSON.stringify([from, to]);
+
+export const createControlExchange = (options: ControlExchangeOptions): ControlExchange => {
+  const { control, cluster, access, timer, log, random, metrics } = options;
+  const stopping = new AbortController();
+  const learned = new Map<string, number>();
+  let running: Promise<unknown> = Promise.resolve();
+
+  const remotes: Remote[] = cluster.members
+    .filter(({ name }) => name !== control.name)
+    .map((member) => ({
+      member,
+      logs: new Map(),
+      roundTrips: [],
+      lostAt: undefined,
+      link: undefined,
+    }));
+
+  const logOf = (remote: Remote, service: string): ClusterLog => {
+    const found = remote.logs.get(service) ?? {
+      ...createClusterLog(service, '', true),
+      revision: 0,
+    };
+    if (remote.logs.size < maxServices) {
+      remote.logs.set(service, found);
+    }
+    return found;
+  };
+
+  const measured = (): MeasuredDelay[] =>
+    remotes
+      .filter(({ roundTrips }) => roundTrips.length > 0)
+      .map(({ member, roundTrips }) => ({
+        fromDataCentre: control.dataCentre,
+        toDataCentre: member.dataCentre,
+        delayUs: Math.round((Math.min(...roundTrips) / 2) * 1_000),
+      }));
+
+  const buildReport = () => {
+    const status = options.status();
+    return {
+      report: {
+        name: control.name,
+        subtree: status.counts.map((count) => ({ ...count, version: writeVersion(count.version) })),
+        laggards: status.laggards.map((each) => ({ ...each, version: writeVersion(each.version) })),
+        endpointsDigest: digestEndpoints([]),
+        full: false,
+        delays: measured(),
+      },
+      answered: () => undefined,
+    };
+  };
+
+  const recordRoundTrip = (remote: Remote, ms: number) => {
+    remote.roundTrips.push(ms);
+    remote.roundTrips.splice(0, Math.max(0, remote.roundTrips.length - keptRoundTrips));
+  };
+
+  const cursorOf = ({ service, registry, revision, settling }: ClusterLog) =>
+    writeCursor({ service, registry, revision: settling ? 0 : revision });
+
+  const createLink = (remote: Remote): FeedLink => {
+    const link: FeedLink = createFeedLink({
+      address: remote.member.address,
+      access,
+      timer,
+      log,
+      random,
+      metrics,
+      request: {
+        subscriber: {
+          ...control,
+          cluster: cluster.name,
+          role: 'control',
+          incarnation: options.incarnation,
+        },
+        allClustersOfDataCentre: true,
+        clusters: [...remote.logs.values()].map(cursorOf),
+      },
+      handlers: {
+        welcome: () => {
+          remote.lostAt = undefined;
+        },
+        configuration: () => undefined,
+        heartbeat: () => undefined,
+        cluster: (message) => {
+          const result = applyChange(logOf(remote, message.service), readCluster(message));
+          if (result === 'applied') {
+            options.changed();
+          } else if (result === 'gap') {
+            const { service } = message;
+            link.change({ add: [{ service, registry: '', revision: 0n }] });
+          }
+        },
+      },
+      reporter: { build: buildReport, roundTrip: (ms) => recordRoundTrip(remote, ms) },
+    });
+    return link;
+  };
+
+  const follow = async (remote: Remote) => {
+    let attempt = 0;
+    while (!stopping.signal.aborted) {
+      remote.link = createLink(remote);
+      const outcome = await remote.link.run();
+      remote.link = undefined;
+      const wasAttached = outcome.outcome === 'lost' && outcome.attached;
+      if (wasAttached) {
+        remote.lostAt ??= timer.now();
+        log.info('control instance lost', { name: remote.member.name, reason: outcome.reason });
+      }
+      attempt = wasAttached ? 0 : Math.min(10, attempt + 1);
+      const limit = Math.min(maxBackoffMs, minBackoffMs * 2 ** attempt);
+      await timer.sleep(random() * limit, stopping.signal);
+    }
+  };
+
+  return {
+    start: () => {
+      running = Promise.all(remotes.map(follow));
+    },
+    stop: async () => {
+      stopping.abort();
+      remotes.forEach(({ link }) => link?.end('stopping'));
+      await running;
+    },
+    tick: () => {
+      remotes
+        .filter(({ lostAt }) => lostAt !== undefined && timer.now() - lostAt >= remoteKeepMs)
+        .forEach(({ logs }) => logs.clear());
+    },
+    endpoints: () =>
+      remotes.flatMap(({ logs }) =>
+        [...logs.values()].flatMap(({ endpoints }) => [...endpoints.values()]),
+      ),
+    delayMs: (from, to) => {
+      const own = measured().find(
+        ({ fromDataCentre, toDataCentre }) =>
+          (fromDataCentre === from && toDataCentre === to) ||
+          (fromDataCentre === to && toDataCentre === from),
+      );
+      const us = own?.delayUs ?? learned.get(delayKey(from, to)) ?? learned.get(delayKey(to, from));
+      return from === to ? 0 : (us ?? 0) / 1_000;
+    },
+    learnDelays: (delays) => {
+      delays
+        .slice(0, cluster.members.length)
+        .forEach(({ fromDataCentre, toDataCentre, delayUs }) => {
+          learned.set(delayKey(fromDataCentre, toDataCentre), delayUs);
+        });
+    },
+  };
+};
--- /dev/null
+++ b/src/plugins/controlFeed.ts
@@ -0,0 +1,210 @@
+/**
+ * Feed of a control instance: root of the fan-out tree of its data centre. It takes configurations
+ * from its source, keeps the registry of its data centre's endpoints and exchanges these with the
+ * other control instances.
+ */
+import { randomUUID } from 'node:crypto';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { ReportRequest, Subscriber } from '../gen/auburnsill/v1/feed_pb.js';
+import type { Endpoint } from '../types/public.js';
+import type { ConfigurationSource, FleetStatus } from '../types/internal.js';
+import { createConfigurationStore } from '../core/configurationStore.js';
+import { compareRecords } from '../core/clusterLog.js';
+import { mergeReports, type SubtreeStatus } from '../core/feed.js';
+import { createRegistry } from '../core/registry.js';
+import { createSubtree } from '../core/subtree.js';
+import type { Log } from '../utils/log.js';
+import type { Cancel, Timer } from '../utils/timer.js';
+import type { Access } from './access.js';
+import { createControlExchange, type ControlMember } from './controlExchange.js';
+import type { FeedMetrics } from './feedMetrics.js';
+import { createFeedServer, type Publication } from './feedServer.js';
+import { readBranchReport, readNodeVersions } from './feedMessages.js';
+
+const tickMs = 500;
+/** Endpoint changes that arrive within this time get one revision. */
+const batchMs = 100;
+
+export interface ControlFeedOptions {
+  readonly control: {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly peerAddress: string;
+  };
+  readonly cluster: { readonly name: string; readonly members: readonly ControlMember[] };
+  readonly source: ConfigurationSource;
+  readonly access: Access;
+  readonly timer: Timer;
+  readonly log: Log;
+  readonly random: () => number;
+  readonly metrics?: FeedMetrics;
+}
+
+export interface ControlFeed {
+  readonly fleet: FleetStatus;
+  routes(router: ConnectRouter): void;
+  start(): void;
+  stop(): Promise<void>;
+}
+
+const emptyStatus: SubtreeStatus = { counts: [], laggards: [] };
+
+const mergeNewest = (sets: readonly Iterable<Endpoint>[]): Map<string, Endpoint> => {
+  const merged = new Map<string, Endpoint>();
+  for (const set of sets) {
+    for (const endpoint of set) {
+      const held = merged.get(endpoint.id);
+      if (!held || compareRecords(endpoint, held) > 0) {
+        merged.set(endpoint.id, endpoint);
+      }
+    }
+  }
+  return merged;
+};
+
+/** Creates the feed of a control instance. */
+export const createControlFeed = (options: ControlFeedOptions): ControlFeed => {
+  const { control, cluster, source, timer, metrics } = options;
+  const log = options.log.part('feed');
+  const incarnation = randomUUID();
+  const store = createConfigurationStore(source.at);
+  const subtree = createSubtree(timer.now());
+  // Endpoints that nodes get, of all data centres, and those whose leases are held here.
+  const registry = createRegistry(incarnation.slice(0, 8), timer.now());
+  const leased = createRegistry(incarnation.slice(0, 8), timer.now());
+  const remoteStatuses = new Map<string, SubtreeStatus>();
+  const listeners = new Set<() => void>();
+  const cancels: Cancel[] = [];
+  let reconcileDue: Cancel | undefined;
+  let notifyDue: Cancel | undefined;
+
+  const notifySoon = () => {
+    notifyDue ??= timer.after(batchMs, () => {
+      notifyDue = undefined;
+      listeners.forEach((listener) => listener());
+    });
+  };
+
+  const reconcile = () => {
+    reconcileDue?.();
+    reconcileDue = undefined;
+    const now = timer.now();
+    const own = subtree.queries.state().endpoints;
+    const isWithdrawn = (endpoint: Endpoint) => subtree.queries.isWithdrawn(endpoint);
+    const remote = exchange.endpoints().filter((endpoint) => !isWithdrawn(endpoint));
+    const all = mergeNewest([own.values(), remote]);
+    const changed = [
+      ...leased.commands.reconcile({ endpoints: own, isWithdrawn }, now),
+      ...registry.commands.reconcile({ endpoints: all, isWithdrawn }, now),
+    ];
+    if (changed.length > 0) {
+      server.publish();
+      notifySoon();
+    }
+  };
+
+  const reconcileSoon = () => {
+    reconcileDue ??= timer.after(batchMs, reconcile);
+  };
+
+  const ownStatus = (): SubtreeStatus => subtree.queries.status(emptyStatus);
+
+  const exchange = createControlExchange({
+    ...options,
+    log,
+    incarnation,
+    status: ownStatus,
+    changed: reconcileSoon,
+  });
+
+  const reportFromControl = (child: Subscriber, report: ReportRequest): boolean => {
+    remoteStatuses.set(child.name, readBranchReport(report).status);
+    exchange.learnDelays(report.delays);
+    notifySoon();
+    return true;
+  };
+
+  const reportFromNode = (child: Subscriber, report: ReportRequest): boolean => {
+    const known = subtree.commands.applyReport(
+      child.name,
+      readBranchReport(report),
+      readNodeVersions(report.nodeVersions),
+      timer.now(),
+    );
+    notifySoon();
+    return known;
+  };
+
+  const publication: Publication = {
+    store,
+    floors: subtree.floors,
+    path: () => [control.name],
+    rootDataCentre: () => control.dataCentre,
+    confirmedAgeMs: () => source.confirmedAgeMs(),
+    log: registry.queries.log,
+    exported: () => leased.queries.services().map(leased.queries.log),
+    sizeOf: subtree.queries.sizeOf,
+    report: (child, report) =>
+      child.role === 'control' ? reportFromControl(child, report) : reportFromNode(child, report),
+    detached: (child) => {
+      subtree.commands.detach(child.name);
+      notifySoon();
+    },
+    needsChanged: () => undefined,
+  };
+
+  const server = createFeedServer({ cluster: cluster.name, publication, timer, log, metrics });
+
+  subtree.onChange(reconcileSoon);
+
+  const takeHead = () => {
+    const head = source.head();
+    if (head && store.commands.put(head)) {
+      server.publish();
+    }
+  };
+
+  const tick = () => {
+    subtree.commands.tick(timer.now());
+    exchange.tick();
+    takeHead();
+    reconcile();
+  };
+
+  const status = (): SubtreeStatus => mergeReports([ownStatus(), ...remoteStatuses.values()]);
+
+  const dataCentres = (): string[] => {
+    const named = [control.dataCentre, ...cluster.members.map(({ dataCentre }) => dataCentre)];
+    return [...new Set(named)];
+  };
+
+  return {
+    fleet: {
+      counts: () => status().counts,
+      laggards: () => status().laggards,
+      inventory: () => ({
+        clusters: registry.queries.clusters(),
+        delayMs: exchange.delayMs,
+        dataCentres: dataCentres(),
+      }),
+      onChange: (listener) => {
+        listeners.add(listener);
+        return () => {
+          listeners.delete(listener);
+        };
+      },
+    },
+    routes: server.routes,
+    start: () => {
+      takeHead();
+      cancels.push(source.onChange(takeHead), timer.every(tickMs, tick));
+      exchange.start();
+    },
+    stop: async () => {
+      cancels.forEach((cancel) => cancel());
+      await exchange.stop();
+      server.stop();
+    },
+  };
+};
--- a/src/plugins/feedServer.ts
+++ b/src/plugins/feedServer.ts
@@ -357,6 +357,9 @@
       }
     });
     request.remove.forEach((service) => subscription.cursors.delete(service));
+    if (request.fullConfiguration) {
+      subscription.configuration = undefined;
+    }
     publication.needsChanged();
     subscription.wake();
     return {};
--- /dev/null
+++ b/src/plugins/nodeClusters.ts
@@ -0,0 +1,79 @@
+/**
+ * Clusters that a node subscribes to, for its own routes and for its children, and the waits of
+ * calls for a cluster that is not held yet.
+ */
+import type {
+  ClusterCursor,
+  ClusterChange,
+  ClusterLog,
+  ClusterResult,
+} from '../core/clusterLog.js';
+import { applyChange, createClusterLog } from '../core/clusterLog.js';
+
+/** A change of the subscriptions towards the parent. */
+export interface SubscriptionChange {
+  readonly add: readonly ClusterCursor[];
+  readonly remove: readonly string[];
+}
+
+export interface NodeClusters {
+  readonly commands: {
+    /** Applies an update. A service that is not subscribed to is ignored. */
+    receive(change: ClusterChange): ClusterResult;
+    /** Brings the subscriptions to the wanted services. Undefined if nothing changes. */
+    want(services: ReadonlySet<string>): SubscriptionChange | undefined;
+  };
+  readonly queries: {
+    /** Log of a service, or undefined if nothing was received. */
+    log(service: string): ClusterLog | undefined;
+    cursors(): ClusterCursor[];
+  };
+}
+
+export const createNodeClusters = (): NodeClusters => {
+  const logs = new Map<string, ClusterLog>();
+
+  const emptyLog = (service: string): ClusterLog => ({
+    ...createClusterLog(service, '', true),
+    revision: 0,
+  });
+
+  const cursorOf = ({ service, registry, revision, settling }: ClusterLog): ClusterCursor => ({
+    service,
+    registry,
+    // What a settling registry sent is not complete, so that a new parent sends all of it.
+    revision: settling ? 0 : revision,
+  });
+
+  const want = (services: ReadonlySet<string>): SubscriptionChange | undefined => {
+    const added = [...services].filter((service) => !logs.has(service));
+    const remove = [...logs.keys()].filter((service) => !services.has(service));
+    if (added.length + remove.length === 0) {
+      return undefined;
+    }
+    remove.forEach((service) => logs.delete(service));
+    const add = added.map((service) => {
+      const log = emptyLog(service);
+      logs.set(service, log);
+      return cursorOf(log);
+    });
+    return { add, remove };
+  };
+
+  return {
+    commands: {
+      receive: (change) => {
+        const log = logs.get(change.service);
+        return log ? applyChange(log, change) : 'already_held';
+      },
+      want,
+    },
+    queries: {
+      log: (service) => {
+        const log = logs.get(service);
+        return log && log.revision > 0 ? log : undefined;
+      },
+      cursors: () => [...logs.values()].map(cursorOf),
+    },
+  };
+};
--- /dev/null
+++ b/src/plugins/nodeFeed.ts
@@ -0,0 +1,462 @@
+/**
+ * Feed of a node: child of one parent and parent of other nodes. It keeps the node's holding up to
+ * date, announces its endpoint up the tree and passes on what it received, checked but before it is
+ * in force here.
+ */
+import { randomUUID } from 'node:crypto';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type {
+  ClusterUpdate,
+  ConfigurationUpdate,
+  Heartbeat,
+  ReportRequest,
+  ReportResponse,
+  Subscriber,
+  Welcome,
+} from '../gen/auburnsill/v1/feed_pb.js';
+import type { Cluster } from '../types/public.js';
+import type { Announcer, Held, Holding } from '../types/internal.js';
+import { createConfigurationStore, type ChangeResult } from '../core/configurationStore.js';
+import {
+  createFreshness,
+  createParentChoice,
+  createUpwardReport,
+  type ControlAddress,
+  type SubtreeStatus,
+} from '../core/feed.js';
+import { clusterWaitMs, createHolding } from '../core/holding.js';
+import { derivePolicies } from '../core/policy.js';
+import { createSubtree } from '../core/subtree.js';
+import { formatVersion, isNewer, noVersion } from '../core/version.js';
+import type { Log } from '../utils/log.js';
+import type { Cancel, Timer } from '../utils/timer.js';
+import type { Access } from './access.js';
+import { createFeedLink, probeFeed, type FeedLink } from './feedClient.js';
+import type { FeedMetrics } from './feedMetrics.js';
+import { createFeedServer, type Publication } from './feedServer.js';
+import {
+  readBranchReport,
+  readCluster,
+  readConfiguration,
+  readNodeVersions,
+  readVersion,
+  writeCursor,
+  writeEndpoint,
+  writeNodeVersion,
+  writeVersion,
+} from './feedMessages.js';
+import { createNodeClusters } from './nodeClusters.js';
+import { createParentLoop } from './parentLoop.js';
+
+const tickMs = 500;
+/** Refused updates after which a parent is left. */
+const maxRefusals = 3;
+/** Parents that a starting node asks for its floor, and how long it waits for them. */
+const floorProbes = 3;
+const floorWaitMs = 1_000;
+/** A stopping node gives its last report this long. */
+const farewellMs = 500;
+
+export interface NodeFeedOptions {
+  readonly node: {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly peerAddress: string;
+  };
+  readonly cluster: {
+    readonly name: string;
+    readonly control: readonly ControlAddress[];
+    readonly peers: readonly string[];
+  };
+  readonly access: Access;
+  readonly timer: Timer;
+  readonly log: Log;
+  readonly random: () => number;
+  readonly metrics?: FeedMetrics;
+}
+
+export interface NodeFeed {
+  readonly holding: Holding;
+  readonly announcer: Announcer;
+  routes(router: ConnectRouter): void;
+  start(): void;
+  stop(): Promise<void>;
+}
+
+/** Creates the feed of a node. */
+export const createNodeFeed = (options: NodeFeedOptions): NodeFeed => {
+  const { node, cluster, access, timer, random, metrics } = options;
+  const log = options.log.part('feed');
+  const incarnation = randomUUID();
+  const store = createConfigurationStore();
+  const state = createHolding(derivePolicies);
+  const clusters = createNodeClusters();
+  const subtree = createSubtree(timer.now());
+  const upward = createUpwardReport();
+  // The first counts for what is passed on, the second for what is in force here.
+  const freshness = createFreshness();
+  const servedFreshness = createFreshness();
+  const listeners = new Set<(held: Held) => void>();
+  const cancels: Cancel[] = [];
+  let refusals = 0;
+  let headVersion = noVersion;
+
+  const choice = createParentChoice({
+    dataCentre: node.dataCentre,
+    ownAddress: node.peerAddress,
+    controls: cluster.control,
+    peers: cluster.peers,
+    random,
+  });
+
+  const newest = () => store.queries.newest()?.version ?? noVersion;
+  const inForce = () => state.queries.current()?.version ?? noVersion;
+
+  const notify = (held: Held | undefined) => {
+    if (held) {
+      listeners.forEach((listener) => listener(held));
+    }
+  };
+
+  const activate = () => {
+    const before = inForce();
+    const held = state.commands.activate(timer.now());
+    notify(held);
+    if (held && isNewer(held.version, before)) {
+      log.info('version in force', { version: formatVersion(held.version) });
+      subtree.commands.recordOwn({ name: node.name, version: held.version }, timer.now());
+      parents.link()?.reportSoon();
+    }
+  };
+
+  // Clusters that children subscribe to may be here before the own routes need them.
+  const stageKnownClusters = () => {
+    state.queries.wanted().forEach((service) => {
+      const clusterLog = clusters.queries.log(service);
+      if (clusterLog && !state.queries.current()?.clusters.has(service)) {
+        state.commands.stageCluster({ service, endpoints: [...clusterLog.endpoints.values()] });
+      }
+    });
+  };
+
+  const syncSubscriptions = () => {
+    const wanted = new Set([...state.queries.wanted(), ...server.neededServices()]);
+    const change = clusters.commands.want(wanted);
+    if (change) {
+      parents.link()?.change({ add: change.add.map(writeCursor), remove: [...change.remove] });
+    }
+  };
+
+  const requestFull = (reason: string) => {
+    refusals += 1;
+    metrics?.refused(reason);
+    log.warn('update refused, asking for a full one', { reason });
+    if (refusals >= maxRefusals) {
+      parents.leave('its updates fail their checks');
+      return;
+    }
+    parents.link()?.change({ fullConfiguration: true });
+  };
+
+  const stageNewest = () => {
+    const stored = store.queries.newest();
+    if (stored && state.commands.stageConfiguration(stored, timer.now()) === 'staged') {
+      syncSubscriptions();
+      stageKnownClusters();
+      // The swap takes place at the latest when the wait for clusters ends.
+      timer.after(clusterWaitMs, activate);
+      activate();
+    }
+  };
+
+  const resultHandlers: Record<ChangeResult, () => void> = {
+    stored: () => {
+      refusals = 0;
+      server.publish();
+      stageNewest();
+    },
+    not_newer: () => undefined,
+    wrong_base: () => requestFull('wrong base'),
+  };
+
+  const onConfiguration = (message: ConfigurationUpdate) => {
+    let result: ChangeResult;
+    try {
+      result = store.commands.receive(readConfiguration(message));
+    } catch (error) {
+      log.warn('bad update', { reason: String(error) });
+      requestFull('bad update');
+      return;
+    }
+    resultHandlers[result]();
+  };
+
+  const onCluster = (message: ClusterUpdate) => {
+    const { service } = message;
+    const result = clusters.commands.receive(readCluster(message));
+    if (result === 'gap') {
+      refusals += 1;
+      metrics?.refused('cluster gap');
+      if (refusals >= maxRefusals) {
+        parents.leave('its updates fail their checks');
+        return;
+      }
+      parents.link()?.change({ add: [{ service, registry: '', revision: 0n }] });
+      return;
+    }
+    const clusterLog = clusters.queries.log(service);
+    if (result === 'applied' && clusterLog) {
+      refusals = 0;
+      state.commands.stageCluster({ service, endpoints: [...clusterLog.endpoints.values()] });
+      server.publish();
+      activate();
+    }
+  };
+
+  const raiseFloor = (welcome: Welcome | undefined) => {
+    if (welcome?.floor) {
+      state.commands.raiseFloor(readVersion(welcome.floor));
+    }
+  };
+
+  const onWelcome = (message: Welcome) => {
+    raiseFloor(message);
+    choice.commands.learnPeers(message.peers);
+    refusals = 0;
+    upward.commands.reset();
+    syncSubscriptions();
+  };
+
+  const onHeartbeat = (message: Heartbeat) => {
+    const now = timer.now();
+    const ageMs = Number(message.confirmedAgeMs);
+    headVersion = readVersion(message.headVersion);
+    // A confirmation counts for a version only if it is not behind the confirmed one.
+    if (!isNewer(headVersion, newest())) {
+      freshness.commands.confirm(ageMs, now);
+    }
+    if (!isNewer(headVersion, inForce())) {
+      servedFreshness.commands.confirm(ageMs, now);
+    }
+    const { path, rootDataCentre } = message;
+    parents.heard({ headVersion, confirmedAgeMs: ageMs, path, rootDataCentre });
+  };
+
+  const ownStatus = (): SubtreeStatus => {
+    const version = inForce();
+    const isBehind = isNewer(headVersion, version) || isNewer(newest(), version);
+    const reason = state.queries.reason() ?? 'an update is under way';
+    const { name, dataCentre } = node;
+    return {
+      counts: [{ version, dataCentre, nodes: 1 }],
+      laggards: isBehind ? [{ name, dataCentre, version, reason }] : [],
+    };
+  };
+
+  const buildReport = () => {
+    const reported = subtree.queries.state();
+    const difference = upward.queries.difference(reported);
+    const status = subtree.queries.status(ownStatus());
+    return {
+      report: {
+        name: node.name,
+        subtree: status.counts.map((count) => ({ ...count, version: writeVersion(count.version) })),
+        laggards: status.laggards.map((each) => ({ ...each, version: writeVersion(each.version) })),
+        announcements: difference.announcements.map(writeEndpoint),
+        withdrawals: difference.withdrawals.map((each) => ({
+          id: each.id,
+          incarnation: BigInt(each.incarnation),
+          sequence: BigInt(each.sequence),
+        })),
+        dropped: difference.dropped,
+        endpointsDigest: difference.digest,
+        nodeVersions: difference.nodeVersions.map(writeNodeVersion),
+        full: difference.full,
+      },
+      answered: (response: ReportResponse) => {
+        upward.commands.answered(reported);
+        if (response.sendFull) {
+          upward.commands.reset();
+        }
+        readNodeVersions(response.siblingVersions).forEach((each) =>
+          subtree.floors.commands.record(each, timer.now()),
+        );
+        choice.commands.learnPeers(response.peers);
+      },
+    };
+  };
+
+  const subscribeRequest = () => {
+    const stored = store.queries.newest();
+    return {
+      subscriber: {
+        cluster: cluster.name,
+        name: node.name,
+        dataCentre: node.dataCentre,
+        region: node.region,
+        peerAddress: node.peerAddress,
+        role: 'node',
+        incarnation,
+      },
+      heldVersion: stored && writeVersion(stored.version),
+      heldDigest: stored?.digest,
+      clusters: clusters.queries.cursors().map(writeCursor),
+    };
+  };
+
+  const createLink = (address: string): FeedLink =>
+    createFeedLink({
+      address,
+      access,
+      timer,
+      log,
+      random,
+      metrics,
+      request: subscribeRequest(),
+      handlers: {
+        welcome: onWelcome,
+        configuration: onConfiguration,
+        cluster: onCluster,
+        heartbeat: onHeartbeat,
+      },
+      reporter: { build: buildReport },
+    });
+
+  const probe = (address: string) => probeFeed({ address, access, request: subscribeRequest() });
+
+  const parents = createParentLoop({
+    name: node.name,
+    dataCentre: node.dataCentre,
+    choice,
+    timer,
+    log,
+    random,
+    metrics,
+    newest,
+    createLink,
+    probe,
+    pathChanged: () => server.beat(),
+  });
+
+  const publication: Publication = {
+    store,
+    floors: subtree.floors,
+    path: () => parents.path(),
+    rootDataCentre: () => parents.rootDataCentre(),
+    confirmedAgeMs: () => freshness.queries.ageMs(timer.now()),
+    log: clusters.queries.log,
+    // Only control instances export endpoints.
+    exported: () => [],
+    sizeOf: subtree.queries.sizeOf,
+    report: (child: Subscriber, report: ReportRequest) => {
+      const known = subtree.commands.applyReport(
+        child.name,
+        readBranchReport(report),
+        readNodeVersions(report.nodeVersions),
+        timer.now(),
+      );
+      if (report.nodeVersions.length > 0) {
+        parents.link()?.reportSoon();
+      }
+      return known;
+    },
+    detached: (child) => subtree.commands.detach(child.name),
+    needsChanged: syncSubscriptions,
+  };
+
+  const server = createFeedServer({
+    cluster: cluster.name,
+    publication,
+    timer,
+    log,
+    metrics,
+  });
+
+  subtree.onChange(() => parents.link()?.reportSoon());
+
+  const tick = () => {
+    const now = timer.now();
+    subtree.commands.tick(now);
+    const dropped = state.commands.dropUnused(now);
+    notify(dropped);
+    activate();
+    syncSubscriptions();
+  };
+
+  const heldCluster = (service: string): Cluster | undefined =>
+    state.queries.current()?.clusters.get(service);
+
+  const onChange = (listener: (held: Held) => void) => {
+    listeners.add(listener);
+    return () => {
+      listeners.delete(listener);
+    };
+  };
+
+  const waitForCluster = (service: string, timeoutMs: number): Promise<Cluster | undefined> =>
+    new Promise((resolve) => {
+      const finish = (found: Cluster | undefined) => {
+        cancelTimeout();
+        cancelListener();
+        resolve(found);
+      };
+      const cancelTimeout = timer.after(timeoutMs, () => finish(undefined));
+      const cancelListener = onChange((held) => {
+        const found = held.clusters.get(service);
+        if (found) {
+          finish(found);
+        }
+      });
+    });
+
+  const ensureCluster: Holding['commands']['ensureCluster'] = async (service, timeoutMs) => {
+    state.commands.use(service, timer.now());
+    const found = heldCluster(service);
+    if (found) {
+      return found;
+    }
+    syncSubscriptions();
+    stageKnownClusters();
+    activate();
+    return heldCluster(service) ?? waitForCluster(service, timeoutMs);
+  };
+
+  // Before anything is served, other processes are asked which version this node served last.
+  const askForFloor = async () => {
+    const { ownControls, peers } = choice.queries;
+    const asked = [...ownControls().slice(0, 1), ...peers()].slice(0, floorProbes);
+    const answers = asked.map(async (address) => raiseFloor((await probe(address))?.welcome));
+    await Promise.race([Promise.all(answers), timer.sleep(floorWaitMs)]);
+  };
+
+  return {
+    holding: {
+      commands: { ensureCluster },
+      queries: {
+        current: state.queries.current,
+        isDetached: () => servedFreshness.queries.isDetached(timer.now()),
+        confirmedAgeMs: () => servedFreshness.queries.ageMs(timer.now()),
+      },
+      onChange,
+    },
+    announcer: {
+      announce: (endpoint) => subtree.commands.announce(endpoint, timer.now()),
+      withdraw: (endpointId) => subtree.commands.withdraw(endpointId, timer.now()),
+    },
+    routes: server.routes,
+    start: () => {
+      cancels.push(timer.every(tickMs, tick));
+      askForFloor()
+        .catch((error: unknown) => log.warn('no floor was found', { error: String(error) }))
+        .finally(parents.start);
+    },
+    stop: async () => {
+      parents.link()?.reportSoon();
+      await timer.sleep(farewellMs);
+      cancels.forEach((cancel) => cancel());
+      await parents.stop();
+      server.stop();
+    },
+  };
+};
--- /dev/null
+++ b/src/plugins/parentLoop.ts
@@ -0,0 +1,220 @@
+/**
+ * Keeps a node attached to one parent of the fan-out tree: chooses one, follows redirects, leaves a
+ * parent that lags, cycles or has gone silent, and looks for a better one while the present one is
+ * cut off from the source.
+ */
+import type { Version } from '../types/public.js';
+import { confirmationLeaseMs } from '../core/freshness.js';
+import type { ParentChoice } from '../core/parentChoice.js';
+import { createParentHealth, type ParentBeat, type ParentHealth } from '../core/parentHealth.js';
+import { compareVersions, isNewer } from '../core/version.js';
+import type { Log } from '../utils/log.js';
+import type { Cancel, Timer } from '../utils/timer.js';
+import type { FeedLink, LinkOutcome, ProbeResult } from './feedClient.js';
+import type { FeedMetrics } from './feedMetrics.js';
+import { readVersion } from './feedMessages.js';
+
+/** Wait before another choice when no address is known at all. */
+const noParentWaitMs = 1_000;
+/** An attachment that lasted this long starts the reconnect delays anew. */
+const settledMs = 5_000;
+/** Mean time between searches for a better parent. */
+const searchPeriodMs = 3_000;
+/** Searches that a node at path length 1 makes for each one that a node further down makes. */
+const maxSearchFactor = 4;
+/** A node on the feed of another data centre asks its own control instance this much less often. */
+const foreignSearchFactor = 4;
+const maxProbes = 3;
+
+export interface ParentLoopOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly choice: ParentChoice;
+  readonly timer: Timer;
+  readonly log: Log;
+  readonly random: () => number;
+  readonly metrics?: FeedMetrics;
+  /** Newest version that the node holds, in force or not. */
+  newest(): Version;
+  createLink(address: string): FeedLink;
+  probe(address: string): Promise<ProbeResult | undefined>;
+  /** The parent, or the path above it, has changed. */
+  pathChanged(): void;
+}
+
+export interface ParentLoop {
+  start(): void;
+  stop(): Promise<void>;
+  /** The subscription to the present parent. */
+  link(): FeedLink | undefined;
+  /** Takes a heartbeat of the present parent. */
+  heard(beat: ParentBeat): void;
+  /** Leaves the present parent for a fault of it. */
+  leave(reason: string): void;
+  path(): readonly string[];
+  rootDataCentre(): string;
+}
+
+export const createParentLoop = (options: ParentLoopOptions): ParentLoop => {
+  const { name, dataCentre, choice, timer, log, random, metrics } = options;
+  const health: ParentHealth = createParentHealth(name, dataCentre);
+  const stopping = new AbortController();
+  const cancels: Cancel[] = [];
+  let link: FeedLink | undefined;
+  let running: Promise<void> = Promise.resolve();
+  let searching = false;
+  let nextSearchAt = 0;
+
+  const path = (): readonly string[] => [...(health.queries.beat()?.path ?? []), name];
+  const rootDataCentre = (): string => health.queries.beat()?.rootDataCentre ?? '';
+
+  const leave = (reason: string) => {
+    if (link) {
+      choice.commands.avoid(link.address, timer.now());
+      link.end(reason);
+    }
+  };
+
+  const heard = (beat: ParentBeat) => {
+    const before = path().join(' ');
+    const verdict = health.commands.judge(beat, options.newest(), timer.now());
+    if (verdict !== 'keep') {
+      leave(verdict === 'cycle' ? 'cycle in the path' : 'the parent lags');
+      return;
+    }
+    if (path().join(' ') !== before) {
+      options.pathChanged();
+    }
+  };
+
+  const isBetter = ({ address, heartbeat }: ProbeResult): boolean => {
+    const head = readVersion(heartbeat.headVersion);
+    const ageMs = Number(heartbeat.confirmedAgeMs);
+    if (heartbeat.path.includes(name) || address === link?.address) {
+      return false;
+    }
+    if (isNewer(options.newest(), head)) {
+      return false;
+    }
+    const isFresh = ageMs <= confirmationLeaseMs && heartbeat.rootDataCentre !== '';
+    return health.queries.searchReason(timer.now()) === 'foreign'
+      ? isFresh && heartbeat.rootDataCentre === dataCentre
+      : isFresh || isNewer(head, options.newest());
+  };
+
+  const searchTargets = (): string[] => {
+    const { ownControls, otherControls, peers } = choice.queries;
+    if (health.queries.searchReason(timer.now()) === 'foreign') {
+      return ownControls();
+    }
+    const pick = (addresses: string[], count: number) =>
+      addresses
+        .map((address) => ({ address, order: random() }))
+        .sort((a, b) => a.order - b.order)
+        .slice(0, count)
+        .map(({ address }) => address);
+    return [...pick(ownControls(), 1), ...pick(otherControls(), 1), ...pick(peers(), 1)];
+  };
+
+  const search = async () => {
+    const results = await Promise.all(searchTargets().slice(0, maxProbes).map(options.probe));
+    const better = results
+      .filter((result) => result !== undefined)
+      .filter(isBetter)
+      .sort(
+        (a, b) =>
+          compareVersions(
+            readVersion(b.heartbeat.headVersion),
+            readVersion(a.heartbeat.headVersion),
+          ) || Number(a.heartbeat.confirmedAgeMs - b.heartbeat.confirmedAgeMs),
+      )[0];
+    if (better && link && !stopping.signal.aborted) {
+      choice.commands.prefer(better.address);
+      link.end('found a better parent');
+    }
+  };
+
+  // A node further down searches less often, since a node above it usually solves it for both.
+  const searchDelayMs = (): number => {
+    const factor =
+      health.queries.searchReason(timer.now()) === 'foreign'
+        ? foreignSearchFactor
+        : Math.min(maxSearchFactor, Math.max(1, path().length - 1));
+    return searchPeriodMs * factor * (0.5 + random());
+  };
+
+  const searchIfDue = () => {
+    const now = timer.now();
+    if (searching || !link || !health.queries.searchReason(now)) {
+      return;
+    }
+    if (nextSearchAt === 0 || now < nextSearchAt) {
+      nextSearchAt ||= now + searchDelayMs();
+      return;
+    }
+    searching = true;
+    nextSearchAt = now + searchDelayMs();
+    search()
+      .catch((error: unknown) => log.warn('search for a parent failed', { error: String(error) }))
+      .finally(() => {
+        searching = false;
+      });
+  };
+
+  const takeOutcome = (outcome: LinkOutcome, address: string, lastedMs: number) => {
+    if (outcome.outcome === 'redirected') {
+      choice.commands.redirected(outcome.addresses, outcome.retryAfterMs);
+      return;
+    }
+    if (outcome.attached) {
+      log.info('parent lost', { address, reason: outcome.reason });
+      metrics?.parentLost(outcome.reason);
+    }
+    if (lastedMs >= settledMs) {
+      choice.commands.settled();
+    }
+  };
+
+  const attach = async (address: string) => {
+    health.commands.attached();
+    nextSearchAt = 0;
+    link = options.createLink(address);
+    const startedAt = timer.now();
+    const outcome = await link.run();
+    const hadPath = health.queries.beat() !== undefined;
+    link = undefined;
+    health.commands.attached();
+    takeOutcome(outcome, address, timer.now() - startedAt);
+    if (hadPath) {
+      options.pathChanged();
+    }
+  };
+
+  const loop = async () => {
+    while (!stopping.signal.aborted) {
+      const attempt = choice.commands.chooseParent(timer.now());
+      await timer.sleep(attempt?.delayMs ?? noParentWaitMs, stopping.signal);
+      if (attempt && !stopping.signal.aborted) {
+        await attach(attempt.address);
+      }
+    }
+  };
+
+  return {
+    start: () => {
+      cancels.push(timer.every(500, searchIfDue));
+      running = loop();
+    },
+    stop: async () => {
+      cancels.forEach((cancel) => cancel());
+      stopping.abort();
+      link?.end('stopping');
+      await running;
+    },
+    link: () => link,
+    heard,
+    leave,
+    path,
+    rootDataCentre,
+  };
+};
