--- /dev/null
+++ b/__tests__/control.process.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createControlClient, findLeader, targetsOf } from './support/controlClient.js';
+import { withDeployment } from './support/deployment.js';
+import { waitFor } from './support/waitFor.js';
+
+const threeDataCentres = [{ name: 'dc-a' }, { name: 'dc-b' }, { name: 'dc-c' }];
+
+describe('control instances', () => {
+  it('elect a leader, accept a change and keep their state through a restart', async () => {
+    await withDeployment({ dataCentres: threeDataCentres }, async (deployment) => {
+      const clients = deployment.controls.map((control) =>
+        createControlClient(deployment, control),
+      );
+      const leader = await findLeader(clients);
+      const applied = await leader.commands.apply({ changeId: 'c1', targets: targetsOf(1) });
+      assert.equal(applied.outcome, 'accepted', JSON.stringify(applied.findings));
+      const key = { service: 's', key: 'k', attemptId: 'a1' };
+      const claims = await Promise.all(clients.map(({ ledger }) => ledger.claim(key)));
+      assert.deepEqual(claims.map(({ outcome }) => outcome).sort(), [
+        'granted',
+        'not_leader',
+        'not_leader',
+      ]);
+
+      await Promise.all(deployment.controls.map(({ process }) => process.end('SIGKILL')));
+      deployment.controls.forEach(({ process }) => process.start());
+      const next = await findLeader(clients);
+      const kept = await next.queries.get({});
+      assert.equal(kept.targets, targetsOf(1));
+      assert.deepEqual(kept.version, applied.version);
+      const history = await next.queries.history({});
+      assert.deepEqual(
+        history.items.map(({ changeId, outcome }) => [changeId, outcome]),
+        [['c1', 'accepted']],
+      );
+      const replay = await next.commands.apply({ changeId: 'c1', targets: targetsOf(1) });
+      assert.deepEqual([replay.outcome, replay.replayed], ['accepted', true]);
+      const status = await next.queries.status({});
+      assert.equal(status.members.length, 3);
+      const reclaimed = await waitFor(async () => {
+        const answers = await Promise.all(
+          clients.map(({ ledger }) => ledger.claim({ ...key, attemptId: 'a2' })),
+        );
+        return answers.find(({ outcome }) => outcome !== 'not_leader');
+      });
+      assert.equal(reclaimed.outcome, 'in_progress');
+      const codes = await Promise.all(
+        deployment.controls.map(({ process }) => process.end('SIGTERM')),
+      );
+      assert.deepEqual(codes, [0, 0, 0]);
+      clients.forEach(({ close }) => close());
+    });
+  });
+});
--- /dev/null
+++ b/__tests__/support/controlClient.ts
@@ -0,0 +1,65 @@
+/**
+ * Clients of control instances for tests: operators and the ledger over RPC.
+ */
+import { readFileSync } from 'node:fs';
+import { createClient, type Client } from '@connectrpc/connect';
+import { Ledger } from '../../src/gen/auburnsill/v1/ledger_pb.js';
+import { OperatorCommands, OperatorQueries } from '../../src/gen/auburnsill/v1/operator_pb.js';
+import { createTokenInterceptor } from '../../src/plugins/access.js';
+import { createRpcTransport } from '../../src/plugins/rpc.js';
+import type { ControlInstance, Deployment } from './deployment.js';
+import { waitFor } from './waitFor.js';
+
+export interface ControlClient {
+  readonly name: string;
+  readonly commands: Client<typeof OperatorCommands>;
+  readonly queries: Client<typeof OperatorQueries>;
+  readonly ledger: Client<typeof Ledger>;
+  close(): void;
+}
+
+export const createControlClient = (
+  { operatorTokenFile, clusterToken }: Deployment,
+  { name, peer }: ControlInstance,
+  timeoutMs = 10_000,
+): ControlClient => {
+  const operatorToken = readFileSync(operatorTokenFile, 'utf8').trim();
+  const operator = createRpcTransport(peer, [createTokenInterceptor(operatorToken)], timeoutMs);
+  const node = createRpcTransport(peer, [createTokenInterceptor(clusterToken)], timeoutMs);
+  return {
+    name,
+    commands: createClient(OperatorCommands, operator.transport),
+    queries: createClient(OperatorQueries, operator.transport),
+    ledger: createClient(Ledger, node.transport),
+    close: () => {
+      operator.close();
+      node.close();
+    },
+  };
+};
+
+/** Waits until one of the clients belongs to a leader that answers reads, and returns it. */
+export const findLeader = (clients: readonly ControlClient[]): Promise<ControlClient> =>
+  waitFor(
+    async () => {
+      const answers = await Promise.all(
+        clients.map((client) =>
+          client.queries.history({ limit: 1 }, { timeoutMs: 2_000 }).catch(() => undefined),
+        ),
+      );
+      return clients.find((_, position) => answers[position]?.outcome === 'ok');
+    },
+    { what: 'a leader', limitMs: 30_000 },
+  );
+
+/** Targets with one class whose rate tells the changes of a test apart. */
+export const targetsOf = (rate: number): string => `
+[service.velddienst]
+expected = true
+
+[class.pole-count]
+service = "velddienst"
+idempotent = true
+may_wait = "30s"
+rate = ${rate}
+`;
--- /dev/null
+++ b/src/bin/controlInstance.ts
@@ -0,0 +1,290 @@
+/**
+ * Wiring of a control instance: storage, replica groups, feed, services and admin address, started
+ * and stopped in order.
+ */
+import type { ConnectRouter } from '@connectrpc/connect';
+import { createAcceptance, type AppliedChange } from '../core/acceptance.js';
+import { createLedger, type LedgerResult } from '../core/ledger.js';
+import { createAccess } from '../plugins/access.js';
+import { createAdminServer, type CheckState } from '../plugins/adminServer.js';
+import { createConsensusTransport, type Receiver } from '../plugins/consensusTransport.js';
+import { createControlFeed } from '../plugins/controlFeed.js';
+import { createControlMetrics, type ObservedGroup } from '../plugins/controlMetrics.js';
+import type { ControlSettings } from '../plugins/controlSettings.js';
+import { createConvergence } from '../plugins/convergence.js';
+import { foundGroup, identityProbe, isEmptyLog } from '../plugins/founding.js';
+import type { GroupLog, LoadedLog } from '../plugins/groupLog.js';
+import { followMembership } from '../plugins/ledgerMembership.js';
+import { createLedgerService } from '../plugins/ledgerService.js';
+import { createMetrics } from '../plugins/metrics.js';
+import { createOperatorCommands } from '../plugins/operatorCommands.js';
+import { createOperatorQueries } from '../plugins/operatorQueries.js';
+import {
+  createReplicaGroup,
+  defaultReplicaTimes,
+  type RunningReplicaGroup,
+} from '../plugins/replicaGroup.js';
+import { createRpcServer, type RpcServer } from '../plugins/rpc.js';
+import { openStorage } from '../plugins/storage.js';
+import type { ConfigurationSource, StateMachine } from '../types/internal.js';
+import { Failure } from '../utils/failure.js';
+import type { Log } from '../utils/log.js';
+import type { Timer } from '../utils/timer.js';
+
+/** Entries after which a group's log is compacted. */
+const compactAfterEntries = { configuration: 1_000, ledger: 10_000 } as const;
+const closeGraceMs = 2_000;
+/** Age of the last confirmation by a quorum up to which the instance is ready, in ms. */
+const readyWithinMs = 3_000;
+
+export interface ControlInstanceOptions {
+  readonly settings: ControlSettings;
+  readonly bootstrap: boolean;
+  readonly timer: Timer;
+  readonly log: Log;
+  readonly random: () => number;
+  /** The disk has failed or an invariant is broken: the process has to end at once. */
+  readonly onFatal: (error: unknown) => void;
+}
+
+export interface ControlInstance {
+  stop(): Promise<void>;
+}
+
+interface Groups {
+  readonly configuration: RunningReplicaGroup<AppliedChange>;
+  readonly ledger: RunningReplicaGroup<LedgerResult>;
+}
+
+type GroupName = keyof Groups;
+
+/** Starts a control instance and resolves once it listens. */
+export const startControlInstance = async ({
+  settings,
+  bootstrap,
+  timer,
+  log,
+  random,
+  onFatal,
+}: ControlInstanceOptions): Promise<ControlInstance> => {
+  const { control, cluster } = settings;
+  const ownMember = cluster.members.find(({ name }) => name === control.name)!;
+  const isFounder = bootstrap && cluster.members[0] === ownMember;
+  const metrics = createMetrics();
+  const controlMetrics = createControlMetrics(metrics);
+  const access = createAccess({ clusterToken: cluster.token, operators: cluster.operators });
+  const acceptance = createAcceptance();
+  const ledger = createLedger();
+
+  const storage = await openStorage(settings.folder, {
+    cluster: cluster.name,
+    member: control.name,
+  });
+  const openLog = (group: GroupName): Promise<GroupLog> =>
+    storage.openLog(group, (ms) => controlMetrics.observeSyncMs(group, ms));
+  const logs = { configuration: await openLog('configuration'), ledger: await openLog('ledger') };
+  const self = { name: control.name, incarnation: storage.incarnation };
+  const transport = createConsensusTransport({
+    cluster: cluster.name,
+    self,
+    interceptors: [access.clientInterceptor],
+    callTimeoutMs: defaultReplicaTimes.electionTimeoutMs,
+  });
+  const groups: { -readonly [Name in GroupName]?: Groups[Name] } = {};
+  let isStopping = false;
+
+  const createGroup = <Result>(
+    group: GroupName,
+    machine: StateMachine<Result>,
+    loaded: LoadedLog,
+  ): RunningReplicaGroup<Result> =>
+    createReplicaGroup({
+      group,
+      self,
+      storage: logs[group],
+      loaded,
+      machine,
+      request: (address, message) => transport.request(address, group, message),
+      timer,
+      log: log.part(group),
+      random,
+      compactAfterEntries: compactAfterEntries[group],
+      onFatal,
+    });
+
+  const receive: Receiver = (group, from, message) => {
+    const running = groups[group as GroupName];
+    return running
+      ? running.receive(from, message)
+      : Promise.reject(new Failure('no_quorum', `group "${group}" does not run here`));
+  };
+
+  const loadGroup = (group: GroupName): Promise<LoadedLog> => {
+    const { loaded } = logs[group];
+    if (!isFounder || !isEmptyLog(loaded)) {
+      return Promise.resolve(loaded);
+    }
+    return foundGroup({
+      self: { ...ownMember, incarnation: self.incarnation, kind: 'voter' },
+      others: cluster.members.filter((member) => member !== ownMember),
+      storage: logs[group],
+      probe: (address) => transport.request(address, group, identityProbe),
+      timer,
+      log: log.part(group),
+      isStopped: () => isStopping,
+    });
+  };
+
+  const headListeners = new Set<() => void>();
+  const source: ConfigurationSource = {
+    head: () => acceptance.queries.head(),
+    at: (version) => acceptance.queries.at(version)?.configuration,
+    confirmedAgeMs: () => groups.configuration?.queries.confirmedAgeMs() ?? Infinity,
+    onChange: (listener) => {
+      headListeners.add(listener);
+      return () => headListeners.delete(listener);
+    },
+  };
+
+  const feed = createControlFeed({
+    control: { ...control, peerAddress: ownMember.address },
+    cluster: { name: cluster.name, members: cluster.members },
+    source,
+    access,
+    timer,
+    log,
+    random,
+  });
+  const convergence = createConvergence(
+    source,
+    feed.fleet,
+    timer,
+    controlMetrics.observeConvergenceMs,
+  );
+
+  const observedGroups = (): ObservedGroup[] =>
+    Object.entries(groups).map(([name, group]) => ({
+      name,
+      status: group.status,
+      confirmedAgeMs: group.queries.confirmedAgeMs,
+    }));
+
+  const reasonsNotReady = (): string[] => {
+    const reasons = (['configuration', 'ledger'] as const).flatMap((name) => {
+      const group = groups[name];
+      if (!group) {
+        return [`group ${name} is not started`];
+      }
+      const isConfirmed = group.queries.confirmedAgeMs() <= readyWithinMs;
+      const isVoter = group.queries.role() !== 'learner';
+      return [
+        ...(isConfirmed ? [] : [`no quorum confirmed a leader of group ${name}`]),
+        ...(isVoter ? [] : [`this instance is not a voter of group ${name} yet`]),
+      ];
+    });
+    return isStopping ? ['stopping', ...reasons] : reasons;
+  };
+
+  const ready = (): CheckState => {
+    const reasons = reasonsNotReady();
+    return { ok: reasons.length === 0, reasons };
+  };
+
+  const admin = createAdminServer({
+    address: settings.listen.admin,
+    health: () => ({ ok: true, reasons: [] }),
+    ready,
+    metrics: () => {
+      controlMetrics.update(observedGroups());
+      return metrics.render();
+    },
+  });
+
+  let knownHead = source.head();
+  const notifyHead = () => {
+    const head = source.head();
+    if (head !== knownHead) {
+      knownHead = head;
+      headListeners.forEach((listener) => listener());
+    }
+  };
+
+  const startGroups = async (): Promise<Groups> => {
+    const [configurationLog, ledgerLog] = await Promise.all([
+      loadGroup('configuration'),
+      loadGroup('ledger'),
+    ]);
+    const configuration = createGroup('configuration', acceptance.machine, configurationLog);
+    const ledgerGroup = createGroup('ledger', ledger.machine, ledgerLog);
+    groups.configuration = configuration;
+    groups.ledger = ledgerGroup;
+    configuration.onChange(notifyHead);
+    configuration.start();
+    ledgerGroup.start();
+    return { configuration, ledger: ledgerGroup };
+  };
+
+  const createRoutes = ({ configuration, ledger: ledgerGroup }: Groups) => {
+    const ledgerService = createLedgerService({ group: ledgerGroup, ledger, timer });
+    const addCommands = createOperatorCommands({
+      group: configuration,
+      acceptance,
+      fleet: feed.fleet,
+      timer,
+      log: log.part('operators'),
+      askIncarnation: async (address) => {
+        const { from } = await transport.request(address, 'configuration', identityProbe);
+        return from.incarnation;
+      },
+    });
+    const addQueries = createOperatorQueries({
+      group: configuration,
+      acceptance,
+      fleet: feed.fleet,
+      convergedMs: convergence.convergedMs,
+    });
+    ledgerService.start();
+    return (router: ConnectRouter) => {
+      transport.routes(router, receive);
+      feed.routes(router);
+      ledgerService.routes(router);
+      addCommands(router);
+      addQueries(router);
+    };
+  };
+
+  const closeStorage = async () => {
+    transport.close();
+    await storage.close();
+  };
+
+  let server: RpcServer | undefined;
+
+  const stop = async () => {
+    isStopping = true;
+    await Promise.all(Object.values(groups).map((group) => group.commands.stop()));
+    await feed.stop();
+    await server?.close(closeGraceMs);
+    await admin.close();
+    await closeStorage();
+  };
+
+  try {
+    await admin.listen();
+    const started = await startGroups();
+    server = createRpcServer({
+      address: settings.listen.peer,
+      routes: createRoutes(started),
+      interceptors: [access.serverInterceptor],
+    });
+    await server.listen();
+    followMembership(started.configuration, started.ledger, timer, log.part('ledger'));
+    convergence.start();
+    feed.start();
+    log.info('started', { incarnation: self.incarnation, newFolder: storage.isNew });
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+  return { stop };
+};
--- /dev/null
+++ b/src/plugins/controlSettings.ts
@@ -0,0 +1,171 @@
+/**
+ * Settings of a control instance, with the files that they name.
+ */
+import { readFileSync } from 'node:fs';
+import { dirname, resolve } from 'node:path';
+import { z } from 'zod';
+import type { Finding } from '../types/public.js';
+import { FindingsError } from '../utils/findings.js';
+import type { LogLevel } from '../utils/log.js';
+import { checkValue, parseTomlText, readSettings } from '../utils/settings.js';
+import { parseAddress, type Address } from './rpc.js';
+
+const minTokenLength = 16;
+/** At most 7 instances are set aside for control. */
+const maxMembers = 7;
+
+const name = z
+  .string()
+  .regex(/^[a-z0-9](?:[a-z0-9-]{0,62})$/, 'lower-case letters, digits and "-", 63 at most');
+const address = z
+  .string()
+  .refine((text) => parseAddress(text) !== undefined, 'an address "ip:port" with an IP number');
+
+const memberSchema = z.strictObject({ name, address, data_centre: name, region: name });
+
+const settingsSchema = z.strictObject({
+  control: z.strictObject({ name, data_centre: name, region: name }),
+  listen: z.strictObject({ peer: address, admin: address }),
+  storage: z.strictObject({ folder: z.string().min(1) }),
+  cluster: z.strictObject({
+    name,
+    token_file: z.string().min(1),
+    operators_file: z.string().min(1),
+    members: z.array(memberSchema).min(1).max(maxMembers),
+  }),
+  log: z
+    .strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') })
+    .prefault({}),
+});
+
+const operatorsSchema = z.record(
+  z.string().min(1).max(64),
+  z.string().regex(/^[0-9a-f]{64}$/, 'the SHA-256 of a token as 64 hex digits'),
+);
+
+export interface ControlMemberSettings {
+  readonly name: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly region: string;
+}
+
+export interface ControlSettings {
+  readonly control: { readonly name: string; readonly dataCentre: string; readonly region: string };
+  readonly listen: { readonly peer: Address; readonly admin: Address };
+  readonly folder: string;
+  readonly cluster: {
+    readonly name: string;
+    readonly token: string;
+    readonly operators: Readonly<Record<string, string>>;
+    readonly members: readonly ControlMemberSettings[];
+  };
+  readonly logLevel: LogLevel;
+}
+
+type Parsed = z.output<typeof settingsSchema>;
+
+const readText = (file: string, place: string, findings: Finding[]): string => {
+  try {
+    // Settings are read once, before the loop has other work.
+    // eslint-disable-next-line n/no-sync
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    findings.push({ place, message: error instanceof Error ? error.message : String(error) });
+    return '';
+  }
+};
+
+const readToken = (file: string, place: string, findings: Finding[]): string => {
+  const before = findings.length;
+  const token = readText(file, place, findings).trim();
+  if (findings.length === before && token.length < minTokenLength) {
+    findings.push({
+      place,
+      message: 'the token is too short',
+      found: `${token.length} characters`,
+      allowed: `${minTokenLength} characters or more`,
+    });
+  }
+  return token;
+};
+
+const readOperators = (
+  file: string,
+  place: string,
+  findings: Finding[],
+): Record<string, string> => {
+  const before = findings.length;
+  const parsed = parseTomlText(readText(file, place, findings), file);
+  if (findings.length > before || !parsed.value) {
+    findings.push(...parsed.findings);
+    return {};
+  }
+  const checked = checkValue(parsed.value, file, operatorsSchema);
+  findings.push(...checked.findings);
+  return checked.output ?? {};
+};
+
+const checkMembers = ({ control, cluster }: Parsed, file: string): Finding[] => {
+  const findings: Finding[] = [];
+  const place = `${file}: cluster.members`;
+  const findDuplicate = (values: readonly string[]): string | undefined =>
+    values.find((value, position) => values.indexOf(value) !== position);
+  const duplicate =
+    findDuplicate(cluster.members.map((member) => member.name)) ??
+    findDuplicate(cluster.members.map((member) => member.address));
+  if (duplicate !== undefined) {
+    findings.push({ place, message: 'a name or address occurs twice', found: duplicate });
+  }
+  const own = cluster.members.find((member) => member.name === control.name);
+  if (!own) {
+    const found = cluster.members.map((member) => member.name).join(', ');
+    findings.push({ place, message: 'this instance is missing', found, allowed: control.name });
+  } else if (own.data_centre !== control.data_centre || own.region !== control.region) {
+    findings.push({
+      place: `${file}: control`,
+      message: 'data centre or region differ from the entry in cluster.members',
+      found: `${control.data_centre}, ${control.region}`,
+      allowed: `${own.data_centre}, ${own.region}`,
+    });
+  }
+  return findings;
+};
+
+/** Reads the settings. Throws a FindingsError with every problem in them. */
+export const readControlSettings = (file: string): ControlSettings => {
+  const parsed = readSettings(file, settingsSchema);
+  const folder = dirname(resolve(file));
+  const { control, listen, storage, cluster, log } = parsed;
+  const findings = checkMembers(parsed, file);
+  const token = readToken(
+    resolve(folder, cluster.token_file),
+    `${file}: cluster.token_file`,
+    findings,
+  );
+  const operators = readOperators(
+    resolve(folder, cluster.operators_file),
+    `${file}: cluster.operators_file`,
+    findings,
+  );
+  if (findings.length > 0) {
+    throw new FindingsError('invalid_settings', findings);
+  }
+  return {
+    control: { name: control.name, dataCentre: control.data_centre, region: control.region },
+    listen: { peer: parseAddress(listen.peer)!, admin: parseAddress(listen.admin)! },
+    folder: resolve(folder, storage.folder),
+    cluster: {
+      name: cluster.name,
+      token,
+      operators,
+      members: cluster.members.map((member) => ({
+        name: member.name,
+        address: member.address,
+        dataCentre: member.data_centre,
+        region: member.region,
+      })),
+    },
+    logLevel: log.level,
+  };
+};
--- /dev/null
+++ b/src/plugins/operatorCommands.ts
@@ -0,0 +1,261 @@
+/**
+ * Commands of operators: changes of the configuration and of the membership. Every answer says
+ * whether the change can have taken effect: a refusal is given only if it did not.
+ */
+import type { ConnectRouter } from '@connectrpc/connect';
+import {
+  encodeChange,
+  type Acceptance,
+  type AppliedChange,
+  type Change,
+  type ChangeResult,
+  type RefusalCause,
+} from '../core/acceptance.js';
+import { judgeAttachment, type Attachment } from '../core/attachment.js';
+import { checkConfiguration, diffLines, parseTargets } from '../core/configuration.js';
+import { formatVersion } from '../core/version.js';
+import {
+  OperatorCommands,
+  type ApplyRequest,
+  type ChangeMembersRequest,
+} from '../gen/auburnsill/v1/operator_pb.js';
+import type { FleetStatus, Member, ReplicaGroup } from '../types/internal.js';
+import type { Configuration, Finding, RunState, Version } from '../types/public.js';
+import { Failure, failureTable } from '../utils/failure.js';
+import type { Log } from '../utils/log.js';
+import type { Timer } from '../utils/timer.js';
+import { operatorOf } from './access.js';
+import { fromWireVersion, toWireVersion } from './wireVersion.js';
+
+const maxChangeIdLength = 128;
+const maxNoteLength = 1_024;
+
+const emptyConfiguration: Configuration = { services: {}, classes: {} };
+
+export interface OperatorCommandsOptions {
+  readonly group: ReplicaGroup<AppliedChange>;
+  readonly acceptance: Acceptance;
+  readonly fleet: FleetStatus;
+  readonly timer: Timer;
+  readonly log: Log;
+  /** Asks the process at the address for the incarnation of its data folder. */
+  readonly askIncarnation: (address: string) => Promise<string>;
+}
+
+interface Answer {
+  readonly outcome: string;
+  readonly run: RunState;
+  readonly version?: Version;
+  readonly findings?: readonly Finding[];
+  readonly difference?: readonly string[];
+  readonly replayed?: boolean;
+}
+
+const refusalFinding = (reason: keyof typeof failureTable, detail: string): Finding => ({
+  place: reason,
+  message: `${failureTable[reason].text}${detail === '' ? '' : `: ${detail}`}`,
+});
+
+const refuse = (findings: readonly Finding[], more: Partial<Answer> = {}): Answer => ({
+  outcome: 'refused',
+  run: 'not_run',
+  findings,
+  ...more,
+});
+
+const conflictDetail = (version: Version): string =>
+  `the current version is ${formatVersion(version)}`;
+
+const refusalDetails: Record<RefusalCause, (version: Version) => string> = {
+  version_conflict: conflictDetail,
+  change_id_reused: () => '',
+  malformed_message: () => '',
+};
+
+const answerOf = ({ result, replayed }: { result: ChangeResult; replayed: boolean }): Answer => {
+  if (result.outcome === 'refused') {
+    const { reason, version } = result;
+    const detail = refusalDetails[reason](version);
+    return refuse([refusalFinding(reason, detail)], { version, replayed });
+  }
+  // An accepted change is in force or on its way, so it did run.
+  const run = result.outcome === 'accepted' ? 'may_have_run' : 'not_run';
+  return { outcome: result.outcome, run, version: result.version, replayed };
+};
+
+const checkRequest = ({ changeId, note, fileName }: ApplyRequest): Finding[] => {
+  const findings: Finding[] = [];
+  if (!/^[\x21-\x7e]+$/.test(changeId) || changeId.length > maxChangeIdLength) {
+    const allowed = `1 to ${maxChangeIdLength} printable characters without space`;
+    findings.push({ place: 'change id', message: 'invalid value', found: changeId, allowed });
+  }
+  if (note.length > maxNoteLength || fileName.length > maxNoteLength) {
+    const allowed = `${maxNoteLength} characters at most`;
+    findings.push({ place: 'note and file name', message: 'too long', allowed });
+  }
+  return findings;
+};
+
+const isNotLeader = (error: unknown): boolean =>
+  error instanceof Failure && error.reason === 'not_leader';
+
+/** Adds the service `OperatorCommands` to a router. */
+export const createOperatorCommands = ({
+  group,
+  acceptance,
+  fleet,
+  timer,
+  log,
+  askIncarnation,
+}: OperatorCommandsOptions) => {
+  const leaderAddress = (): string => group.queries.leader()?.address ?? '';
+
+  const attachment = (): Attachment =>
+    judgeAttachment(group.queries.members(), group.queries.contactAgeMs);
+
+  const toChange = (request: ApplyRequest, operator: string): Change => ({
+    changeId: request.changeId,
+    baseVersion: fromWireVersion(request.baseVersion),
+    targets: request.targets,
+    fileName: request.fileName,
+    operator,
+    note: request.note,
+    proposedAtMs: timer.wallClock(),
+  });
+
+  const proposeChange = async (change: Change, configuration: Configuration): Promise<Answer> => {
+    try {
+      const { result } = await group.commands.propose(encodeChange(change, configuration));
+      return answerOf(result);
+    } catch (error) {
+      if (error instanceof Failure && error.reason === 'outcome_unknown') {
+        const detail = `ask for it by the change id ${change.changeId}`;
+        const findings = [refusalFinding('outcome_unknown', detail)];
+        return { outcome: 'unknown', run: 'may_have_run', findings };
+      }
+      if (error instanceof Failure && !isNotLeader(error)) {
+        return refuse([refusalFinding(error.reason, error.message)]);
+      }
+      throw error;
+    }
+  };
+
+  const refusalOfAttachment = (allowed: readonly string[], { detached }: Attachment) => {
+    const missing = detached.filter((name) => !allowed.includes(name));
+    return missing.length === 0
+      ? undefined
+      : refuse([refusalFinding('data_centre_detached', missing.join(', '))]);
+  };
+
+  const decide = async (
+    request: ApplyRequest,
+    operator: string,
+    attached: Attachment,
+  ): Promise<Answer> => {
+    const change = toChange(request, operator);
+    const judged = acceptance.queries.judge(change);
+    if (judged) {
+      return answerOf(judged);
+    }
+    const { configuration, findings } = parseTargets(change.targets, change.fileName || 'targets');
+    if (!configuration) {
+      return refuse(findings);
+    }
+    const base = acceptance.queries.head()?.configuration ?? emptyConfiguration;
+    const difference = diffLines(base, configuration);
+    const checked = checkConfiguration(configuration, fleet.inventory());
+    if (checked.length > 0) {
+      return refuse(checked, { difference });
+    }
+    const detached = refusalOfAttachment(request.allowDetached, attached);
+    if (detached) {
+      return { ...detached, difference };
+    }
+    if (request.dryRun) {
+      return { outcome: 'dry_run', run: 'not_run', difference };
+    }
+    return { ...(await proposeChange(change, configuration)), difference };
+  };
+
+  const apply = async (request: ApplyRequest, operator: string): Promise<Answer> => {
+    const findings = checkRequest(request);
+    if (findings.length > 0) {
+      return refuse(findings);
+    }
+    try {
+      // The change is judged on the newest state, and not by a leader that was deposed.
+      await group.queries.confirmRead();
+      return await decide(request, operator, attachment());
+    } catch (error) {
+      if (isNotLeader(error)) {
+        return { outcome: 'not_leader', run: 'not_run' };
+      }
+      throw error;
+    }
+  };
+
+  const toMember = async (request: ChangeMembersRequest): Promise<Member> => {
+    const { member: name, address, dataCentre, region } = request;
+    const incarnation =
+      request.incarnation === '' && request.action === 'add'
+        ? await askIncarnation(address)
+        : request.incarnation;
+    return { name, address, dataCentre, region, incarnation, kind: 'learner' };
+  };
+
+  const changeMembers = async (request: ChangeMembersRequest) => {
+    const { action, member } = request;
+    if (action !== 'add' && action !== 'remove') {
+      return { outcome: 'refused', message: `unknown action "${action}"` };
+    }
+    if (group.queries.role() !== 'leader') {
+      return { outcome: 'not_leader', message: '' };
+    }
+    try {
+      await group.commands.changeMembers({ action, member: await toMember(request) });
+      log.info('membership changed', { action, member });
+      return { outcome: 'accepted', message: '' };
+    } catch (error) {
+      if (!(error instanceof Failure)) {
+        return { outcome: 'refused', message: String(error) };
+      }
+      if (isNotLeader(error)) {
+        return { outcome: 'not_leader', message: '' };
+      }
+      const outcome = error.run === 'not_run' ? 'refused' : 'unknown';
+      return { outcome, message: error.message };
+    }
+  };
+
+  return (router: ConnectRouter): void => {
+    router.service(OperatorCommands, {
+      apply: async (request, { requestHeader }) => {
+        const operator = operatorOf(requestHeader);
+        const attached = attachment();
+        const answer = await apply(request, operator);
+        log.info('change decided', {
+          changeId: request.changeId,
+          operator,
+          outcome: answer.outcome,
+          version: answer.version && formatVersion(answer.version),
+        });
+        return {
+          outcome: answer.outcome,
+          run: answer.run,
+          version: answer.version && toWireVersion(answer.version),
+          findings: [...(answer.findings ?? [])],
+          leaderAddress: leaderAddress(),
+          difference: [...(answer.difference ?? [])],
+          dataCentresAttached: [...attached.attached],
+          dataCentresDetached: [...attached.detached],
+          replayed: answer.replayed ?? false,
+        };
+      },
+      drain: () => ({ outcome: 'refused', message: 'draining by operators is not supported yet' }),
+      changeMembers: async (request) => ({
+        ...(await changeMembers(request)),
+        leaderAddress: leaderAddress(),
+      }),
+    });
+  };
+};
--- /dev/null
+++ b/src/plugins/operatorQueries.ts
@@ -0,0 +1,167 @@
+/**
+ * Queries of operators. They are answered by a leader that a quorum has just confirmed; any other
+ * instance answers with the leader's address.
+ */
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { Acceptance, AppliedChange, ChangeRecord } from '../core/acceptance.js';
+import { attachedWithinMs } from '../core/attachment.js';
+import { explainPolicy } from '../core/policy.js';
+import { compareVersions, noVersion } from '../core/version.js';
+import { OperatorQueries } from '../gen/auburnsill/v1/operator_pb.js';
+import type { FleetNode, FleetStatus, Member, ReplicaGroup } from '../types/internal.js';
+import type { Endpoint } from '../types/public.js';
+import { Failure } from '../utils/failure.js';
+import { fromWireVersion, toWireVersion } from './wireVersion.js';
+
+const defaultHistoryLength = 20;
+const maxHistoryLength = 1_000;
+
+export interface OperatorQueriesOptions {
+  readonly group: ReplicaGroup<AppliedChange>;
+  readonly acceptance: Acceptance;
+  readonly fleet: FleetStatus;
+  /** Time from acceptance to in force on the last proxy, for the current version; 0 before. */
+  readonly convergedMs: () => number;
+}
+
+const toHistoryItem = ({ changeId, operator, note, decidedAtMs, result }: ChangeRecord) => ({
+  version: toWireVersion(result.version),
+  changeId,
+  operator,
+  note,
+  acceptedAtMs: BigInt(Math.round(decidedAtMs)),
+  outcome: result.outcome,
+});
+
+const sum = (values: readonly number[]): number =>
+  values.reduce((total, value) => total + value, 0);
+
+const toService = (name: string, endpoints: readonly Endpoint[]) => ({
+  name,
+  endpoints: endpoints.length,
+  slots: sum(endpoints.map(({ slots }) => slots)),
+  leaving: endpoints.filter(({ state }) => state === 'leaving').length,
+});
+
+/** Adds the service `OperatorQueries` to a router. */
+export const createOperatorQueries = ({
+  group,
+  acceptance,
+  fleet,
+  convergedMs,
+}: OperatorQueriesOptions) => {
+  const leaderAddress = (): string => group.queries.leader()?.address ?? '';
+
+  /** Answers `not_leader`, or what `read` returns once the leadership is confirmed. */
+  const readAsLeader = async <Answer extends object>(read: () => Answer) => {
+    try {
+      await group.queries.confirmRead();
+    } catch (error) {
+      if (error instanceof Failure && error.reason === 'not_leader') {
+        return { outcome: 'not_leader', leaderAddress: leaderAddress() };
+      }
+      throw error;
+    }
+    return { outcome: 'ok', leaderAddress: leaderAddress(), ...read() };
+  };
+
+  const headVersion = () => acceptance.queries.head()?.version ?? noVersion;
+
+  const roleOf = ({ name, kind }: Member): string => {
+    if (kind === 'learner') {
+      return 'learner';
+    }
+    return group.queries.leader()?.name === name ? 'leader' : 'follower';
+  };
+
+  const toMember = (member: Member) => ({
+    name: member.name,
+    address: member.address,
+    dataCentre: member.dataCentre,
+    role: roleOf(member),
+    matchIndex: BigInt(group.queries.matchIndex(member.name)),
+    incarnation: member.incarnation,
+  });
+
+  const toLaggard = ({ name, version, reason }: FleetNode) => ({
+    name,
+    version: toWireVersion(version),
+    reason,
+  });
+
+  const toDataCentre = (name: string) => {
+    const members = group.queries.members().filter(({ dataCentre }) => dataCentre === name);
+    const counts = fleet.counts().filter(({ dataCentre }) => dataCentre === name);
+    const inForce = counts.filter(({ version }) => compareVersions(version, headVersion()) === 0);
+    const ages = members.map((member) => group.queries.contactAgeMs(member.name));
+    const age = Math.min(...ages, Number.MAX_SAFE_INTEGER);
+    return {
+      name,
+      region: members[0]?.region ?? '',
+      control: members.map((member) => member.name).join(', '),
+      attached: age <= attachedWithinMs,
+      nodes: sum(counts.map(({ nodes }) => nodes)),
+      nodesInForce: sum(inForce.map(({ nodes }) => nodes)),
+      laggards: fleet
+        .laggards()
+        .filter(({ dataCentre }) => dataCentre === name)
+        .map(toLaggard),
+      confirmedAgeMs: BigInt(Math.round(age)),
+    };
+  };
+
+  const dataCentreNames = (): string[] => {
+    const ofMembers = group.queries.members().map(({ dataCentre }) => dataCentre);
+    const ofNodes = fleet.counts().map(({ dataCentre }) => dataCentre);
+    return [...new Set([...ofMembers, ...ofNodes])].sort();
+  };
+
+  const status = () => ({
+    version: toWireVersion(headVersion()),
+    dataCentres: dataCentreNames().map(toDataCentre),
+    members: group.queries.members().map(toMember),
+    services: [...fleet.inventory().clusters.values()].map(({ service, endpoints }) =>
+      toService(service, endpoints),
+    ),
+    convergedMs: BigInt(Math.round(convergedMs())),
+  });
+
+  const explain = (className: string) => {
+    const stored = acceptance.queries.head();
+    const trafficClass = stored?.configuration.classes[className];
+    if (!stored || !trafficClass) {
+      return { outcome: 'not_found' };
+    }
+    const cluster = fleet.inventory().clusters.get(trafficClass.service);
+    return {
+      version: toWireVersion(stored.version),
+      lines: explainPolicy(trafficClass, cluster),
+    };
+  };
+
+  const history = (limit: number, changeId: string) => {
+    if (changeId === '') {
+      const length = Math.min(limit || defaultHistoryLength, maxHistoryLength);
+      return { items: acceptance.queries.history(length).map(toHistoryItem) };
+    }
+    const record = acceptance.queries.record(changeId);
+    return record ? { items: [toHistoryItem(record)] } : { outcome: 'not_found' };
+  };
+
+  return (router: ConnectRouter): void => {
+    router.service(OperatorQueries, {
+      get: ({ version }) =>
+        readAsLeader(() => {
+          const stored = version
+            ? acceptance.queries.at(fromWireVersion(version))
+            : acceptance.queries.head();
+          return stored
+            ? { version: toWireVersion(stored.version), targets: stored.targets }
+            : { outcome: 'not_found' };
+        }),
+      history: ({ limit, changeId }) => readAsLeader(() => history(limit, changeId)),
+      status: () => readAsLeader(status),
+      explain: ({ className }) => readAsLeader(() => explain(className)),
+    });
+  };
+};
--- /dev/null
+++ b/src/plugins/wireVersion.ts
@@ -0,0 +1,15 @@
+/**
+ * Versions between their form in the core and on the wire.
+ */
+import { noVersion } from '../core/version.js';
+import type { Version as WireVersion } from '../gen/auburnsill/v1/common_pb.js';
+import type { Version } from '../types/public.js';
+
+export const toWireVersion = ({ term, index }: Version) => ({
+  term: BigInt(term),
+  index: BigInt(index),
+});
+
+/** An unset version means that there is none. */
+export const fromWireVersion = (version: WireVersion | undefined): Version =>
+  version ? { term: Number(version.term), index: Number(version.index) } : noVersion;
