Let the fault proxy reset a truncated connection after its last bytes

The test of truncation failed: libuv reports data and a reset that arrive in one poll as the end of the stream, so the client saw a clean end.

--- a/__tests__/support/faultProxy.ts
+++ b/__tests__/support/faultProxy.ts
@@ -54,6 +54,8 @@
 }
 
 const maxQueuedBytes = 1024 * 1024;
+// libuv reports data and a reset that arrive together as a clean end of the stream.
+const resetDelayMs = 20;
 
 const noDirectionFaults = (): DirectionFaults => ({
   delayMs: 0,
@@ -68,7 +70,7 @@
   accept: 'open',
 });
 
-/** Sends RST at once. `resetAndDestroy()` sends FIN first, which a peer can take for a clean end. */
+/** Sends RST without ending the writable side first, which `resetAndDestroy()` would do. */
 const resetSocket = (socket: Socket | undefined) => {
   if (socket) {
     Object.assign(socket, { resetAndClosing: true });
@@ -104,7 +106,7 @@
       return;
     }
     sentBytes += allowed;
-    to.write(chunk.subarray(0, allowed), reset);
+    to.write(chunk.subarray(0, allowed), () => setTimeout(reset, resetDelayMs));
   };
 
   const flush = () => {
