--- a/src/core/classMatching.ts
+++ b/src/core/classMatching.ts
@@ -1,60 +1,83 @@
 /**
- * Finds the class of a call. The rules of a configuration are sorted once, and the result is kept
- * as long as the configuration is.
+ * Finds the class of a call. The rules of a configuration are indexed once, by method and path
+ * prefix, and the index lives as long as the configuration object.
  */
-import type { Configuration, TrafficClass } from '../types/public.js';
+import type { Configuration, Match, TrafficClass } from '../types/public.js';
 
 export interface CallShape {
   readonly method: string;
   readonly path: string;
+  /** Class that the caller named, for example by `x-class`. */
   readonly className?: string;
 }
 
-interface Rule {
-  readonly method: string | undefined;
-  readonly pathPrefix: string;
-  readonly trafficClass: TrafficClass;
+interface RuleIndex {
+  /** Lengths of the path prefixes in use, longest first. */
+  readonly lengths: readonly number[];
+  readonly classByRule: ReadonlyMap<string, TrafficClass>;
 }
 
-const rulesByConfiguration = new WeakMap<Configuration, readonly Rule[]>();
-
-const isMoreSpecific = (a: Rule, b: Rule): number =>
-  b.pathPrefix.length - a.pathPrefix.length ||
-  Number(b.method !== undefined) - Number(a.method !== undefined);
-
-const buildRules = (configuration: Configuration): readonly Rule[] =>
-  Object.values(configuration.classes)
-    .flatMap((trafficClass) =>
-      trafficClass.match.map(({ method, pathPrefix = '/' }) => ({
-        method,
-        pathPrefix,
-        trafficClass,
-      })),
-    )
-    .sort(isMoreSpecific);
-
-const rulesOf = (configuration: Configuration): readonly Rule[] => {
-  const known = rulesByConfiguration.get(configuration);
+const anyMethod = '*';
+const indexes = new WeakMap<Configuration, RuleIndex>();
+
+const ruleKey = (method: string, pathPrefix: string): string => `${method} ${pathPrefix}`;
+
+/** Text form of a rule. Two rules with the same text match the same calls. */
+export const formatRule = ({ method = anyMethod, pathPrefix = '/' }: Match): string =>
+  ruleKey(method, pathPrefix);
+
+const buildIndex = (configuration: Configuration): RuleIndex => {
+  const classByRule = new Map<string, TrafficClass>();
+  const lengths = new Set<number>();
+  Object.values(configuration.classes).forEach((trafficClass) =>
+    trafficClass.match.forEach((match) => {
+      classByRule.set(formatRule(match), trafficClass);
+      lengths.add((match.pathPrefix ?? '/').length);
+    }),
+  );
+  return { lengths: [...lengths].sort((a, b) => b - a), classByRule };
+};
+
+const indexOf = (configuration: Configuration): RuleIndex => {
+  const known = indexes.get(configuration);
   if (known) {
     return known;
   }
-  const rules = buildRules(configuration);
-  rulesByConfiguration.set(configuration, rules);
-  return rules;
+  const index = buildIndex(configuration);
+  indexes.set(configuration, index);
+  return index;
 };
 
-/** Class of a call: the named one, else the rule with the longest path, method rules first. */
+const matchRule = (
+  { lengths, classByRule }: RuleIndex,
+  method: string,
+  path: string,
+): TrafficClass | undefined => {
+  for (const length of lengths) {
+    if (length <= path.length) {
+      const prefix = path.slice(0, length);
+      const found =
+        classByRule.get(ruleKey(method, prefix)) ?? classByRule.get(ruleKey(anyMethod, prefix));
+      if (found) {
+        return found;
+      }
+    }
+  }
+  return undefined;
+};
+
+/**
+ * Class of a call: the class that the caller named, else the rule with the longest path prefix. Of
+ * two rules with the same prefix the one with a method wins.
+ */
 export const matchClass = (
   configuration: Configuration,
   { method, path, className }: CallShape,
 ): TrafficClass | undefined => {
-  if (className !== undefined) {
-    return Object.hasOwn(configuration.classes, className)
-      ? configuration.classes[className]
-      : undefined;
+  if (className === undefined) {
+    return matchRule(indexOf(configuration), method, path);
   }
-  return rulesOf(configuration).find(
-    (rule) =>
-      (rule.method === undefined || rule.method === method) && path.startsWith(rule.pathPrefix),
-  )?.trafficClass;
+  return Object.hasOwn(configuration.classes, className)
+    ? configuration.classes[className]
+    : undefined;
 };
--- a/src/core/configurationCodec.ts
+++ b/src/core/configurationCodec.ts
@@ -6,6 +6,9 @@
 import { z } from 'zod';
 import type { Configuration } from '../types/public.js';
 import { Failure } from '../utils/failure.js';
+import { namePattern } from './targets.js';
+
+const name = z.string().regex(namePattern);
 
 const matchSchema = z.strictObject({
   method: z.string().optional(),
@@ -13,8 +16,8 @@
 });
 
 const classSchema = z.strictObject({
-  name: z.string(),
-  service: z.string(),
+  name,
+  service: name,
   match: z.array(matchSchema),
   answerWithinMs: z.number().nonnegative().optional(),
   share: z.number().min(0).max(1),
@@ -27,10 +30,21 @@
   workMs: z.number().nonnegative().optional(),
 });
 
-const configurationSchema = z.strictObject({
-  services: z.record(z.string(), z.strictObject({ name: z.string(), expected: z.boolean() })),
-  classes: z.record(z.string(), classSchema),
-});
+const isNamedByKey = (items: Readonly<Record<string, { readonly name: string }>>): boolean =>
+  Object.entries(items).every(([key, item]) => key === item.name);
+
+const configurationSchema = z
+  .strictObject({
+    services: z
+      .record(name, z.strictObject({ name, expected: z.boolean() }))
+      .refine(isNamedByKey, 'a service is not named by its key'),
+    classes: z.record(name, classSchema).refine(isNamedByKey, 'a class is not named by its key'),
+  })
+  .refine(
+    ({ services, classes }) =>
+      Object.values(classes).every(({ service }) => Object.hasOwn(services, service)),
+    'a class names a service that is missing',
+  );
 
 const sortKeys = (_: string, value: unknown): unknown =>
   typeof value === 'object' && value !== null && !Array.isArray(value)
@@ -53,7 +67,9 @@
 export const decodeConfiguration = (bytes: Uint8Array): Configuration => {
   const result = configurationSchema.safeParse(parseJson(bytes));
   if (!result.success) {
-    throw new Failure('malformed_message', `configuration: ${result.error.issues[0]?.message}`);
+    const issue = result.error.issues[0];
+    const place = issue?.path.join('.') ?? '';
+    throw new Failure('malformed_message', `configuration: ${place}: ${issue?.message}`);
   }
   return result.data;
 };
--- /dev/null
+++ b/src/core/policyDerivation.ts
@@ -0,0 +1,94 @@
+/**
+ * Derives what a proxy does with the calls of a class from the target of the class. The same rules
+ * run on every proxy and in the checks of a change, so that only targets have to be distributed.
+ */
+import type { Configuration, Policy, TrafficClass } from '../types/public.js';
+
+/** Time to answer of a class that declares none, in ms. */
+export const defaultAnswerMs = 30_000;
+/** Retries for each first attempt: a failing service sees at most 10% more calls. */
+export const retryShare = 0.1;
+/** An at-most-once call that is cut may have run, so it gets at least this long, in ms. */
+export const minAtMostOnceDeadlineMs = 10_000;
+/** An answer that is late, but not by more than this factor, is still delivered. */
+export const lateFactor = 2;
+export const maxAttemptsOfIdempotent = 3;
+/** A call that is not idempotent is repeated once, and only if it was not run. */
+export const maxAttemptsOfOthers = 2;
+
+/** Time to answer without waiting for capacity, in ms. */
+export const answerMs = ({ answerWithinMs }: TrafficClass): number =>
+  answerWithinMs ?? defaultAnswerMs;
+
+export const deadlineMs = (trafficClass: TrafficClass): number => {
+  const { answerWithinMs, atMostOnce, mayWaitMs } = trafficClass;
+  const lateMs =
+    answerWithinMs === undefined ? defaultAnswerMs + mayWaitMs : lateFactor * answerWithinMs;
+  return atMostOnce ? Math.max(lateMs, minAtMostOnceDeadlineMs) : lateMs;
+};
+
+/**
+ * Longest wait for a slot in ms. A class that declares none may use half of the time that its
+ * target leaves beside the work; undeclared work counts as half of the target.
+ */
+export const maxWaitMs = ({ mayWaitMs, answerWithinMs, workMs }: TrafficClass): number => {
+  if (mayWaitMs > 0 || answerWithinMs === undefined) {
+    return mayWaitMs;
+  }
+  return Math.max(0, Math.floor((answerWithinMs - (workMs ?? answerWithinMs / 2)) / 2));
+};
+
+/** Time after which an attempt is given up, in ms: late for its target, early enough to retry. */
+export const attemptTimeoutMs = (trafficClass: TrafficClass): number =>
+  trafficClass.idempotent && trafficClass.answerWithinMs !== undefined
+    ? trafficClass.answerWithinMs
+    : deadlineMs(trafficClass);
+
+/** Hedging halves the effect of one slow endpoint on calls that have to be answered fast. */
+export const hedgeAfterMs = ({
+  idempotent,
+  answerWithinMs,
+  mayWaitMs,
+}: TrafficClass): number | undefined =>
+  idempotent && answerWithinMs !== undefined && mayWaitMs === 0
+    ? Math.ceil(answerWithinMs / 2)
+    : undefined;
+
+const totalImportance = (classes: readonly TrafficClass[]): number =>
+  classes.reduce((sum, { importance }) => sum + importance, 0);
+
+/** Derives the policy of one class. `siblings` are all classes of its service, itself included. */
+export const derivePolicy = (
+  trafficClass: TrafficClass,
+  siblings: readonly TrafficClass[] = [trafficClass],
+): Policy => {
+  const { name, service, importance, atMostOnce, idempotent } = trafficClass;
+  const hedgeMs = hedgeAfterMs(trafficClass);
+  return {
+    className: name,
+    service,
+    deadlineMs: deadlineMs(trafficClass),
+    attemptTimeoutMs: attemptTimeoutMs(trafficClass),
+    maxAttempts: idempotent ? maxAttemptsOfIdempotent : maxAttemptsOfOthers,
+    retryShare,
+    priority: importance,
+    maxWaitMs: maxWaitMs(trafficClass),
+    slotShare: importance / totalImportance(siblings),
+    ...(hedgeMs !== undefined && { hedgeAfterMs: hedgeMs }),
+    atMostOnce,
+    idempotent,
+  };
+};
+
+/** Derives the policies of all classes, by class name. */
+export const derivePolicies = (configuration: Configuration): Map<string, Policy> => {
+  const classes = Object.values(configuration.classes);
+  const siblingsOf = ({ service }: TrafficClass) =>
+    classes.filter((trafficClass) => trafficClass.service === service);
+  return new Map(
+    classes.map((trafficClass) => [
+      trafficClass.name,
+      derivePolicy(trafficClass, siblingsOf(trafficClass)),
+    ]),
+  );
+};
--- a/src/core/targets.ts
+++ b/src/core/targets.ts
@@ -10,11 +10,14 @@
 /** Largest target text that is accepted, in bytes. */
 export const maxTargetBytes = 256 * 1024;
 
+/** Longest value that a finding repeats, in characters. */
+const maxFoundLength = 200;
 const defaultShare = 0.99;
 const defaultAvailability = 0.99;
 const defaultImportance = 50;
 
-const namePattern = /^[a-z0-9](?:[a-z0-9-]{0,62})$/;
+/** Names of services and classes. */
+export const namePattern = /^[a-z0-9][a-z0-9-]{0,62}$/;
 const name = z.string().regex(namePattern, 'lower-case letters, digits and "-", 63 at most');
 
 const duration = z.string().transform((text, context) => {
@@ -42,11 +45,11 @@
   service: name,
   match: z.array(matchSchema).max(64).default([]),
   answer_within: duration.optional(),
-  share: z.number().gt(0).lt(1).default(defaultShare),
+  share: z.number().gt(0).max(1).default(defaultShare),
   at_most_once: z.boolean().default(false),
   idempotent: z.boolean().default(false),
   may_wait: duration.default(0),
-  availability: z.number().gt(0).lt(1).default(defaultAvailability),
+  availability: z.number().gt(0).max(1).default(defaultAvailability),
   importance: z.number().int().min(1).max(100).default(defaultImportance),
   rate: z.number().gt(0).max(1e9).optional(),
   work: duration.optional(),
@@ -94,24 +97,54 @@
   };
 };
 
-/**
- * Parses the text of a target file. Never throws; without findings the configuration is complete.
- */
-export const parseTargets = (
-  text: string,
-  file: string,
-): { configuration?: Configuration; findings: Finding[] } => {
+interface Parsed {
+  readonly configuration?: Configuration;
+  readonly findings: Finding[];
+}
+
+const checkSize = (text: string, file: string): Finding[] => {
   const bytes = Buffer.byteLength(text);
-  if (bytes > maxTargetBytes) {
-    const allowed = `${maxTargetBytes} bytes at most`;
-    return { findings: [{ place: file, message: 'too large', found: `${bytes} bytes`, allowed }] };
-  }
+  const allowed = `${maxTargetBytes} bytes at most`;
+  return bytes > maxTargetBytes
+    ? [{ place: file, message: 'too large', found: `${bytes} bytes`, allowed }]
+    : [];
+};
+
+const shorten = (text: string): string =>
+  text.length > maxFoundLength ? `${text.slice(0, maxFoundLength)}...` : text;
+
+const shortenFinding = (finding: Finding): Finding => ({
+  ...finding,
+  place: shorten(finding.place),
+  ...(finding.found !== undefined && { found: shorten(finding.found) }),
+});
+
+const parseWithinSize = (text: string, file: string): Parsed => {
   const { value, findings } = parseTomlText(text, file);
   if (!value) {
     return { findings };
   }
   const checked = checkValue(value, file, targetsSchema);
   return checked.output === undefined
-    ? { findings: checked.findings }
+    ? { findings: checked.findings.map(shortenFinding) }
     : { configuration: toConfiguration(checked.output), findings: [] };
 };
+
+/**
+ * Parses the text of a target file. Never throws; without findings the configuration is complete.
+ */
+export const parseTargets = (text: string, file: string): Parsed => {
+  const tooLarge = checkSize(text, file);
+  if (tooLarge.length > 0) {
+    return { findings: tooLarge };
+  }
+  try {
+    return parseWithinSize(text, file);
+  } catch (error) {
+    // The TOML parser bounds nested values but not dotted keys: 100,000 of them overflow the stack.
+    if (!(error instanceof RangeError)) {
+      throw error;
+    }
+    return { findings: [{ place: file, message: 'keys are nested too deeply' }] };
+  }
+};
--- a/src/types/public.ts
+++ b/src/types/public.ts
@@ -39,7 +39,10 @@
   readonly atMostOnce: boolean;
   /** The call can be repeated without harm. Excludes `atMostOnce`. */
   readonly idempotent: boolean;
-  /** How long a call may wait for capacity, in ms. 0 means that it does not wait. */
+  /**
+   * How long a call may wait for capacity, in ms. With 0 it waits only within the time that
+   * `answerWithinMs` leaves.
+   */
   readonly mayWaitMs: number;
   /** Share of calls that have to succeed, between 0 and 1. */
   readonly availability: number;
