--- /dev/null
+++ b/src/core/classMatching.ts
@@ -0,0 +1,83 @@
+/**
+ * Finds the class of a call. The rules of a configuration are indexed once, by method and path
+ * prefix, and the index lives as long as the configuration object.
+ */
+import type { Configuration, Match, TrafficClass } from '../types/public.js';
+
+export interface CallShape {
+  readonly method: string;
+  readonly path: string;
+  /** Class that the caller named, for example by `x-class`. */
+  readonly className?: string;
+}
+
+interface RuleIndex {
+  /** Lengths of the path prefixes in use, longest first. */
+  readonly lengths: readonly number[];
+  readonly classByRule: ReadonlyMap<string, TrafficClass>;
+}
+
+const anyMethod = '*';
+const indexes = new WeakMap<Configuration, RuleIndex>();
+
+const ruleKey = (method: string, pathPrefix: string): string => `${method} ${pathPrefix}`;
+
+/** Text form of a rule. Two rules with the same text match the same calls. */
+export const formatRule = ({ method = anyMethod, pathPrefix = '/' }: Match): string =>
+  ruleKey(method, pathPrefix);
+
+const buildIndex = (configuration: Configuration): RuleIndex => {
+  const classByRule = new Map<string, TrafficClass>();
+  const lengths = new Set<number>();
+  Object.values(configuration.classes).forEach((trafficClass) =>
+    trafficClass.match.forEach((match) => {
+      classByRule.set(formatRule(match), trafficClass);
+      lengths.add((match.pathPrefix ?? '/').length);
+    }),
+  );
+  return { lengths: [...lengths].sort((a, b) => b - a), classByRule };
+};
+
+const indexOf = (configuration: Configuration): RuleIndex => {
+  const known = indexes.get(configuration);
+  if (known) {
+    return known;
+  }
+  const index = buildIndex(configuration);
+  indexes.set(configuration, index);
+  return index;
+};
+
+const matchRule = (
+  { lengths, classByRule }: RuleIndex,
+  method: string,
+  path: string,
+): TrafficClass | undefined => {
+  for (const length of lengths) {
+    if (length <= path.length) {
+      const prefix = path.slice(0, length);
+      const found =
+        classByRule.get(ruleKey(method, prefix)) ?? classByRule.get(ruleKey(anyMethod, prefix));
+      if (found) {
+        return found;
+      }
+    }
+  }
+  return undefined;
+};
+
+/**
+ * Class of a call: the class that the caller named, else the rule with the longest path prefix. Of
+ * two rules with the same prefix the one with a method wins.
+ */
+export const matchClass = (
+  configuration: Configuration,
+  { method, path, className }: CallShape,
+): TrafficClass | undefined => {
+  if (className === undefined) {
+    return matchRule(indexOf(configuration), method, path);
+  }
+  return Object.hasOwn(configuration.classes, className)
+    ? configuration.classes[className]
+    : undefined;
+};
