Route by predicted time with ejection, warm-up and spill-over

Change: ejection after 5 failures in a row or a failure share above half, exponential with jitter, one probe before return, at most half of a cluster out; warm-up over 10 s; tiers by distance with spill-over above 80%; refusals, silence and reported load raise the predicted time.

--- /dev/null
+++ b/__tests__/routing.test.ts
@@ -0,0 +1,231 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { createEvidence, type AttemptOutcome, type Evidence } from '../src/core/evidence.js';
+import { chooseEndpoint, endpointsInUse } from '../src/core/routing.js';
+import type { Cluster, Endpoint, Policy } from '../src/types/public.js';
+import { check } from './support/arbitraries.js';
+import { createCluster, createEndpoint, createPolicy, createRandom } from './support/fleet.js';
+
+const home = { dataCentre: 'a', region: 'r' };
+const seed = 7;
+
+interface Setup {
+  readonly endpoints: readonly Endpoint[];
+  readonly policy?: Policy;
+}
+
+const createRoute = ({ endpoints, policy = createPolicy() }: Setup) => {
+  const random = createRandom(seed);
+  const evidence = createEvidence({ random });
+  const cluster: Cluster = createCluster(endpoints);
+  const choose = (now: number, exclude: string[] = []) =>
+    chooseEndpoint({ cluster, evidence, policy, home, exclude: new Set(exclude), random, now })?.id;
+  return { evidence, cluster, choose };
+};
+
+const attempt = (
+  evidence: Evidence,
+  id: string,
+  now: number,
+  outcome: AttemptOutcome = 'ok',
+  latencyMs = 10,
+) => {
+  evidence.commands.recordStart(id, now);
+  evidence.commands.recordEnd(id, { latencyMs, outcome }, now);
+};
+
+const times = <Item>(count: number, make: (index: number) => Item): Item[] =>
+  Array.from({ length: count }, (_, index) => make(index));
+
+const countBy = (items: (string | undefined)[], id: string) =>
+  items.filter((item) => item === id).length;
+
+const outcomes: AttemptOutcome[] = ['ok', 'failed', 'timed_out', 'refused', 'cancelled'];
+
+describe('routing', () => {
+  it('never ejects more than half of a cluster, whatever the outcomes', () => {
+    const step = fc.record({
+      endpoint: fc.nat(8),
+      outcome: fc.constantFrom(...outcomes, 'failed' as const, 'timed_out' as const),
+      gapMs: fc.nat(800),
+    });
+    check(
+      fc.property(
+        fc.integer({ min: 1, max: 9 }),
+        fc.array(step, { maxLength: 300 }),
+        (n, steps) => {
+          const endpoints = times(n, (index) => createEndpoint(`e${index}`));
+          const { evidence, cluster, choose } = createRoute({ endpoints });
+          let now = 0;
+          steps.forEach(({ endpoint, outcome, gapMs }) => {
+            now += gapMs;
+            attempt(evidence, `e${endpoint % n}`, now, outcome);
+            const inUse = endpointsInUse(cluster.endpoints, evidence, now);
+            assert.ok(inUse.length >= n - Math.floor(n / 2));
+            assert.ok(choose(now));
+          });
+        },
+      ),
+    );
+  });
+
+  it('chooses only ready endpoints that were not tried', () => {
+    const endpoints = [
+      createEndpoint('a'),
+      createEndpoint('b', { state: 'leaving' }),
+      createEndpoint('c'),
+    ];
+    const { choose } = createRoute({ endpoints });
+    assert.deepEqual(new Set(times(50, () => choose(0))), new Set(['a', 'c']));
+    assert.equal(choose(0, ['a']), 'c');
+    assert.equal(choose(0, ['a', 'c']), undefined);
+  });
+
+  it('ejects after 5 failures in a row and returns after one successful probe', () => {
+    const endpoints = times(4, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    times(5, () => attempt(evidence, 'e0', 0, 'failed'));
+    assert.equal(
+      countBy(
+        times(100, () => choose(1)),
+        'e0',
+      ),
+      0,
+    );
+    assert.equal(choose(1_001), 'e0');
+    evidence.commands.recordStart('e0', 1_001);
+    assert.equal(
+      countBy(
+        times(100, () => choose(1_002)),
+        'e0',
+      ),
+      0,
+      'one probe at a time',
+    );
+    evidence.commands.recordEnd('e0', { latencyMs: 10, outcome: 'ok' }, 1_010);
+    assert.ok(
+      countBy(
+        times(400, () => choose(30_000)),
+        'e0',
+      ) > 0,
+    );
+  });
+
+  it('doubles the time of an ejection when the probe fails', () => {
+    const endpoints = times(4, (index) => createEndpoint(`e${index}`));
+    const { evidence } = createRoute({ endpoints });
+    times(5, () => attempt(evidence, 'e0', 0, 'failed'));
+    attempt(evidence, 'e0', 1_000, 'failed');
+    assert.equal(evidence.queries.status('e0', 1_900), 'out');
+    assert.equal(evidence.queries.status('e0', 3_001), 'probe');
+  });
+
+  it('does not send a call that must not run twice as a probe at first', () => {
+    const endpoints = times(4, (index) => createEndpoint(`e${index}`));
+    const policy = createPolicy({ idempotent: false, atMostOnce: true });
+    const { evidence, choose } = createRoute({ endpoints, policy });
+    times(5, () => attempt(evidence, 'e0', 0, 'failed'));
+    assert.equal(
+      countBy(
+        times(100, () => choose(1_001)),
+        'e0',
+      ),
+      0,
+    );
+    assert.equal(choose(7_000), 'e0');
+  });
+
+  it('does not count refusals as failures, but sends fewer calls after them', () => {
+    const endpoints = times(2, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    times(20, (index) => attempt(evidence, `e${index % 2}`, 0));
+    times(20, () => attempt(evidence, 'e0', 0, 'refused', 1));
+    assert.equal(evidence.queries.isEjected('e0', 1), false);
+    assert.equal(
+      countBy(
+        times(100, () => choose(20_000)),
+        'e0',
+      ) > 0,
+      true,
+    );
+    assert.equal(
+      countBy(
+        times(100, () => choose(1)),
+        'e0',
+      ),
+      0,
+    );
+  });
+
+  it('avoids an endpoint that takes calls and answers nothing before they time out', () => {
+    const endpoints = times(2, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    times(20, (index) => attempt(evidence, `e${index % 2}`, 0));
+    evidence.commands.recordStart('e1', 100);
+    times(3, () => evidence.commands.recordStart('e0', 395));
+    assert.equal(
+      countBy(
+        times(100, () => choose(400)),
+        'e0',
+      ),
+      100,
+    );
+  });
+
+  it('spreads calls evenly over equal endpoints and 10% to one that is new', () => {
+    const endpoints = times(4, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    evidence.commands.retain('routedienst', ['e1', 'e2', 'e3'], 0);
+    evidence.commands.retain('routedienst', ['e0', 'e1', 'e2', 'e3'], 60_000);
+    const cold = countBy(
+      times(4_000, () => choose(60_000)),
+      'e0',
+    );
+    const warm = countBy(
+      times(4_000, () => choose(70_000)),
+      'e0',
+    );
+    assert.ok(cold > 20 && cold < 400, `${cold} of 4000 while cold`);
+    assert.ok(warm > 800 && warm < 1_200, `${warm} of 4000 while warm`);
+  });
+
+  it('stays in the own data centre until 80% of its slots are busy, then spills in proportion', () => {
+    const endpoints = [createEndpoint('near'), createEndpoint('far', { dataCentre: 'b' })];
+    const { evidence, choose } = createRoute({ endpoints });
+    const farCalls = (inFlight: number) => {
+      evidence.commands.recordLoad('near', { inFlight, limit: 10, waiting: 0 }, 0);
+      return countBy(
+        times(1_000, () => choose(0)),
+        'far',
+      );
+    };
+    assert.equal(farCalls(8), 0);
+    assert.ok(Math.abs(farCalls(10) - 200) < 60);
+    assert.ok(Math.abs(farCalls(16) - 500) < 60);
+    evidence.commands.recordLoad('far', { inFlight: 16, limit: 10, waiting: 0 }, 0);
+    assert.equal(farCalls(16), 0, 'the other data centre is as busy');
+  });
+
+  it('uses the next data centre when the near endpoints are ejected', () => {
+    const endpoints = [createEndpoint('near'), createEndpoint('far', { dataCentre: 'b' })];
+    const { evidence, choose } = createRoute({ endpoints });
+    times(5, () => attempt(evidence, 'near', 0, 'failed'));
+    assert.equal(
+      countBy(
+        times(100, () => choose(1)),
+        'far',
+      ),
+      100,
+    );
+  });
+
+  it('forgets endpoints that left, also when their last answer arrives later', () => {
+    const { evidence } = createRoute({ endpoints: [] });
+    evidence.commands.retain('routedienst', ['a', 'b'], 0);
+    evidence.commands.recordStart('a', 0);
+    evidence.commands.retain('routedienst', ['b'], 1);
+    evidence.commands.recordEnd('a', { latencyMs: 1, outcome: 'ok' }, 2);
+    assert.deepEqual(evidence.queries.endpointIds(), ['b']);
+  });
+});
--- /dev/null
+++ b/src/core/endpointRank.ts
@@ -0,0 +1,98 @@
+/**
+ * Rank of an endpoint by the time that one more call is predicted to take there, and its share of
+ * calls while it warms up.
+ */
+import type { Endpoint } from '../types/public.js';
+import type { EndpointEvidence, Evidence } from './evidence.js';
+
+/** Time over which the share of a new endpoint rises, in ms. */
+export const warmUpMs = 10_000;
+const warmUpStart = 0.1;
+
+/** Half-life of a load report in ms: it says little about an endpoint a second later. */
+const loadHalfLifeMs = 500;
+/** Half-life of the evidence of refusals in ms. */
+const refusalHalfLifeMs = 500;
+/** Half-life in ms of a latency that no call has confirmed, so that an endpoint is tried again. */
+const latencyHalfLifeMs = 10_000;
+const latencyFreshMs = 1_000;
+/** Latency assumed before the first answer of any endpoint, in ms. */
+const unknownLatencyMs = 10;
+/** An endpoint counts as silent after this many times its latency without any answer. */
+const silentFactor = 3;
+const minAnswerShare = 0.05;
+
+const halve = (ageMs: number, halfLifeMs: number): number =>
+  0.5 ** (Math.max(0, ageMs) / halfLifeMs);
+
+/** Calls that the endpoint's slots hold or that wait for them, as far as this node knows. */
+export const outstandingCalls = (known: EndpointEvidence | undefined, now: number): number => {
+  if (!known) {
+    return 0;
+  }
+  const { load, loadAt, inFlight } = known;
+  const reported = load ? (load.inFlight + load.waiting) * halve(now - loadAt, loadHalfLifeMs) : 0;
+  return Math.max(inFlight, reported);
+};
+
+/** Calls that the endpoint works on at a time. */
+export const capacityOf = ({ slots }: Endpoint, known: EndpointEvidence | undefined): number =>
+  Math.max(1, Math.min(slots, known?.load?.limit ?? slots));
+
+const latencyOf = (known: EndpointEvidence | undefined, usualMs: number, now: number): number => {
+  if (known?.latencyMs === undefined) {
+    return usualMs;
+  }
+  const staleMs = now - known.answeredAt - latencyFreshMs;
+  return known.latencyMs > usualMs
+    ? usualMs + (known.latencyMs - usualMs) * halve(staleMs, latencyHalfLifeMs)
+    : known.latencyMs;
+};
+
+const withSilence = (
+  latencyMs: number,
+  known: EndpointEvidence | undefined,
+  now: number,
+): number => {
+  const silentMs = known?.silentSince === undefined ? 0 : now - known.silentSince;
+  return silentMs > silentFactor * latencyMs ? silentMs : latencyMs;
+};
+
+const answerShare = (known: EndpointEvidence | undefined, now: number): number => {
+  if (!known) {
+    return 1;
+  }
+  const refused = known.refusedShare * halve(now - known.refusedAt, refusalHalfLifeMs);
+  return Math.max(minAnswerShare, (1 - known.ejection.failureShare) * (1 - refused));
+};
+
+/** Middle of the latencies of the endpoints, in ms: what an unknown endpoint is assumed to take. */
+export const usualLatencyMs = (evidence: Evidence, endpoints: readonly Endpoint[]): number => {
+  const known = endpoints
+    .map(({ id }) => evidence.queries.of(id)?.latencyMs)
+    .filter((latencyMs) => latencyMs !== undefined)
+    .sort((a, b) => a - b);
+  return known[Math.floor((known.length - 1) / 2)] ?? unknownLatencyMs;
+};
+
+/** Predicted cost of one more call, in ms; failures and refusals make it higher. */
+export const predictedMs = (
+  endpoint: Endpoint,
+  known: EndpointEvidence | undefined,
+  usualMs: number,
+  now: number,
+): number => {
+  const latencyMs = withSilence(latencyOf(known, usualMs, now), known, now);
+  const queue = (outstandingCalls(known, now) + 1) / capacityOf(endpoint, known);
+  return (latencyMs * queue) / answerShare(known, now) ** 2;
+};
+
+/** Share of its calls that an endpoint gets while it warms up, from 0.1 to 1. */
+export const warmShare = (known: EndpointEvidence | undefined, now: number): number => {
+  if (!known) {
+    return warmUpStart;
+  }
+  const since = Math.max(known.firstSeenAt, known.ejection.returnedAt);
+  const risen = Math.min(1, Math.max(0, now - since) / warmUpMs);
+  return warmUpStart + (1 - warmUpStart) * risen;
+};
--- a/src/core/evidence.ts
+++ b/src/core/evidence.ts
@@ -1,7 +1,16 @@
 /**
  * First-hand evidence about endpoints: latency, failures and calls in flight of this node's own
- * calls, and the load carried back on answers.
+ * calls, and the load carried back on answers. Health reports of upstreams play no part.
  */
+import {
+  abandonAttempt,
+  createEjectionState,
+  ejectionStatus,
+  endAttempt,
+  startAttempt,
+  type EjectionState,
+  type EjectionStatus,
+} from './ejection.js';
 
 /** How an attempt ended. `refused` was not run and says nothing against the endpoint's health. */
 export type AttemptOutcome = 'ok' | 'failed' | 'timed_out' | 'refused' | 'cancelled';
@@ -14,6 +23,7 @@
 }
 
 export interface AttemptEnd {
+  /** Time from the start of the attempt to its end, in ms. */
   readonly latencyMs: number;
   readonly outcome: AttemptOutcome;
 }
@@ -23,14 +33,22 @@
   readonly random: () => number;
 }
 
-/** What routing reads about one endpoint. */
+/** What is known about one endpoint. */
 export interface EndpointEvidence {
-  readonly latencyMs: number;
+  /** Exponentially weighted latency in ms; undefined before the first answer. */
+  readonly latencyMs: number | undefined;
+  /** Time of the last answer of any kind. */
+  readonly answeredAt: number;
+  /** Since when attempts are outstanding without any answer. */
+  readonly silentSince: number | undefined;
   readonly inFlight: number;
   readonly load: EndpointLoad | undefined;
   readonly loadAt: number;
-  readonly consecutiveFailures: number;
+  /** Share of attempts that the endpoint refused, as an exponentially weighted average. */
+  readonly refusedShare: number;
+  readonly refusedAt: number;
   readonly firstSeenAt: number;
+  readonly ejection: Readonly<EjectionState>;
 }
 
 export interface Evidence {
@@ -43,24 +61,81 @@
   };
   readonly queries: {
     of(endpointId: string): EndpointEvidence | undefined;
+    /** Whether the endpoint is in use, ejected, or due for a probe. */
+    status(endpointId: string, now: number): EjectionStatus;
+    /** True if the endpoint is ejected or waits for its probe. */
     isEjected(endpointId: string, now: number): boolean;
     endpointIds(): readonly string[];
   };
 }
 
-interface State {
-  latencyMs: number;
-  inFlight: number;
-  load: EndpointLoad | undefined;
-  loadAt: number;
-  consecutiveFailures: number;
-  firstSeenAt: number;
-  ejectedUntil: number;
-}
+type State = { -readonly [Key in keyof EndpointEvidence]: EndpointEvidence[Key] } & {
+  ejection: EjectionState;
+};
 
-const ejectAfterFailures = 5;
-const ejectionMs = 5_000;
 const latencyWeight = 0.2;
+const refusedWeight = 0.2;
+
+const createState = (now: number): State => ({
+  latencyMs: undefined,
+  answeredAt: now,
+  silentSince: undefined,
+  inFlight: 0,
+  load: undefined,
+  loadAt: 0,
+  refusedShare: 0,
+  refusedAt: now,
+  firstSeenAt: now,
+  ejection: createEjectionState(),
+});
+
+const addLatency = (state: State, latencyMs: number): void => {
+  state.latencyMs =
+    state.latencyMs === undefined
+      ? latencyMs
+      : state.latencyMs + latencyWeight * (latencyMs - state.latencyMs);
+};
+
+const noteAnswer = (state: State, now: number): void => {
+  state.answeredAt = now;
+  state.silentSince = state.inFlight > 0 ? now : undefined;
+};
+
+const noteRefusal = (state: State, share: number, now: number): void => {
+  state.refusedShare += refusedWeight * (share - state.refusedShare);
+  state.refusedAt = now;
+};
+
+type EndHandler = (state: State, latencyMs: number, random: () => number, now: number) => void;
+
+const endHandlers: Readonly<Record<AttemptOutcome, EndHandler>> = {
+  ok: (state, latencyMs, random, now) => {
+    addLatency(state, latencyMs);
+    noteAnswer(state, now);
+    noteRefusal(state, 0, now);
+    endAttempt(state.ejection, false, random, now);
+  },
+  failed: (state, _, random, now) => {
+    noteAnswer(state, now);
+    endAttempt(state.ejection, true, random, now);
+  },
+  timed_out: (state, latencyMs, random, now) => {
+    addLatency(state, latencyMs);
+    endAttempt(state.ejection, true, random, now);
+  },
+  refused: (state, _, __, now) => {
+    noteAnswer(state, now);
+    noteRefusal(state, 1, now);
+    abandonAttempt(state.ejection);
+  },
+  cancelled: (state, latencyMs) => {
+    // A cancelled attempt would have taken longer, so it can only raise the estimate.
+    if (latencyMs > (state.latencyMs ?? 0)) {
+      addLatency(state, latencyMs);
+    }
+    abandonAttempt(state.ejection);
+  },
+};
 
 /** Creates the evidence of one node. */
 export const createEvidence = ({ random }: EvidenceOptions): Evidence => {
@@ -68,55 +143,61 @@
   const services = new Map<string, readonly string[]>();
 
   const stateOf = (endpointId: string, now: number): State => {
-    const known = states.get(endpointId);
-    if (known) {
-      return known;
-    }
-    const state: State = {
-      latencyMs: 0,
-      inFlight: 0,
-      load: undefined,
-      loadAt: 0,
-      consecutiveFailures: 0,
-      firstSeenAt: now,
-      ejectedUntil: 0,
-    };
+    const state = states.get(endpointId) ?? createState(now);
     states.set(endpointId, state);
     return state;
   };
 
+  const recordStart = (endpointId: string, now: number): void => {
+    const state = stateOf(endpointId, now);
+    state.inFlight += 1;
+    state.silentSince ??= now;
+    startAttempt(state.ejection, now);
+  };
+
+  const recordEnd = (endpointId: string, end: AttemptEnd, now: number): void => {
+    // An endpoint that left while the call was in flight must not come back into the table.
+    const state = states.get(endpointId);
+    if (!state) {
+      return;
+    }
+    state.inFlight = Math.max(0, state.inFlight - 1);
+    endHandlers[end.outcome](state, end.latencyMs, random, now);
+    if (state.inFlight === 0) {
+      state.silentSince = undefined;
+    }
+  };
+
+  const recordLoad = (endpointId: string, load: EndpointLoad, now: number): void => {
+    Object.assign(stateOf(endpointId, now), { load, loadAt: now });
+  };
+
+  const retain = (service: string, endpointIds: readonly string[], now: number): void => {
+    const kept = new Set(endpointIds);
+    services
+      .get(service)
+      ?.filter((id) => !kept.has(id))
+      .forEach((id) => states.delete(id));
+    services.set(service, endpointIds);
+    endpointIds.forEach((id) => stateOf(id, now));
+  };
+
+  const status = (endpointId: string, now: number): EjectionStatus => {
+    const state = states.get(endpointId);
+    return state ? ejectionStatus(state.ejection, now) : 'in';
+  };
+
   return {
     commands: {
-      recordStart: (endpointId, now) => {
-        stateOf(endpointId, now).inFlight += 1;
-      },
-      recordEnd: (endpointId, { latencyMs, outcome }, now) => {
-        const state = stateOf(endpointId, now);
-        state.inFlight = Math.max(0, state.inFlight - 1);
-        if (outcome === 'ok') {
-          state.consecutiveFailures = 0;
-          state.latencyMs += latencyWeight * (latencyMs - state.latencyMs);
-        }
-        if (outcome === 'failed' || outcome === 'timed_out') {
-          state.consecutiveFailures += 1;
-        }
-        if (state.consecutiveFailures >= ejectAfterFailures) {
-          state.ejectedUntil = now + ejectionMs * (0.5 + random());
-        }
-      },
-      recordLoad: (endpointId, load, now) => {
-        Object.assign(stateOf(endpointId, now), { load, loadAt: now });
-      },
-      retain: (service, endpointIds, now) => {
-        const kept = new Set(endpointIds);
-        services.get(service)?.forEach((id) => !kept.has(id) && states.delete(id));
-        services.set(service, endpointIds);
-        endpointIds.forEach((id) => stateOf(id, now));
-      },
+      recordStart,
+      recordEnd,
+      recordLoad,
+      retain,
     },
     queries: {
       of: (endpointId) => states.get(endpointId),
-      isEjected: (endpointId, now) => (states.get(endpointId)?.ejectedUntil ?? 0) > now,
+      status,
+      isEjected: (endpointId, now) => status(endpointId, now) !== 'in',
       endpointIds: () => [...states.keys()],
     },
   };
