Carry a call from a caller through two nodes to an upstream

The calls and forward servers share a listener that bounds requests and stops without cutting calls, one exchange on pooled connections, and the runner of attempts with retries, hedging and at-most-once claims.

--- /dev/null
+++ b/__tests__/callPath.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { startMesh } from './support/callMesh.js';
+
+describe('path of a call', () => {
+  it('carries a call from one node to the node beside the upstream and back', async () => {
+    const mesh = await startMesh();
+    const answer = await mesh.call(mesh.caller, '/lookup/1', { headers: { 'x-request-id': 'r1' } });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.headers['x-request-id'], 'r1');
+    assert.equal(answer.headers['x-config-version'], '1.1');
+    assert.equal(JSON.parse(answer.body).requestId, 'r1');
+    await mesh.stop();
+  });
+
+  it('refuses a call of an unknown class without running it', async () => {
+    const mesh = await startMesh();
+    const answer = await mesh.call(mesh.caller, '/other');
+    assert.equal(answer.status, 404);
+    assert.equal(JSON.parse(answer.body).run, 'not_run');
+    assert.equal(mesh.upstream.started(), 0);
+    await mesh.stop();
+  });
+});
--- /dev/null
+++ b/src/plugins/callAnswers.ts
@@ -0,0 +1,103 @@
+/**
+ * What a server of calls writes to its peer: answers with back-pressure, refusals with their typed
+ * body. An answer that breaks after its head was written resets the peer's connection, so that it is
+ * never taken for a whole one.
+ */
+import type { ServerResponse } from 'node:http';
+import { retriedHeader } from '../core/retry.js';
+import type { AnswerHead, AttemptFailureReport } from '../types/calls.js';
+import { Failure, failureTable } from '../utils/failure.js';
+import {
+  passAnswerHeaders,
+  refusalHeader,
+  replayedHeader,
+  requestIdHeader,
+  runHeader,
+} from './callHeaders.js';
+
+/** Turns an error into the report that its refusal is written from. */
+export const reportOf = (error: unknown): AttemptFailureReport => {
+  if (error instanceof Failure) {
+    return { reason: error.reason, run: error.run, detail: error.message, retried: false };
+  }
+  const detail = error instanceof Error ? error.message : String(error);
+  return { reason: 'bad_request', run: 'not_run', detail, retried: false };
+};
+
+/** JSON body of a refusal, see docs/calls.md. */
+export const refusalBody = (failure: AttemptFailureReport, requestId: string): Buffer => {
+  const { code, text } = failureTable[failure.reason];
+  const { detail } = failure;
+  return Buffer.from(
+    JSON.stringify({
+      code,
+      reason: failure.reason,
+      message:
+        detail === undefined || detail.startsWith(text) ? (detail ?? text) : `${text}: ${detail}`,
+      run: failure.run,
+      request_id: requestId,
+    }),
+  );
+};
+
+/** Writes a refusal, or resets the connection if an answer was begun. */
+export const writeRefusal = (
+  response: ServerResponse,
+  failure: AttemptFailureReport,
+  requestId: string,
+  extraHeaders: readonly string[] = [],
+) => {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const body = refusalBody(failure, requestId);
+  const headers = [
+    'content-type',
+    'application/json',
+    'content-length',
+    String(body.length),
+    requestIdHeader,
+    requestId,
+    refusalHeader,
+    failure.reason,
+    runHeader,
+    failure.run,
+    ...extraHeaders,
+  ];
+  if (failure.retried) {
+    headers.push(retriedHeader, 'true');
+  }
+  if (failure.retryAfterSeconds !== undefined) {
+    headers.push('retry-after', String(failure.retryAfterSeconds));
+  }
+  response.writeHead(failureTable[failure.reason].status, headers);
+  response.end(body);
+};
+
+/** Writes the head of an answer with the headers of this system added. */
+export const writeAnswerHead = (
+  response: ServerResponse,
+  head: AnswerHead,
+  extraHeaders: readonly string[],
+) => {
+  const headers = passAnswerHeaders(head.headers);
+  headers.push(...extraHeaders);
+  if (head.isReplayed) {
+    headers.push(replayedHeader, 'true');
+  }
+  response.writeHead(head.status, headers);
+};
+
+/** Writes a part of an answer. Returns false until the peer has taken what was written. */
+export const writeAnswerPart = (
+  response: ServerResponse,
+  chunk: Buffer,
+  resume: () => void,
+): boolean => {
+  if (response.write(chunk)) {
+    return true;
+  }
+  response.once('drain', resume);
+  return false;
+};
--- /dev/null
+++ b/src/plugins/callHeaders.ts
@@ -0,0 +1,163 @@
+/**
+ * Headers of a call: what is read from callers and other nodes, what is passed on, and what a
+ * refusal looks like. Hop-by-hop headers are never passed on.
+ */
+import type { IncomingMessage } from 'node:http';
+import { Failure } from '../utils/failure.js';
+
+export const requestIdHeader = 'x-request-id';
+export const deadlineHeader = 'x-request-deadline-ms';
+export const classHeader = 'x-class';
+export const keyHeader = 'idempotency-key';
+export const attemptIdHeader = 'x-attempt-id';
+export const loadHeader = 'x-load';
+export const configVersionHeader = 'x-config-version';
+export const configStaleHeader = 'x-config-stale';
+export const replayedHeader = 'idempotency-replayed';
+/** Reason of a refusal by this system, so that it is told apart from an answer of the upstream. */
+export const refusalHeader = 'x-refusal';
+export const runHeader = 'x-run';
+export const callerHeader = 'x-caller';
+/** The caller's own `authorization` while that header carries the cluster token between nodes. */
+export const callerAuthorizationHeader = 'x-caller-authorization';
+export const priorityHeader = 'x-priority';
+export const maxWaitHeader = 'x-max-wait-ms';
+
+const maxDeadlineMs = 24 * 60 * 60 * 1_000;
+const requestIdPattern = /^[\x21-\x7e]{1,128}$/;
+const keyPattern = /^[\x21-\x7e]{1,256}$/;
+const classPattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/;
+const deadlinePattern = /^\d{1,9}(?:\.\d{1,6})?$/;
+
+const hopByHopHeaders = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers that this system sets itself; values from outside are not passed on. */
+const ownRequestHeaders = new Set([
+  attemptIdHeader,
+  callerAuthorizationHeader,
+  callerHeader,
+  classHeader,
+  deadlineHeader,
+  maxWaitHeader,
+  priorityHeader,
+  requestIdHeader,
+]);
+
+const ownAnswerHeaders = new Set([
+  attemptIdHeader,
+  configStaleHeader,
+  configVersionHeader,
+  loadHeader,
+  refusalHeader,
+  replayedHeader,
+  requestIdHeader,
+  runHeader,
+  'x-retried',
+]);
+
+export interface CallHeaders {
+  readonly requestId: string | undefined;
+  readonly deadlineMs: number | undefined;
+  readonly className: string | undefined;
+  readonly key: string | undefined;
+}
+
+const readHeader = (
+  request: IncomingMessage,
+  name: string,
+  pattern: RegExp,
+  allowed: string,
+): string | undefined => {
+  const value = request.headers[name];
+  if (value === undefined) {
+    return undefined;
+  }
+  if (typeof value !== 'string' || !pattern.test(value)) {
+    throw new Failure('bad_request', `header ${name}: ${allowed}`);
+  }
+  return value;
+};
+
+/** Reads the headers of a call. Throws `bad_request` or `deadline_past`. */
+export const readCallHeaders = (request: IncomingMessage): CallHeaders => {
+  const requestId = readHeader(
+    request,
+    requestIdHeader,
+    requestIdPattern,
+    '1 to 128 visible ASCII characters',
+  );
+  const className = readHeader(request, classHeader, classPattern, 'the name of a class');
+  const key = readHeader(request, keyHeader, keyPattern, '1 to 256 visible ASCII characters');
+  const deadline = readHeader(
+    request,
+    deadlineHeader,
+    /^-?\d{1,9}(?:\.\d{1,6})?$/,
+    'the time left in ms, as a decimal number',
+  );
+  if (deadline !== undefined && (!deadlinePattern.test(deadline) || Number(deadline) <= 0)) {
+    throw new Failure('deadline_past', `header ${deadlineHeader}: ${deadline}`);
+  }
+  const deadlineMs = deadline === undefined ? undefined : Math.min(Number(deadline), maxDeadlineMs);
+  return { requestId, deadlineMs, className, key };
+};
+
+/** Request id of a request that may be malformed, for its refusal. */
+export const readRequestId = (request: IncomingMessage): string | undefined => {
+  const value = request.headers[requestIdHeader];
+  return typeof value === 'string' && requestIdPattern.test(value) ? value : undefined;
+};
+
+const namedByConnection = (raw: readonly string[]): readonly string[] => {
+  const names: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    if (raw[index]!.length === 10 && raw[index]!.toLowerCase() === 'connection') {
+      names.push(...raw[index + 1]!.toLowerCase().split(/[\s,]+/));
+    }
+  }
+  return names;
+};
+
+const passOn = (raw: readonly string[], own: ReadonlySet<string>): string[] => {
+  const connectionNames = namedByConnection(raw);
+  const passed: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index]!.toLowerCase();
+    if (!hopByHopHeaders.has(name) && !own.has(name) && !connectionNames.includes(name)) {
+      passed.push(name, raw[index + 1]!);
+    }
+  }
+  return passed;
+};
+
+/** End-to-end headers of a request, without those that this system sets. */
+export const passRequestHeaders = (raw: readonly string[]): string[] =>
+  passOn(raw, ownRequestHeaders);
+
+/** End-to-end headers of an answer, without those that this system sets. */
+export const passAnswerHeaders = (raw: readonly string[]): string[] =>
+  passOn(raw, ownAnswerHeaders);
+
+/** Value of a header in a list of names and values in turn. */
+export const headerIn = (headers: readonly string[], name: string): string | undefined => {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    if (headers[index] === name) {
+      return headers[index + 1];
+    }
+  }
+  return undefined;
+};
+
+/** True if the request announces a body. */
+export const hasBody = ({ headers }: IncomingMessage): boolean =>
+  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
--- /dev/null
+++ b/src/plugins/callListener.ts
@@ -0,0 +1,170 @@
+/**
+ * The HTTP/1.1 server behind the `calls` and `forward` addresses: limits on what a peer may send,
+ * refusals of malformed requests, and a stop that cuts no call.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server as HttpServer,
+  type ServerResponse,
+} from 'node:http';
+import { Server as NetServer, type Socket } from 'node:net';
+import polka, { type PolkaRequest } from 'polka';
+import type { FailureReason } from '../utils/failure.js';
+import { failureTable } from '../utils/failure.js';
+import type { Timer } from '../utils/timer.js';
+import { refusalBody } from './callAnswers.js';
+import { requestIdHeader, refusalHeader, runHeader } from './callHeaders.js';
+import { listenHttp } from './httpListen.js';
+import type { Address } from './rpc.js';
+
+const headTimeoutMs = 10_000;
+/** Longer than callers usually keep idle connections, so that the caller's side closes first. */
+const keepAliveMs = 65_000;
+const maxConnections = 10_000;
+const stopCheckMs = 20;
+/** Callers get this long to see that the node is not ready before new connections are refused. */
+const acceptWhileDrainingMs = 500;
+
+/** Called when the peer breaks its request while the call runs; answers and ends the call. */
+export type OnBroken = (reason: FailureReason, detail: string) => void;
+
+export interface CallListenerOptions {
+  readonly address: Address;
+  readonly timer: Timer;
+  readonly maxHeaderBytes: number;
+  /** Time for which idle connections stay open during a stop, in ms. */
+  readonly idleStopMs: number;
+  readonly onCall: (request: PolkaRequest, response: ServerResponse) => void;
+}
+
+export interface CallListener {
+  listen(): Promise<Address>;
+  /** Registers what ends the call on a connection when its request turns out malformed. */
+  guard(request: IncomingMessage, onBroken: OnBroken): void;
+  /** Answers from now on close their connections. */
+  drain(): void;
+  isDraining(): boolean;
+  active(): number;
+  /** Ends when no call is in flight and idle connections have been given up by their peers. */
+  stop(limitMs: number): Promise<void>;
+}
+
+const brokenStatus: Record<string, number> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/** Creates the server of an address that takes calls. */
+export const createCallListener = (options: CallListenerOptions): CallListener => {
+  const { timer } = options;
+  const guards = new Map<Socket, OnBroken>();
+  const sockets = new Set<Socket>();
+  const running = new Map<Socket, ServerResponse>();
+  let draining = false;
+  let lastActiveAt = 0;
+
+  const server: HttpServer = createServer({
+    maxHeaderSize: options.maxHeaderBytes,
+    headersTimeout: headTimeoutMs,
+    // Large bodies may take long; a body that makes no progress is ended by the call itself.
+    requestTimeout: 0,
+    keepAliveTimeout: keepAliveMs,
+    connectionsCheckingInterval: 1_000,
+    requireHostHeader: false,
+    noDelay: true,
+  });
+  server.maxConnections = maxConnections;
+
+  const onRequest = (request: PolkaRequest, response: ServerResponse) => {
+    const { socket } = request;
+    running.set(socket, response);
+    response.shouldKeepAlive &&= !draining;
+    response.once('close', () => {
+      lastActiveAt = timer.now();
+      guards.delete(socket);
+      running.delete(socket);
+    });
+    options.onCall(request, response);
+  };
+
+  const router = polka({
+    server,
+    onNoMatch: onRequest,
+    onError: (_error, _request, response) => response.destroy(),
+  });
+  server.on('request', router.handler);
+
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+
+  const refuseSocket = (socket: Socket, code: string, detail: string) => {
+    const status = brokenStatus[code] ?? failureTable.bad_request.status;
+    const body = refusalBody({ reason: 'bad_request', run: 'not_run', detail, retried: false }, '');
+    socket.end(
+      [
+        `HTTP/1.1 ${status} Bad Request`,
+        'content-type: application/json',
+        `content-length: ${body.length}`,
+        `${requestIdHeader}: `,
+        `${refusalHeader}: bad_request`,
+        `${runHeader}: not_run`,
+        'connection: close',
+        '',
+        body.toString(),
+      ].join('\r\n'),
+    );
+  };
+
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (socket.destroyed || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const code = error.code ?? '';
+    const guard = guards.get(socket);
+    if (guard) {
+      guard('bad_request', `malformed request body (${code})`);
+      return;
+    }
+    if (running.has(socket) || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    refuseSocket(socket, code, `malformed request (${code})`);
+  });
+
+  const drain = () => {
+    draining = true;
+    running.forEach((response) => {
+      response.shouldKeepAlive = false;
+    });
+    lastActiveAt = timer.now();
+  };
+
+  const isQuiet = (): boolean =>
+    running.size === 0 && (sockets.size === 0 || timer.now() - lastActiveAt >= options.idleStopMs);
+
+  const stop = async (limitMs: number) => {
+    const limitAt = timer.now() + limitMs;
+    drain();
+    await timer.sleep(Math.min(acceptWhileDrainingMs, limitMs));
+    // Closes the listening socket only: an open connection may be about to get a request.
+    NetServer.prototype.close.call(server);
+    while (!isQuiet() && timer.now() < limitAt) {
+      await timer.sleep(stopCheckMs);
+    }
+    server.closeAllConnections();
+  };
+
+  return {
+    listen: () => listenHttp(server, options.address),
+    guard: (request, onBroken) => guards.set(request.socket, onBroken),
+    drain,
+    isDraining: () => draining,
+    active: () => running.size,
+    stop,
+  };
+};
--- /dev/null
+++ b/src/plugins/callMetrics.ts
@@ -0,0 +1,35 @@
+/**
+ * Metrics of the path of a call.
+ */
+import type { FailureReason } from '../utils/failure.js';
+import { createLabelBound, type Metrics } from './metrics.js';
+
+export interface CallMetrics {
+  recordCall(className: string, result: FailureReason | 'ok', durationMs: number): void;
+  recordRetry(className: string): void;
+}
+
+/** Registers the metrics of calls. */
+export const createCallMetrics = (metrics: Metrics): CallMetrics => {
+  const boundClass = createLabelBound();
+  const calls = metrics.counter('auburnsill_calls_total', 'Calls by class and result.', [
+    'class',
+    'result',
+  ]);
+  const duration = metrics.latency(
+    'auburnsill_call_duration_seconds',
+    'Time from the head of a request to the end of its answer.',
+    ['class'],
+  );
+  const retries = metrics.counter('auburnsill_retries_total', 'Attempts after the first.', [
+    'class',
+  ]);
+  return {
+    recordCall: (className, result, durationMs) => {
+      const name = boundClass(className);
+      calls.inc({ class: name, result });
+      duration.observe({ class: name }, durationMs / 1_000);
+    },
+    recordRetry: (className) => retries.inc({ class: boundClass(className) }),
+  };
+};
--- /dev/null
+++ b/src/plugins/callRun.ts
@@ -0,0 +1,307 @@
+/**
+ * Runs a call: chooses an endpoint for each attempt, retries within the budget, sends a second copy
+ * if the policy asks for it, and hands exactly one answer or refusal to the call. A call may have
+ * run once any of its attempts may have.
+ */
+import { randomUUID } from 'node:crypto';
+import type { AttemptOutcome, Evidence } from '../core/evidence.js';
+import { decideHedge, decideRetry, type RetryBudget } from '../core/retry.js';
+import { chooseEndpoint } from '../core/routing.js';
+import type {
+  AnswerHead,
+  AttemptFailureReport,
+  AttemptListener,
+  AttemptRequest,
+  RequestBody,
+  RunningAttempt,
+} from '../types/calls.js';
+import type { Held } from '../types/internal.js';
+import type { Cluster, Endpoint, Policy } from '../types/public.js';
+import type { FailureReason } from '../utils/failure.js';
+import { Failure } from '../utils/failure.js';
+import type { Cancel, Timer } from '../utils/timer.js';
+import { reportOf } from './callAnswers.js';
+import type { LocalUpstream } from './localUpstream.js';
+import type { RemoteNodes } from './remoteNode.js';
+
+export interface CallRunnerOptions {
+  readonly home: { readonly name: string; readonly dataCentre: string; readonly region: string };
+  readonly timer: Timer;
+  readonly random: () => number;
+  readonly upstream: LocalUpstream;
+  readonly remote: RemoteNodes;
+  readonly evidence: Evidence;
+  readonly budget: RetryBudget;
+  readonly onRetry: (className: string) => void;
+}
+
+/** A call that is ready for its first attempt. */
+export interface CallPlan {
+  readonly requestId: string;
+  readonly held: Held;
+  readonly policy: Policy;
+  readonly caller: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: RequestBody;
+  readonly deadlineAt: number;
+}
+
+/** Receives the outcome of a call: an answer in parts, or one refusal. */
+export interface CallListener {
+  onHead(head: AnswerHead): void;
+  onData(chunk: Buffer): boolean;
+  onEnd(): void;
+  onRefusal(failure: AttemptFailureReport): void;
+}
+
+export interface RunningCall {
+  /** Ends the call without a further report; its connections are destroyed. */
+  abort(): void;
+  resume(): void;
+  mayHaveRun(): boolean;
+}
+
+export interface CallRunner {
+  /** `firstAttemptId` names the first attempt, for a claim made before. */
+  run(plan: CallPlan, listener: CallListener, firstAttemptId?: string): RunningCall;
+  nextAttemptId(): string;
+}
+
+interface Attempt {
+  readonly endpointId: string;
+  readonly startedAt: number;
+  running: RunningAttempt | undefined;
+}
+
+const outcomeByReason: Partial<Record<FailureReason, AttemptOutcome>> = {
+  overloaded: 'refused',
+  leaving: 'refused',
+  deadline_past: 'refused',
+  no_upstream: 'refused',
+  deadline_exceeded: 'timed_out',
+};
+
+/** Statuses of an upstream after which an idempotent call is tried again. */
+const retryableStatuses = new Set([502, 503, 504]);
+
+const noExclusion: ReadonlySet<string> = new Set();
+
+/** Creates the runner of a node's calls. */
+export const createCallRunner = (options: CallRunnerOptions): CallRunner => {
+  const { home, timer, random, upstream, remote, evidence, budget } = options;
+  const attemptPrefix = randomUUID();
+  let attemptCount = 0;
+
+  const nextAttemptId = (): string => {
+    attemptCount += 1;
+    return `${attemptPrefix}-${attemptCount}`;
+  };
+
+  const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
+    const { policy } = plan;
+    const active = new Set<Attempt>();
+    const excluded = new Set<string>();
+    let winner: Attempt | undefined;
+    let attempts = 0;
+    let mayHaveRun = false;
+    let isOver = false;
+    let cancelHedge: Cancel | undefined;
+
+    const recordEnd = ({ endpointId, startedAt }: Attempt, outcome: AttemptOutcome) => {
+      const now = timer.now();
+      evidence.commands.recordEnd(endpointId, { latencyMs: now - startedAt, outcome }, now);
+    };
+
+    const abortAttempt = (attempt: Attempt) => {
+      active.delete(attempt);
+      mayHaveRun ||= attempt.running?.mayHaveRun() ?? false;
+      attempt.running?.abort();
+      recordEnd(attempt, 'cancelled');
+    };
+
+    const end = (): boolean => {
+      if (isOver) {
+        return false;
+      }
+      isOver = true;
+      cancelHedge?.();
+      [...active].forEach(abortAttempt);
+      return true;
+    };
+
+    const refuse = (failure: AttemptFailureReport) => {
+      if (end()) {
+        listener.onRefusal({
+          ...failure,
+          run: mayHaveRun ? 'may_have_run' : failure.run,
+          retried: failure.retried || attempts > 1,
+        });
+      }
+    };
+
+    const retryOrRefuse = (failure: AttemptFailureReport) => {
+      const now = timer.now();
+      const decision = decideRetry({
+        attempt: attempts,
+        failure,
+        policy,
+        budget,
+        remainingMs: plan.deadlineAt - now,
+        isFirstNode: true,
+        random,
+        now,
+      });
+      // A body that is read once cannot be sent again.
+      if (!decision.retry || plan.body.kind === 'stream' || !budget.commands.spend(now)) {
+        refuse(failure);
+        return;
+      }
+      options.onRetry(policy.className);
+      timer.after(decision.delayMs, () => {
+        if (!isOver) {
+          startAttempt(failure);
+        }
+      });
+    };
+
+    const onFailure = (attempt: Attempt, failure: AttemptFailureReport) => {
+      active.delete(attempt);
+      recordEnd(attempt, outcomeByReason[failure.reason] ?? 'failed');
+      mayHaveRun ||= failure.run === 'may_have_run';
+      if (isOver) {
+        return;
+      }
+      if (winner) {
+        refuse(failure);
+        return;
+      }
+      excluded.add(attempt.endpointId);
+      if (active.size === 0) {
+        retryOrRefuse(failure);
+      }
+    };
+
+    const canTryAgain = (status: number): boolean =>
+      policy.idempotent &&
+      retryableStatuses.has(status) &&
+      plan.body.kind !== 'stream' &&
+      attempts < policy.maxAttempts &&
+      budget.queries.available(timer.now()) &&
+      plan.deadlineAt > timer.now();
+
+    const listenTo = (attempt: Attempt): AttemptListener => ({
+      onHead: (head) => {
+        if (canTryAgain(head.status)) {
+          active.delete(attempt);
+          attempt.running?.abort();
+          onFailure(attempt, {
+            reason: 'upstream_failed',
+            run: 'may_have_run',
+            detail: `status ${head.status}`,
+            retried: false,
+          });
+          return;
+        }
+        winner = attempt;
+        cancelHedge?.();
+        [...active].filter((other) => other !== attempt).forEach(abortAttempt);
+        listener.onHead(head);
+      },
+      onData: (chunk) => (winner === attempt ? listener.onData(chunk) : true),
+      onEnd: () => {
+        active.delete(attempt);
+        recordEnd(attempt, 'ok');
+        if (winner === attempt && end()) {
+          listener.onEnd();
+        }
+      },
+      onFailure: (failure) => onFailure(attempt, failure),
+    });
+
+    const requestOf = (attemptId: string): AttemptRequest => ({
+      attemptId,
+      requestId: plan.requestId,
+      className: policy.className,
+      caller: plan.caller,
+      priority: policy.priority,
+      maxWaitMs: policy.maxWaitMs,
+      method: plan.method,
+      path: plan.path,
+      headers: plan.headers,
+      body: plan.body,
+      deadlineAt: plan.deadlineAt,
+      headTimeoutMs: policy.attemptTimeoutMs,
+    });
+
+    const chooseRemote = (cluster: Cluster): Endpoint | undefined => {
+      const choice = { cluster, evidence, policy, home, random, now: timer.now() };
+      return (
+        chooseEndpoint({ ...choice, exclude: excluded }) ??
+        chooseEndpoint({ ...choice, exclude: noExclusion })
+      );
+    };
+
+    const startAttempt = (earlier?: AttemptFailureReport) => {
+      const now = timer.now();
+      if (now >= plan.deadlineAt) {
+        refuse(earlier ?? reportOf(new Failure('deadline_past')));
+        return;
+      }
+      const isLocal = upstream.queries.hasFreeSlot(policy.service) && !excluded.has(home.name);
+      const cluster = isLocal ? undefined : plan.held.clusters.get(policy.service);
+      const endpoint = cluster && chooseRemote(cluster);
+      if (!isLocal && !endpoint) {
+        refuse(earlier ?? reportOf(new Failure('no_upstream', policy.service)));
+        return;
+      }
+      attempts += 1;
+      const id = attempts === 1 && firstAttemptId ? firstAttemptId : nextAttemptId();
+      const attempt: Attempt = {
+        endpointId: endpoint?.id ?? home.name,
+        startedAt: now,
+        running: undefined,
+      };
+      active.add(attempt);
+      evidence.commands.recordStart(attempt.endpointId, now);
+      const isOwn = !endpoint || endpoint.node === home.name;
+      attempt.running = isOwn
+        ? upstream.commands.send(requestOf(id), listenTo(attempt))
+        : remote.send(endpoint, requestOf(id), listenTo(attempt));
+    };
+
+    const startHedge = () => {
+      const canHedge = !isOver && !winner && active.size === 1 && plan.body.kind !== 'stream';
+      if (canHedge && budget.commands.spend(timer.now())) {
+        active.forEach(({ endpointId }) => excluded.add(endpointId));
+        startAttempt();
+      }
+    };
+
+    budget.commands.recordCall(timer.now());
+    startAttempt();
+    const hedgeAfterMs = decideHedge({
+      policy,
+      budget,
+      attempt: attempts,
+      remainingMs: plan.deadlineAt - timer.now(),
+      isFirstNode: true,
+      now: timer.now(),
+    });
+    if (!isOver && hedgeAfterMs !== undefined) {
+      cancelHedge = timer.after(hedgeAfterMs, startHedge);
+    }
+
+    return {
+      abort: () => {
+        end();
+      },
+      resume: () => winner?.running?.resume(),
+      mayHaveRun: () =>
+        mayHaveRun || [...active].some(({ running }) => running?.mayHaveRun() ?? false),
+    };
+  };
+
+  return { run, nextAttemptId };
+};
--- /dev/null
+++ b/src/plugins/forwardServer.ts
@@ -0,0 +1,151 @@
+/**
+ * Takes calls from other nodes for the upstream beside this one. The sender's node proves itself by
+ * the cluster token, and every answer echoes the attempt id and carries the load.
+ */
+import type { ServerResponse } from 'node:http';
+import type { PolkaRequest } from 'polka';
+import type { AttemptFailureReport, RunningAttempt } from '../types/calls.js';
+import type { Access } from './access.js';
+import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
+import {
+  attemptIdHeader,
+  callerAuthorizationHeader,
+  callerHeader,
+  loadHeader,
+  maxWaitHeader,
+  passRequestHeaders,
+  priorityHeader,
+  readCallHeaders,
+  readRequestId,
+} from './callHeaders.js';
+import { createCallListener, type CallListener } from './callListener.js';
+import type { LocalUpstream } from './localUpstream.js';
+import { formatLoad } from './remoteNode.js';
+import { streamBody } from './requestBody.js';
+import type { Address } from './rpc.js';
+import { Failure } from '../utils/failure.js';
+import type { Timer } from '../utils/timer.js';
+
+/** Room for the headers that nodes add to those of a caller. */
+const maxHeaderBytes = 32 * 1_024;
+/** Other nodes end idle connections after 4 s. */
+const idleStopMs = 4_500;
+const defaultDeadlineMs = 30_000;
+const defaultPriority = 50;
+
+export interface ForwardServerOptions {
+  readonly address: Address;
+  readonly access: Access;
+  readonly timer: Timer;
+  readonly upstream: LocalUpstream;
+}
+
+const single = (request: PolkaRequest, name: string): string | undefined => {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+const numberIn = (request: PolkaRequest, name: string, otherwise: number): number => {
+  const value = Number(single(request, name) ?? otherwise);
+  if (!Number.isFinite(value) || value < 0) {
+    throw new Failure('bad_request', `header ${name}: a number of at least 0`);
+  }
+  return value;
+};
+
+/** Headers for the upstream: the caller's, with its own `authorization` put back. */
+const headersForUpstream = (request: PolkaRequest): string[] => {
+  const headers: string[] = [];
+  const passed = passRequestHeaders(request.rawHeaders);
+  for (let index = 0; index + 1 < passed.length; index += 2) {
+    if (passed[index] !== 'authorization') {
+      headers.push(passed[index]!, passed[index + 1]!);
+    }
+  }
+  const authorization = single(request, callerAuthorizationHeader);
+  return authorization === undefined ? headers : [...headers, 'authorization', authorization];
+};
+
+/** Creates the server of a node's forward address. */
+export const createForwardServer = (options: ForwardServerOptions): CallListener => {
+  const { access, timer, upstream } = options;
+
+  const handle = (request: PolkaRequest, response: ServerResponse) => {
+    const requestId = readRequestId(request) ?? '';
+    const attemptId = single(request, attemptIdHeader) ?? '';
+    const echo = () => [
+      attemptIdHeader,
+      attemptId,
+      loadHeader,
+      formatLoad(upstream.queries.load()),
+    ];
+    let attempt: RunningAttempt | undefined;
+
+    const refuse = (failure: AttemptFailureReport) => {
+      // The rest of the body is not read: the connection cannot carry another request.
+      response.shouldKeepAlive &&= request.complete;
+      writeRefusal(response, failure, requestId, echo());
+    };
+
+    if (access.identify(request.headers.authorization).kind !== 'cluster') {
+      refuse(reportOf(new Failure('unauthorized')));
+      return;
+    }
+
+    const start = () => {
+      const { deadlineMs = defaultDeadlineMs, className = '' } = readCallHeaders(request);
+      if (attemptId === '' || requestId === '') {
+        throw new Failure('bad_request', 'a forwarded call has an attempt id and a request id');
+      }
+      return upstream.commands.send(
+        {
+          attemptId,
+          requestId,
+          className,
+          caller: single(request, callerHeader) ?? '',
+          priority: numberIn(request, priorityHeader, defaultPriority),
+          maxWaitMs: numberIn(request, maxWaitHeader, 0),
+          method: request.method ?? 'GET',
+          path: request.originalUrl,
+          headers: headersForUpstream(request),
+          body: streamBody(request),
+          deadlineAt: timer.now() + deadlineMs,
+          headTimeoutMs: deadlineMs,
+        },
+        {
+          onHead: (head) => {
+            writeAnswerHead(response, head, [...echo(), 'x-request-id', requestId]);
+          },
+          onData: (chunk) => writeAnswerPart(response, chunk, () => attempt?.resume()),
+          onEnd: () => response.end(),
+          onFailure: refuse,
+        },
+      );
+    };
+
+    listener.guard(request, (reason, detail) => {
+      const run = attempt?.mayHaveRun() ? 'may_have_run' : 'not_run';
+      attempt?.abort();
+      refuse({ reason, run, detail, retried: false });
+    });
+    response.once('close', () => {
+      if (!response.writableFinished) {
+        attempt?.abort();
+      }
+    });
+    try {
+      attempt = start();
+    } catch (error) {
+      refuse(reportOf(error));
+    }
+  };
+
+  const listener = createCallListener({
+    address: options.address,
+    timer,
+    maxHeaderBytes,
+    idleStopMs,
+    onCall: handle,
+  });
+  return listener;
+};
--- /dev/null
+++ b/src/plugins/localUpstream.ts
@@ -0,0 +1,271 @@
+/**
+ * The upstream beside this node: what it announced, its slots and the pool of connections to it.
+ * Only this module sends calls to it, each under a slot of the admission.
+ */
+import type { Pool } from 'undici';
+import {
+  createAdmission,
+  type Admission,
+  type AdmissionEffect,
+  type AdmissionRefusal,
+  type FinishOutcome,
+} from '../core/admission.js';
+import type { EndpointLoad } from '../core/evidence.js';
+import type {
+  AttemptFailureReport,
+  AttemptListener,
+  AttemptRequest,
+  RunningAttempt,
+} from '../types/calls.js';
+import type { FailureReason } from '../utils/failure.js';
+import type { Cancel, Timer } from '../utils/timer.js';
+import { attemptIdHeader, classHeader, deadlineHeader, requestIdHeader } from './callHeaders.js';
+import { startExchange } from './exchange.js';
+import { createUpstreamPool } from './upstreamPool.js';
+
+/** Wait that a refused caller is told, in seconds. */
+const retryAfterSeconds = 1;
+
+export interface UpstreamDescription {
+  readonly service: string;
+  readonly address: string;
+  readonly slots: number;
+  readonly connections: number;
+}
+
+export interface LocalUpstream {
+  readonly commands: {
+    describe(description: UpstreamDescription): void;
+    /** Refuses waiting and later calls with `leaving`; calls in flight finish. */
+    leave(): void;
+    /** Takes calls again after `leave`. */
+    resume(): void;
+    send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
+    stop(): Promise<void>;
+  };
+  readonly queries: {
+    description(): UpstreamDescription | undefined;
+    isLeaving(): boolean;
+    /** True if a call of the service would be admitted at once. */
+    hasFreeSlot(service: string): boolean;
+    load(): EndpointLoad;
+    inFlight(): number;
+    /** True if the last attempt to reach the upstream found nothing that takes connections. */
+    isUnreachable(): boolean;
+  };
+}
+
+const noLoad: EndpointLoad = { inFlight: 0, limit: 0, waiting: 0 };
+
+interface Entry {
+  /** Called when the admission decided about a call that waited. */
+  decide(refusal: AdmissionRefusal | undefined): void;
+}
+
+const refusedReport = (reason: FailureReason): AttemptFailureReport => ({
+  reason,
+  run: 'not_run',
+  retried: false,
+  retryAfterSeconds: reason === 'overloaded' ? retryAfterSeconds : undefined,
+});
+
+/** Creates the access of a node to the upstream beside it. */
+export const createLocalUpstream = (timer: Timer): LocalUpstream => {
+  let description: UpstreamDescription | undefined;
+  let pool: Pool | undefined;
+  let admission: Admission | undefined;
+  let isLeaving = false;
+  let isUnreachable = false;
+  let cancelTick: Cancel | undefined;
+  let tickAt = Infinity;
+  const entries = new Map<string, Entry>();
+
+  const carryOut = (effects: readonly AdmissionEffect[]) => {
+    effects.forEach((effect) => {
+      if (effect.type !== 'waiting') {
+        entries.get(effect.id)?.decide(effect.type === 'refused' ? effect.reason : undefined);
+      }
+    });
+    scheduleTick();
+  };
+
+  const scheduleTick = () => {
+    const dueAt = admission?.queries.nextTickAt();
+    if (dueAt === undefined || dueAt >= tickAt) {
+      return;
+    }
+    cancelTick?.();
+    tickAt = dueAt;
+    cancelTick = timer.after(Math.max(1, dueAt - timer.now()), () => {
+      tickAt = Infinity;
+      carryOut(admission?.commands.tick(timer.now()) ?? []);
+    });
+  };
+
+  const headersTo = (request: AttemptRequest): string[] => [
+    ...request.headers,
+    requestIdHeader,
+    request.requestId,
+    classHeader,
+    request.className,
+    attemptIdHeader,
+    request.attemptId,
+    deadlineHeader,
+    String(Math.max(1, Math.floor(request.deadlineAt - timer.now()))),
+  ];
+
+  const send = (request: AttemptRequest, listener: AttemptListener): RunningAttempt => {
+    const { attemptId } = request;
+    let exchange: RunningAttempt | undefined;
+    let admittedAt: number | undefined;
+    let status = 0;
+    let isOver = false;
+
+    const finish = (outcome: FinishOutcome['outcome']) => {
+      isOver = true;
+      entries.delete(attemptId);
+      const now = timer.now();
+      const latencyMs = now - (admittedAt ?? now);
+      const effects =
+        admittedAt === undefined
+          ? admission?.commands.cancel(attemptId, now)
+          : admission?.commands.finish(attemptId, now, { outcome, latencyMs });
+      carryOut(effects ?? []);
+    };
+
+    const ownListener: AttemptListener = {
+      onHead: (head) => {
+        status = head.status;
+        isUnreachable = false;
+        listener.onHead(head);
+      },
+      onData: (chunk) => listener.onData(chunk),
+      onEnd: () => {
+        finish(status === 503 ? 'overloaded' : 'ok');
+        listener.onEnd();
+      },
+      onFailure: (failure) => {
+        isUnreachable = failure.reason === 'upstream_unreachable';
+        finish('failed');
+        listener.onFailure(failure);
+      },
+    };
+
+    const start = () => {
+      const now = timer.now();
+      admittedAt = now;
+      const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
+      exchange = startExchange({
+        dispatcher: pool!,
+        timer,
+        method: request.method,
+        path: request.path,
+        headers: headersTo(request),
+        body: request.body,
+        headTimeoutMs: Math.max(1, headTimeoutMs),
+        attemptId,
+        requestId: request.requestId,
+        expectsAttemptId: false,
+        listener: ownListener,
+      });
+    };
+
+    const decide: Entry['decide'] = (refusal) => {
+      if (isOver) {
+        return;
+      }
+      if (refusal === undefined) {
+        start();
+        return;
+      }
+      isOver = true;
+      entries.delete(attemptId);
+      listener.onFailure(refusedReport(refusal));
+    };
+
+    if (!admission || !pool) {
+      isOver = true;
+      listener.onFailure(refusedReport('no_upstream'));
+    } else {
+      entries.set(attemptId, { decide });
+      carryOut(
+        admission.commands.request(
+          {
+            id: attemptId,
+            className: request.className,
+            caller: request.caller,
+            priority: request.priority,
+            maxWaitMs: request.maxWaitMs,
+            deadlineAt: request.deadlineAt,
+          },
+          timer.now(),
+        ),
+      );
+    }
+
+    return {
+      abort: () => {
+        if (!isOver) {
+          exchange?.abort();
+          finish('cancelled');
+        }
+      },
+      resume: () => exchange?.resume(),
+      mayHaveRun: () => exchange?.mayHaveRun() ?? false,
+    };
+  };
+
+  const replacePool = (address: string, connections: number) => {
+    pool?.close().catch(() => undefined);
+    pool = createUpstreamPool(address, connections);
+  };
+
+  const describe = (next: UpstreamDescription) => {
+    const isOtherPool =
+      next.address !== description?.address || next.connections !== description?.connections;
+    if (isOtherPool) {
+      replacePool(next.address, next.connections);
+    }
+    description = next;
+    isUnreachable = false;
+    admission ??= createAdmission({ slots: next.slots });
+    carryOut(admission.commands.setLimit(next.slots, timer.now()));
+  };
+
+  const leave = () => {
+    isLeaving = true;
+    carryOut(admission?.commands.leave(timer.now()) ?? []);
+  };
+
+  const resume = () => {
+    // The admission of calls in flight stays until they are over; `leave` is final for it.
+    isLeaving = false;
+    admission = description && createAdmission({ slots: description.slots });
+  };
+
+  return {
+    commands: {
+      describe,
+      leave,
+      resume,
+      send,
+      stop: async () => {
+        cancelTick?.();
+        await pool?.destroy();
+      },
+    },
+    queries: {
+      description: () => description,
+      isLeaving: () => isLeaving,
+      hasFreeSlot: (service) =>
+        !isLeaving &&
+        description?.service === service &&
+        admission !== undefined &&
+        admission.queries.waiting() === 0 &&
+        admission.queries.inFlight() < admission.queries.limit(),
+      load: () => admission?.queries.load() ?? noLoad,
+      inFlight: () => entries.size,
+      isUnreachable: () => isUnreachable,
+    },
+  };
+};
--- /dev/null
+++ b/src/plugins/nodeRuntime.ts
@@ -0,0 +1,206 @@
+/**
+ * A node without its feed: the path of a call, the announcement of the own upstream and the admin
+ * address. Configuration, clusters and the ledger are given, so that tests can replace them.
+ */
+import { createBurn, burnReport } from '../core/burn.js';
+import { createEvidence } from '../core/evidence.js';
+import { explainPolicy } from '../core/policy.js';
+import { createRetryBudget } from '../core/retry.js';
+import { formatVersion } from '../core/version.js';
+import type { Announcer, Holding, LedgerClient } from '../types/internal.js';
+import type { Log } from '../utils/log.js';
+import type { Timer } from '../utils/timer.js';
+import type { Access } from './access.js';
+import { createAdminServer, sendJson, type CheckState } from './adminServer.js';
+import { createAtMostOnce } from './atMostOnce.js';
+import { createCallMetrics } from './callMetrics.js';
+import { createCallRunner } from './callRun.js';
+import { createCallServer } from './callServer.js';
+import { createForwardServer } from './forwardServer.js';
+import { createLocalUpstream } from './localUpstream.js';
+import type { Metrics } from './metrics.js';
+import { createRemoteNodes } from './remoteNode.js';
+import type { Address } from './rpc.js';
+import { createUpstreamAnnouncement } from './upstreamAnnouncement.js';
+import { createNodePools } from './upstreamPool.js';
+
+const retryShare = 0.1;
+const housekeepingMs = 1_000;
+
+export interface NodeRuntimeOptions {
+  readonly node: { readonly name: string; readonly dataCentre: string; readonly region: string };
+  readonly listen: { readonly calls: Address; readonly forward: Address; readonly admin: Address };
+  /** Address that other nodes forward calls to. Default: the one that is listened on. */
+  readonly advertisedForward?: string;
+  readonly access: Access;
+  readonly holding: Holding;
+  readonly announcer: Announcer;
+  readonly ledger: LedgerClient;
+  readonly metrics: Metrics;
+  readonly timer: Timer;
+  readonly log: Log;
+  /** Returns a number in [0, 1). */
+  readonly random: () => number;
+}
+
+export interface BoundAddresses {
+  readonly calls: Address;
+  readonly forward: Address;
+  readonly admin: Address;
+}
+
+export interface NodeRuntime {
+  start(): Promise<BoundAddresses>;
+  /** Refuses new work, finishes calls in flight within the limit, then closes. */
+  stop(limitMs: number): Promise<void>;
+}
+
+const formatAddress = ({ host, port }: Address): string =>
+  host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+
+/** Creates a node around its configuration. */
+export const createNodeRuntime = (options: NodeRuntimeOptions): NodeRuntime => {
+  const { node, access, holding, metrics, timer, log, random } = options;
+  const evidence = createEvidence({ random });
+  const budget = createRetryBudget({ share: retryShare });
+  const burn = createBurn();
+  const callMetrics = createCallMetrics(metrics);
+  const upstream = createLocalUpstream(timer);
+  const pools = createNodePools();
+  const remote = createRemoteNodes({
+    pools,
+    timer,
+    authorization: access.authorization,
+    onLoad: (endpointId, load) => evidence.commands.recordLoad(endpointId, load, timer.now()),
+  });
+  const runner = createCallRunner({
+    home: node,
+    timer,
+    random,
+    upstream,
+    remote,
+    evidence,
+    budget,
+    onRetry: callMetrics.recordRetry,
+  });
+  const atMostOnce = createAtMostOnce({
+    runner,
+    ledger: options.ledger,
+    timer,
+    log: log.part('ledger'),
+  });
+  const calls = createCallServer({
+    address: options.listen.calls,
+    dataCentre: node.dataCentre,
+    timer,
+    holding,
+    upstream,
+    runner,
+    atMostOnce,
+    burn,
+    metrics: callMetrics,
+  });
+  const forward = createForwardServer({ address: options.listen.forward, access, timer, upstream });
+  let forwardAddress = options.advertisedForward ?? '';
+  let isStarted = false;
+  let isStopping = false;
+  const announcement = createUpstreamAnnouncement({
+    node,
+    forwardAddress: () => forwardAddress,
+    announcer: options.announcer,
+    upstream,
+    timer,
+    log: log.part('upstream'),
+  });
+
+  const health = (): CheckState => ({
+    ok: isStarted,
+    reasons: isStarted ? [] : ['the node is starting'],
+  });
+
+  const ready = (): CheckState => {
+    const reasons = [
+      ...(isStarted ? [] : ['the node is starting']),
+      ...(isStopping ? ['the node is stopping'] : []),
+      ...(holding.queries.current() ? [] : ['no configuration is held']),
+    ];
+    return { ok: reasons.length === 0, reasons };
+  };
+
+  const report = () => {
+    const held = holding.queries.current();
+    const snapshot = burn.queries.snapshot(timer.now());
+    return {
+      node: node.name,
+      data_centre: node.dataCentre,
+      version: held ? formatVersion(held.version) : undefined,
+      detached: holding.queries.isDetached(),
+      confirmed_age_ms: Math.round(holding.queries.confirmedAgeMs()),
+      snapshot,
+      burn: held ? burnReport(snapshot, held.configuration) : [],
+      upstream: upstream.queries.load(),
+      services: held ? [...held.clusters.keys()] : [],
+    };
+  };
+
+  const explain = (className: string | string[] | undefined) => {
+    const held = holding.queries.current();
+    const classes = Object.values(held?.configuration.classes ?? {});
+    return classes
+      .filter(({ name }) => className === undefined || name === className)
+      .map((trafficClass) => ({
+        class: trafficClass.name,
+        lines: explainPolicy(trafficClass, held?.clusters.get(trafficClass.service)),
+      }));
+  };
+
+  const admin = createAdminServer({
+    address: options.listen.admin,
+    health,
+    ready,
+    metrics: metrics.render,
+    routes: (router) => {
+      announcement.routes(router);
+      router.get('/report', (_request, response) => sendJson(response, 200, report()));
+      router.get('/explain', (request, response) =>
+        sendJson(response, 200, explain(request.query.class)),
+      );
+    },
+  });
+
+  const keepHouse = () => {
+    const now = timer.now();
+    pools.closeUnused(now);
+    holding.queries.current()?.clusters.forEach(({ service, endpoints }) => {
+      evidence.commands.retain(
+        service,
+        endpoints.map(({ id }) => id),
+        now,
+      );
+    });
+  };
+
+  const start = async (): Promise<BoundAddresses> => {
+    const boundAdmin = await admin.listen();
+    const boundForward = await forward.listen();
+    forwardAddress = forwardAddress || formatAddress(boundForward);
+    const boundCalls = await calls.listen();
+    announcement.start();
+    timer.every(housekeepingMs, keepHouse);
+    isStarted = true;
+    return { calls: boundCalls, forward: boundForward, admin: boundAdmin };
+  };
+
+  const stop = async (limitMs: number) => {
+    isStopping = true;
+    announcement.withdraw();
+    upstream.commands.leave();
+    await Promise.all([calls.stop(limitMs), forward.stop(limitMs)]);
+    await Promise.race([atMostOnce.settled(), timer.sleep(Math.min(limitMs, 2_000))]);
+    await pools.destroy();
+    await upstream.commands.stop();
+    await admin.close();
+  };
+
+  return { start, stop };
+};
--- /dev/null
+++ b/src/plugins/remoteNode.ts
@@ -0,0 +1,148 @@
+/**
+ * Sends an attempt to the node beside another upstream and reads its refusals. A refusal of that
+ * node says itself whether the call may have run.
+ */
+import { retriedHeader } from '../core/retry.js';
+import type { EndpointLoad } from '../core/evidence.js';
+import type { Endpoint } from '../types/public.js';
+import type {
+  AnswerHead,
+  AttemptFailureReport,
+  AttemptListener,
+  AttemptRequest,
+  RunningAttempt,
+} from '../types/calls.js';
+import { failureTable, type FailureReason } from '../utils/failure.js';
+import type { Timer } from '../utils/timer.js';
+import {
+  attemptIdHeader,
+  callerAuthorizationHeader,
+  callerHeader,
+  classHeader,
+  deadlineHeader,
+  headerIn,
+  loadHeader,
+  maxWaitHeader,
+  priorityHeader,
+  refusalHeader,
+  requestIdHeader,
+  runHeader,
+} from './callHeaders.js';
+import { startExchange } from './exchange.js';
+import type { NodePools } from './upstreamPool.js';
+
+export interface RemoteNodes {
+  send(endpoint: Endpoint, request: AttemptRequest, listener: AttemptListener): RunningAttempt;
+}
+
+export interface RemoteNodesOptions {
+  readonly pools: NodePools;
+  readonly timer: Timer;
+  readonly authorization: string;
+  readonly onLoad: (endpointId: string, load: EndpointLoad) => void;
+}
+
+/** Parses `x-load`: in flight, limit and waiting, separated by commas. */
+export const parseLoad = (text: string): EndpointLoad | undefined => {
+  const [inFlight, limit, waiting] = text.split(',').map(Number);
+  return [inFlight, limit, waiting].every((value) => Number.isSafeInteger(value) && value! >= 0)
+    ? { inFlight: inFlight!, limit: limit!, waiting: waiting! }
+    : undefined;
+};
+
+/** Text form of a load for `x-load`. */
+export const formatLoad = ({ inFlight, limit, waiting }: EndpointLoad): string =>
+  `${inFlight},${limit},${waiting}`;
+
+const readRefusal = ({ headers }: AnswerHead): AttemptFailureReport | undefined => {
+  const reason = headerIn(headers, refusalHeader);
+  if (reason === undefined || !Object.hasOwn(failureTable, reason)) {
+    return undefined;
+  }
+  const retryAfter = Number(headerIn(headers, 'retry-after'));
+  return {
+    reason: reason as FailureReason,
+    run: headerIn(headers, runHeader) === 'not_run' ? 'not_run' : 'may_have_run',
+    retried: headerIn(headers, retriedHeader) === 'true',
+    retryAfterSeconds: retryAfter > 0 ? retryAfter : undefined,
+  };
+};
+
+/** Creates the sender of attempts to other nodes. */
+export const createRemoteNodes = ({
+  pools,
+  timer,
+  authorization,
+  onLoad,
+}: RemoteNodesOptions): RemoteNodes => {
+  const headersTo = (request: AttemptRequest): string[] => {
+    const headers: string[] = [];
+    for (let index = 0; index + 1 < request.headers.length; index += 2) {
+      const name = request.headers[index]!;
+      headers.push(
+        name === 'authorization' ? callerAuthorizationHeader : name,
+        request.headers[index + 1]!,
+      );
+    }
+    headers.push(
+      'authorization',
+      authorization,
+      requestIdHeader,
+      request.requestId,
+      attemptIdHeader,
+      request.attemptId,
+      classHeader,
+      request.className,
+      callerHeader,
+      request.caller,
+      priorityHeader,
+      String(request.priority),
+      maxWaitHeader,
+      String(request.maxWaitMs),
+      deadlineHeader,
+      Math.max(0.1, request.deadlineAt - timer.now()).toFixed(1),
+    );
+    return headers;
+  };
+
+  const send: RemoteNodes['send'] = (endpoint, request, listener) => {
+    let refusal: AttemptFailureReport | undefined;
+    const now = timer.now();
+    const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
+    return startExchange({
+      dispatcher: pools.to(endpoint.forwardAddress, now),
+      timer,
+      method: request.method,
+      path: request.path,
+      headers: headersTo(request),
+      body: request.body,
+      headTimeoutMs: Math.max(1, headTimeoutMs),
+      attemptId: request.attemptId,
+      requestId: request.requestId,
+      expectsAttemptId: true,
+      listener: {
+        onHead: (head) => {
+          const load = parseLoad(headerIn(head.headers, loadHeader) ?? '');
+          if (load) {
+            onLoad(endpoint.id, load);
+          }
+          refusal = readRefusal(head);
+          if (!refusal) {
+            listener.onHead(head);
+          }
+        },
+        onData: (chunk) => (refusal ? true : listener.onData(chunk)),
+        onEnd: () => {
+          if (refusal) {
+            listener.onFailure(refusal);
+          } else {
+            listener.onEnd();
+          }
+        },
+        onFailure: (failure) => listener.onFailure(refusal ?? failure),
+      },
+    });
+  };
+
+  return { send };
+};
--- /dev/null
+++ b/src/plugins/upstreamPool.ts
@@ -0,0 +1,71 @@
+/**
+ * Pools of HTTP/1.1 connections: one to the own upstream, one to each other node. Pipelining is off
+ * in all of them. Connections to nodes are few and end after a short idle time, since a node that
+ * is cut off leaves them silent.
+ */
+import { Pool } from 'undici';
+
+const connectTimeoutMs = 1_000;
+const upstreamIdleMs = 4_000;
+const nodeConnections = 8;
+const nodeIdleMs = 4_000;
+const maxUpstreamHeadBytes = 16 * 1_024;
+/** Nodes add their own headers to what an upstream sent. */
+const maxNodeHeadBytes = 32 * 1_024;
+/** Pools to nodes that were not used for this time are closed, in ms. */
+const unusedPoolMs = 60_000;
+
+const createPool = (address: string, connections: number, idleMs: number, maxHeadBytes: number) =>
+  new Pool(`http://${address}`, {
+    connections,
+    pipelining: 1,
+    connect: { timeout: connectTimeoutMs },
+    keepAliveTimeout: idleMs,
+    keepAliveMaxTimeout: idleMs,
+    maxHeaderSize: maxHeadBytes,
+  });
+
+/** Creates the pool to the upstream beside the node. */
+export const createUpstreamPool = (address: string, connections: number): Pool =>
+  createPool(address, connections, upstreamIdleMs, maxUpstreamHeadBytes);
+
+export interface NodePools {
+  /** Pool to the forward address of a node. */
+  to(forwardAddress: string, now: number): Pool;
+  /** Closes the pools that were not used for a while. */
+  closeUnused(now: number): void;
+  destroy(): Promise<void>;
+}
+
+/** Creates the pools to other nodes, by forward address. */
+export const createNodePools = (): NodePools => {
+  const pools = new Map<string, { pool: Pool; usedAt: number }>();
+
+  const to: NodePools['to'] = (forwardAddress, now) => {
+    const known = pools.get(forwardAddress);
+    if (known) {
+      known.usedAt = now;
+      return known.pool;
+    }
+    const pool = createPool(forwardAddress, nodeConnections, nodeIdleMs, maxNodeHeadBytes);
+    pools.set(forwardAddress, { pool, usedAt: now });
+    return pool;
+  };
+
+  const closeUnused = (now: number) => {
+    [...pools]
+      .filter(([, { usedAt }]) => now - usedAt > unusedPoolMs)
+      .forEach(([address, { pool }]) => {
+        pools.delete(address);
+        pool.close().catch(() => undefined);
+      });
+  };
+
+  return {
+    to,
+    closeUnused,
+    destroy: async () => {
+      await Promise.all([...pools.values()].map(({ pool }) => pool.destroy()));
+    },
+  };
+};
