--- /dev/null
+++ b/src/cli/cli.ts
@@ -0,0 +1,52 @@
+/**
+ * All commands of the command line, and the mapping of unexpected ends to exit codes.
+ */
+import { Builtins, Cli, type CommandClass } from 'clipanion';
+import packageFile from '../../package.json' with { type: 'json' };
+import { AddMemberCommand } from './commands/addMember.js';
+import { ApplyCommand } from './commands/apply.js';
+import { DrainCommand } from './commands/drain.js';
+import { RemoveMemberCommand } from './commands/removeMember.js';
+import { exitCodes } from './exitCodes.js';
+import { CheckCommand } from './queries/check.js';
+import { ExplainCommand } from './queries/explain.js';
+import { GetCommand } from './queries/get.js';
+import { HistoryCommand } from './queries/history.js';
+import { MembersCommand } from './queries/members.js';
+import { StatusCommand } from './queries/status.js';
+
+const commands: CommandClass[] = [
+  ApplyCommand,
+  DrainCommand,
+  MembersCommand,
+  AddMemberCommand,
+  RemoveMemberCommand,
+  CheckCommand,
+  ExplainCommand,
+  GetCommand,
+  HistoryCommand,
+  StatusCommand,
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+];
+
+const createCli = () =>
+  Cli.from(commands, {
+    binaryLabel: 'Auburnsill',
+    binaryName: 'auburnsill',
+    binaryVersion: packageFile.version,
+    enableCapture: false,
+  });
+
+/** Runs one command and returns its exit code. */
+export const runCli = async (args: string[]): Promise<number> => {
+  const cli = createCli();
+  try {
+    const command = cli.process(args, {});
+    return await cli.run(command, {});
+  } catch (error) {
+    const isUsage = error instanceof Error && 'clipanion' in error;
+    process.stderr.write(cli.error(error));
+    return isUsage ? exitCodes.usage : exitCodes.internal;
+  }
+};
--- /dev/null
+++ b/src/cli/commands/membershipChange.ts
@@ -0,0 +1,32 @@
+/**
+ * Membership changes: one request, and its outcome as an exit code.
+ */
+import type { ChangeMembersResponse } from '../../gen/auburnsill/v1/operator_pb.js';
+import { exitCodes } from '../exitCodes.js';
+import type { OperatorClient } from '../operatorClient.js';
+
+export interface MembershipChange {
+  readonly action: 'add' | 'remove';
+  readonly member: string;
+  readonly incarnation?: string;
+  readonly address?: string;
+  readonly dataCentre?: string;
+  readonly region?: string;
+}
+
+/** A membership change is not sent twice: it carries no change id. */
+export const sendMembershipChange = (
+  client: OperatorClient,
+  change: MembershipChange,
+): Promise<ChangeMembersResponse> =>
+  client.ask(({ commands }) => commands.changeMembers(change), { repeatable: false });
+
+const exitCodeByOutcome: Readonly<Record<string, number>> = {
+  accepted: exitCodes.ok,
+  ok: exitCodes.ok,
+  unchanged: exitCodes.ok,
+  unknown: exitCodes.unknown,
+};
+
+export const membershipExitCode = ({ outcome }: ChangeMembersResponse): number =>
+  exitCodeByOutcome[outcome] ?? exitCodes.refused;
--- /dev/null
+++ b/src/cli/inForce.ts
@@ -0,0 +1,73 @@
+/**
+ * Where a version is in force, from the status of the control instances.
+ */
+import { compareVersions } from '../core/version.js';
+import type { DataCentreStatus, StatusResponse } from '../gen/auburnsill/v1/operator_pb.js';
+import type { Version } from '../types/public.js';
+import type { Timer } from '../utils/timer.js';
+import type { OperatorClient } from './operatorClient.js';
+import { toVersion, versionText } from './text.js';
+
+const pollMs = 100;
+
+export const askStatus = (client: OperatorClient): Promise<StatusResponse> =>
+  client.ask(({ queries }) => queries.status({}), { repeatable: true });
+
+/** True if the data centre is attached and all its nodes serve the current version. */
+export const isInForce = ({ attached, nodes, nodesInForce }: DataCentreStatus): boolean =>
+  attached && nodesInForce >= nodes;
+
+/** Names of data centres in which the current version is not confirmed in force. */
+export const dataCentresBehind = (status: StatusResponse): string[] =>
+  status.dataCentres.filter((dataCentre) => !isInForce(dataCentre)).map(({ name }) => name);
+
+/** One line for each node or data centre that is behind, with the reason. */
+export const describeBehind = (status: StatusResponse): string[] =>
+  status.dataCentres.flatMap((dataCentre) => {
+    const { name, attached, nodes, nodesInForce, confirmedAgeMs, laggards } = dataCentre;
+    if (isInForce(dataCentre)) {
+      return [];
+    }
+    const state = attached ? '' : `, not attached, last confirmed ${confirmedAgeMs} ms ago`;
+    return [
+      `${name}: in force on ${nodesInForce} of ${nodes}${state}`,
+      ...laggards.map(
+        (laggard) =>
+          `  ${laggard.name} serves ${versionText(laggard.version)}: ${laggard.reason || 'no reason reported'}`,
+      ),
+    ];
+  });
+
+export interface WaitResult {
+  readonly status: StatusResponse;
+  readonly complete: boolean;
+}
+
+/** Asks until `version` or a newer one is in force everywhere, or the limit passes. */
+export const waitInForce = async (
+  client: OperatorClient,
+  version: Version,
+  {
+    timer,
+    limitMs,
+    onProgress,
+  }: {
+    timer: Timer;
+    limitMs: number;
+    onProgress: (status: StatusResponse) => void;
+  },
+): Promise<WaitResult> => {
+  const until = timer.now() + limitMs;
+  for (;;) {
+    const status = await askStatus(client);
+    const isCurrent = compareVersions(toVersion(status.version), version) >= 0;
+    if (isCurrent && dataCentresBehind(status).length === 0) {
+      return { status, complete: true };
+    }
+    onProgress(status);
+    if (timer.now() >= until) {
+      return { status, complete: false };
+    }
+    await timer.sleep(pollMs);
+  }
+};
--- /dev/null
+++ b/src/cli/queries/check.ts
@@ -0,0 +1,42 @@
+/**
+ * `auburnsill check`: checks a settings or target file without a connection.
+ */
+import { readFile } from 'node:fs/promises';
+import { basename } from 'node:path';
+import { Command, Option } from 'clipanion';
+import { BaseCommand } from '../baseCommand.js';
+import { checkFile } from '../checkFile.js';
+import { formatFinding } from '../../utils/findings.js';
+import { CommandFailure, exitCodes } from '../exitCodes.js';
+import { plural } from '../text.js';
+
+export class CheckCommand extends BaseCommand {
+  static override paths = [['check']];
+
+  static override usage = Command.Usage({
+    category: 'Queries',
+    description: 'Check a settings or target file and report every problem in it',
+    details: `
+      The kind of file is told by its tables: [node], [control], a list of control addresses, or
+      targets. Checks that need the fleet are made by \`apply --dry-run\`.
+    `,
+    examples: [
+      ['Check targets', '$0 check targets.toml'],
+      ['Check the settings of a node', '$0 check node.toml'],
+    ],
+  });
+
+  file = Option.String({ name: 'FILE' });
+
+  protected async run(): Promise<number> {
+    const text = await readFile(this.file, 'utf8').catch((error: Error) => {
+      throw new CommandFailure('usage', error.message, { cause: error });
+    });
+    const { kind, findings } = checkFile(text, basename(this.file));
+    findings.forEach((finding) => this.context.stderr.write(`${formatFinding(finding)}\n`));
+    const result = findings.length === 0 ? 'correct' : plural(findings.length, 'finding');
+    this.print(`${this.file}: ${kind}, ${result}`);
+    this.printResult({ ok: findings.length === 0, kind, findings });
+    return findings.length === 0 ? exitCodes.ok : exitCodes.findings;
+  }
+}
--- /dev/null
+++ b/src/cli/queries/explain.ts
@@ -0,0 +1,40 @@
+/**
+ * `auburnsill explain`: what a class's target was turned into, with the arithmetic.
+ */
+import { Command, Option } from 'clipanion';
+import { OperatorCommand } from '../operatorCommand.js';
+import { CommandFailure, exitCodes } from '../exitCodes.js';
+import { formatTable, versionText } from '../text.js';
+
+export class ExplainCommand extends OperatorCommand {
+  static override paths = [['explain']];
+
+  static override usage = Command.Usage({
+    category: 'Queries',
+    description: "Show what a class's target was turned into, and why",
+    examples: [['Explain a class', '$0 explain field-lookup']],
+  });
+
+  className = Option.String({ name: 'CLASS' });
+
+  protected run(): Promise<number> {
+    return this.withClient(async (client) => {
+      const reply = await client.ask(
+        ({ queries }) => queries.explain({ className: this.className }),
+        { repeatable: true },
+      );
+      if (reply.outcome !== 'ok') {
+        throw new CommandFailure('refused', `class ${this.className}: ${reply.outcome}`);
+      }
+      this.print(`class ${this.className} in version ${versionText(reply.version)}`);
+      this.print(formatTable(reply.lines.map(({ name, value, reason }) => [name, value, reason])));
+      this.printResult({
+        ok: true,
+        class: this.className,
+        version: versionText(reply.version),
+        lines: reply.lines.map(({ name, value, reason }) => ({ name, value, reason })),
+      });
+      return exitCodes.ok;
+    });
+  }
+}
