--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -13,6 +13,7 @@
 import { GetCommand } from './queries/get.js';
 import { HistoryCommand } from './queries/history.js';
 import { MembersCommand } from './queries/members.js';
+import { ReportCommand } from './queries/report.js';
 import { StatusCommand } from './queries/status.js';
 
 const commands: CommandClass[] = [
@@ -25,6 +26,7 @@
   ExplainCommand,
   GetCommand,
   HistoryCommand,
+  ReportCommand,
   StatusCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
@@ -36,6 +38,7 @@
     binaryName: 'auburnsill',
     binaryVersion: packageFile.version,
     enableCapture: false,
+    enableColors: process.stdout.isTTY && process.stderr.isTTY,
   });
 
 /** Runs one command and returns its exit code. */
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -11,6 +11,7 @@
 import { parseVersion } from '../../core/version.js';
 import type { ApplyResponse, StatusResponse } from '../../gen/auburnsill/v1/operator_pb.js';
 import type { Finding, Version } from '../../types/public.js';
+import { failureTable } from '../../utils/failure.js';
 import { formatFinding } from '../../utils/findings.js';
 import { createTimer, type Timer } from '../../utils/timer.js';
 import { OperatorCommand } from '../operatorCommand.js';
@@ -24,6 +25,10 @@
 const outcomePauseMs = 500;
 const msPerSecond = 1_000;
 
+/** Findings in the targets have a place in the file; other refusals are named in `failureTable`. */
+const refusalReason = (findings: readonly Finding[]): 'findings' | 'refused' =>
+  findings.every(({ place }) => !Object.hasOwn(failureTable, place)) ? 'findings' : 'refused';
+
 const unknownOutcome = (changeId: string, cause: Error): CommandFailure =>
   new CommandFailure(
     'unknown',
@@ -193,7 +198,7 @@
       this.printFindings(reply.findings);
       const isNotRun = reply.run !== 'may_have_run';
       this.context.stderr.write(`refused${isNotRun ? ', nothing was changed' : ''}\n`);
-      return this.finish('refused', reply, changeId);
+      return this.finish(refusalReason(reply.findings), reply, changeId);
     },
     unknown: (reply, changeId) => {
       this.printFindings(reply.findings);
--- a/src/cli/connectionSettings.ts
+++ b/src/cli/connectionSettings.ts
@@ -117,6 +117,17 @@
   return addresses;
 };
 
+const readToken = (file: string): string => {
+  try {
+    // The token is read once, before anything else runs.
+    // eslint-disable-next-line n/no-sync
+    return readFileSync(file, 'utf8').trim();
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    throw new CommandFailure('usage', `token file: ${message}`, { cause: error });
+  }
+};
+
 /** The operator's token. Throws if no file is named or it cannot be read. */
 export const operatorToken = (options: ConnectionOptions, environment: Environment): string => {
   const file =
@@ -129,12 +140,10 @@
       'no token file is named: use --token-file FILE, AUBURNSILL_TOKEN_FILE or --config FILE',
     );
   }
-  try {
-    // The token is read once, before anything else runs.
-    // eslint-disable-next-line n/no-sync
-    return readFileSync(file, 'utf8').trim();
-  } catch (error) {
-    const message = error instanceof Error ? error.message : String(error);
-    throw new CommandFailure('usage', `token file: ${message}`, { cause: error });
+  const token = readToken(file);
+  // An invalid token must not end up in the message of the HTTP library.
+  if (!/^[\x21-\x7e]+$/.test(token)) {
+    throw new CommandFailure('usage', `token file ${file}: not one line of printable characters`);
   }
+  return token;
 };
--- a/src/cli/operatorCommand.ts
+++ b/src/cli/operatorCommand.ts
@@ -20,7 +20,9 @@
     return { control: this.control, tokenFile: this.tokenFile, config: this.config };
   }
 
-  protected async withClient(body: (client: OperatorClient) => Promise<number>): Promise<number> {
+  protected async withClient<Result>(
+    body: (client: OperatorClient) => Promise<Result>,
+  ): Promise<Result> {
     const { env } = this.context;
     const options = this.connectionOptions();
     const client = createOperatorClient(
