--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -139,7 +139,10 @@
   const source: ConfigurationSource = {
     head: () => acceptance.queries.head(),
     at: (version) => acceptance.queries.at(version)?.configuration,
-    confirmedAgeMs: () => groups.configuration?.queries.confirmedAgeMs() ?? Infinity,
+    confirmedAgeMs: () => {
+      const ageMs = groups.configuration?.queries.confirmedAgeMs() ?? Infinity;
+      return Math.min(Math.round(ageMs), Number.MAX_SAFE_INTEGER);
+    },
     onChange: (listener) => {
       headListeners.add(listener);
       return () => headListeners.delete(listener);
