--- /dev/null
+++ b/__tests__/consensus.property.test.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { createWorld, type World } from './support/replicaWorld.js';
+
+const seed = 20_261_204;
+const runs = 3_000;
+
+type Action = (world: World) => void;
+
+const pick = fc.nat({ max: 1_000 });
+const one = fc.constant(null);
+const rounds = fc.nat({ max: 30 });
+const few = fc.array(pick, { maxLength: 2 });
+
+const actions: fc.WeightedArbitrary<Action>[] = [
+  {
+    weight: 20,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.deliver(at, false),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.deliver(at, true),
+    ),
+  },
+  {
+    weight: 6,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.drop(at),
+    ),
+  },
+  {
+    weight: 10,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.sync(at),
+    ),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.nat({ max: 900 }).map(
+      (ms): Action =>
+        (world) =>
+          world.advance(ms),
+    ),
+  },
+  { weight: 2, arbitrary: one.map((): Action => (world) => world.advance(2_000)) },
+  {
+    weight: 10,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.propose(at),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.read(at),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.transfer(at),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.compact(at),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.tuple(pick, pick).map(
+      ([at, kept]): Action =>
+        (world) =>
+          world.crash(at, kept),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: pick.map(
+      (at): Action =>
+        (world) =>
+          world.loseDisk(at),
+    ),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.tuple(pick, pick, fc.constantFrom('add' as const, 'remove' as const)).map(
+      ([at, target, action]): Action =>
+        (world) =>
+          world.changeMembers(at, target, action),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: rounds.map(
+      (count): Action =>
+        (world) =>
+          world.settle(count),
+    ),
+  },
+  {
+    weight: 10,
+    arbitrary: fc.tuple(rounds, fc.record({ isolated: few, paused: few, stalled: few })).map(
+      ([count, faults]): Action =>
+        (world) =>
+          world.settle(count, faults),
+    ),
+  },
+];
+
+const interleaving = fc.record({
+  size: fc.constantFrom(2, 3, 3, 4, 5),
+  first: fc.nat({ max: 40 }),
+  steps: fc.array(fc.oneof(...actions), { minLength: 40, maxLength: 120 }),
+  randomSeed: fc.nat(),
+});
+
+const createRandom = (start: number) => {
+  const generator = xoroshiro128plus(start);
+  return () => unsafeUniformIntDistribution(0, 999_999, generator) / 1_000_000;
+};
+
+describe('replicated log under faults', () => {
+  it('keeps committed entries, elects one leader a term and reads only from a true leader', () => {
+    const totals = { commits: 0, leaders: 0, reads: 0, lostDisks: 0, promotions: 0, snapshots: 0 };
+    fc.assert(
+      fc.property(interleaving, ({ size, first, steps, randomSeed }) => {
+        const world = createWorld(size, 1, createRandom(randomSeed));
+        world.settle(first);
+        steps.forEach((act) => act(world));
+        Object.keys(totals).forEach((key) => {
+          totals[key as keyof typeof totals] += world.counters[key as keyof typeof totals];
+        });
+      }),
+      { seed, numRuns: runs, endOnFailure: true },
+    );
+    console.log(`seed ${seed}, ${runs} runs: ${JSON.stringify(totals)}`);
+    // Guards against a generator whose interleavings no longer reach the interesting states.
+    Object.entries(totals).forEach(([name, count]) => assert.ok(count > runs / 10, name));
+  });
+});
--- /dev/null
+++ b/__tests__/consensus.test.ts
@@ -0,0 +1,253 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createReplica, emptySnapshot, type ReplicaCore } from '../src/core/consensus.js';
+import { encodeMembers } from '../src/core/consensusLog.js';
+import type {
+  LogEntry,
+  ReplicaEffect,
+  ReplicaEvent,
+  RequestMessage,
+} from '../src/core/consensusTypes.js';
+import type { Member } from '../src/types/internal.js';
+
+const electionTimeoutMs = 1_000;
+const heartbeatMs = 200;
+
+const member = (
+  name: string,
+  incarnation = `${name}-0`,
+  kind: Member['kind'] = 'voter',
+): Member => ({
+  name,
+  address: name,
+  dataCentre: 'dc',
+  region: 'r',
+  incarnation,
+  kind,
+});
+
+const voters = ['a', 'b', 'c'].map((name) => member(name));
+const first: LogEntry = { term: 1, index: 1, kind: 'membership', payload: encodeMembers(voters) };
+const command = (term: number, index: number): LogEntry => ({
+  term,
+  index,
+  kind: 'command',
+  payload: new Uint8Array([term, index]),
+});
+const sender = (name: string, incarnation = `${name}-0`) => ({ name, incarnation });
+
+interface Driver {
+  readonly core: ReplicaCore;
+  /** Takes an event at the current time and returns the effects. */
+  step(event: ReplicaEvent): readonly ReplicaEffect[];
+  advance(ms: number): readonly ReplicaEffect[];
+  /** Marks all writes so far as synced. */
+  sync(): readonly ReplicaEffect[];
+  ask(from: string, message: RequestMessage): readonly ReplicaEffect[];
+  ack(from: string, matchIndex: number, incarnation?: string, round?: number): void;
+}
+
+const drive = (entries: readonly LogEntry[] = [first], term = 1): Driver => {
+  const core = createReplica({
+    self: sender('a'),
+    electionTimeoutMs,
+    heartbeatMs,
+    random: () => 0,
+    hardState: { term, votedFor: '' },
+    snapshot: emptySnapshot,
+    entries,
+  });
+  let now = 0;
+  let sequence = 0;
+  const step: Driver['step'] = (event) => {
+    const effects = core.step(event, now);
+    effects.forEach((effect) => {
+      sequence = effect.type === 'persist' ? effect.sequence : sequence;
+    });
+    return effects;
+  };
+  core.start(now);
+  return {
+    core,
+    step,
+    advance: (ms) => {
+      now += ms;
+      return step({ type: 'tick' });
+    },
+    sync: () => step({ type: 'persisted', sequence }),
+    ask: (from, message) => step({ type: 'request', from: sender(from), message, token: 1 }),
+    ack: (from, matchIndex, incarnation = `${from}-0`, round = 1) =>
+      step({
+        type: 'answer',
+        from: sender(from, incarnation),
+        message: {
+          type: 'appendAnswer',
+          term: core.queries.status().term,
+          success: true,
+          matchIndex,
+          round,
+        },
+      }),
+  };
+};
+
+const vote = (driver: Driver, from: string, preVote: boolean) => {
+  const { term } = driver.core.queries.status();
+  const message = { type: 'voteAnswer', term: preVote ? term + 1 : term, granted: true, preVote };
+  driver.step({ type: 'answer', from: sender(from), message: message as never });
+};
+
+/** Makes the driven replica the leader of the next term; its first entry is synced. */
+const elect = (driver: Driver): Driver => {
+  driver.advance(electionTimeoutMs * 2);
+  vote(driver, 'b', true);
+  driver.sync();
+  vote(driver, 'b', false);
+  assert.equal(driver.core.queries.status().role, 'leader');
+  driver.sync();
+  return driver;
+};
+
+const append = (term: number, previous: LogEntry, entries: readonly LogEntry[]) =>
+  ({
+    type: 'appendEntries',
+    term,
+    previousIndex: previous.index,
+    previousTerm: previous.term,
+    entries,
+    commitIndex: 0,
+    round: 1,
+    confirmedAgeMs: 0,
+  }) as const;
+
+describe('leader of the replicated log', () => {
+  it('does not count its own entry before it is synced', () => {
+    const driver = elect(drive());
+    driver.ack('b', 2);
+    driver.step({ type: 'propose', id: 1, payload: new Uint8Array() });
+    driver.ack('b', 3);
+    assert.equal(driver.core.queries.status().commitIndex, 2);
+    driver.sync();
+    assert.equal(driver.core.queries.status().commitIndex, 3);
+  });
+
+  it('commits an entry of an earlier term only together with one of its own', () => {
+    const driver = elect(drive([first, command(1, 2)]));
+    driver.ack('b', 2);
+    driver.ack('c', 2);
+    assert.equal(driver.core.queries.status().commitIndex, 0);
+    driver.ack('b', 3);
+    assert.equal(driver.core.queries.status().commitIndex, 3);
+  });
+
+  it('changes one member at a time, after an entry of its own term', () => {
+    const driver = elect(drive());
+    const add = (name: string, id: number) =>
+      driver
+        .step({ type: 'changeMembers', id, change: { action: 'add', member: member(name) } })
+        .find(({ type }) => type === 'proposed' || type === 'refused');
+    assert.deepEqual(add('d', 1), { type: 'refused', id: 1, reason: 'change_pending' });
+    driver.ack('b', 2);
+    assert.equal(add('d', 2)?.type, 'proposed');
+    assert.deepEqual(add('e', 3), { type: 'refused', id: 3, reason: 'change_pending' });
+    driver.sync();
+    driver.ack('b', 3);
+    assert.equal(add('e', 4)?.type, 'proposed');
+  });
+
+  it('steps down without answers of a quorum within the election timeout', () => {
+    const driver = elect(drive());
+    driver.advance(electionTimeoutMs / 2);
+    driver.step({ type: 'read', id: 7 });
+    assert.equal(driver.core.queries.status().role, 'leader');
+    driver.advance(electionTimeoutMs / 2 + 1);
+    assert.equal(driver.core.queries.status().role, 'follower');
+  });
+
+  it('does not count answers of another incarnation, nor demote a member for a late one', () => {
+    const driver = elect(drive());
+    driver.ack('b', 2, 'b-new');
+    assert.equal(driver.core.queries.status().commitIndex, 0);
+    driver.ack('c', 2);
+    assert.equal(driver.core.queries.status().commitIndex, 2);
+    // The answer of b-new came before any time without b; the member keeps its vote.
+    driver.ack('b', 2, 'b-0', 2);
+    driver.advance(heartbeatMs);
+    assert.equal(driver.core.queries.status().members[1]?.kind, 'voter');
+  });
+
+  it('makes a member with a new data folder a learner, and a voter once it has caught up', () => {
+    const driver = elect(drive());
+    driver.ack('c', 2);
+    for (let round = 1; round < 8; round += 1) {
+      driver.advance(heartbeatMs);
+      driver.ack('b', 0, 'b-new', round);
+      driver.ack('c', 2, 'c-0', round + 1);
+    }
+    const replaced = () => driver.core.queries.status().members.find(({ name }) => name === 'b');
+    assert.deepEqual([replaced()?.incarnation, replaced()?.kind], ['b-new', 'learner']);
+    driver.sync();
+    driver.ack('c', 3, 'c-0', 9);
+    driver.advance(heartbeatMs);
+    assert.equal(replaced()?.kind, 'learner');
+    driver.ack('b', 3, 'b-new', 9);
+    driver.advance(heartbeatMs);
+    assert.equal(replaced()?.kind, 'voter');
+  });
+
+  it('hands its leadership to a member that holds the whole log', () => {
+    const driver = elect(drive());
+    driver.ack('b', 2);
+    driver.ack('c', 1);
+    const sent = driver.step({ type: 'transfer' }).filter(({ type }) => type === 'send');
+    const toB = sent.find((effect) => effect.type === 'send' && effect.to.name === 'b');
+    assert.equal(toB?.type === 'send' && toB.message.type, 'timeoutNow');
+    const refused = driver.step({ type: 'propose', id: 1, payload: new Uint8Array() });
+    assert.ok(refused.some(({ type }) => type === 'refused'));
+  });
+});
+
+describe('follower of the replicated log', () => {
+  it('does not vote, nor raise its term, while it hears a leader or is cut off', () => {
+    const driver = drive();
+    driver.ask('b', append(2, first, []));
+    const asked = driver.ask('c', {
+      type: 'requestVote',
+      term: 3,
+      lastLogIndex: 9,
+      lastLogTerm: 2,
+      preVote: true,
+    });
+    const reply = asked.find(({ type }) => type === 'reply');
+    assert.ok(reply?.type === 'reply' && reply.message.type === 'voteAnswer');
+    assert.equal(reply.message.granted, false);
+    Array.from({ length: 20 }).forEach(() => driver.advance(electionTimeoutMs * 2));
+    assert.equal(driver.core.queries.status().term, 2);
+  });
+
+  it('drops a tail of another history when it installs a snapshot', () => {
+    const driver = drive([first, command(1, 2), command(1, 3), command(1, 4)]);
+    driver.ask('b', {
+      type: 'installSnapshot',
+      term: 2,
+      lastIndex: 3,
+      lastTerm: 2,
+      offset: 0,
+      chunk: new Uint8Array([1]),
+      done: true,
+      members: voters,
+      round: 1,
+    });
+    const { lastIndex, snapshotIndex } = driver.core.queries.status();
+    assert.deepEqual([lastIndex, snapshotIndex], [3, 3]);
+  });
+
+  it('answers and votes only once what it rests on is synced', () => {
+    const driver = drive();
+    const appended = driver.ask('b', append(2, first, [command(2, 2)]));
+    const persisted = appended.filter((effect) => effect.type === 'persist').at(-1);
+    const reply = appended.find(({ type }) => type === 'reply');
+    assert.ok(persisted?.type === 'persist' && reply?.type === 'reply');
+    assert.equal(reply.afterSequence, persisted.sequence);
+  });
+});
--- /dev/null
+++ b/__tests__/support/memoryFiles.ts
@@ -0,0 +1,127 @@
+/**
+ * Files in memory that tell written from durable data, for tests of crashes and failing disks.
+ */
+import type { DataFile, Files } from '../../src/plugins/files.js';
+
+export type FailingOperation = 'append' | 'sync' | 'rename' | 'syncFolder';
+
+interface Stored {
+  content: Buffer;
+  durable: Buffer;
+}
+
+export interface MemoryFiles extends Files {
+  /** The operation fails from its `count`-th call on. A failing append writes a part first. */
+  failFrom(operation: FailingOperation, count: number, code: string): void;
+  /** Forgets what was not synced. Of unsynced appends the first bytes survive, then `tail` zeros. */
+  crash(survivingBytes: number, tail: number): void;
+  flipBit(path: string, offset: number, bit: number): void;
+  /** The file vanishes. */
+  lose(path: string): void;
+  size(path: string): number;
+  readonly syncs: () => number;
+}
+
+const failure = (code: string): Error => Object.assign(new Error(code), { code });
+
+export const createMemoryFiles = (): MemoryFiles => {
+  let names = new Map<string, Stored>();
+  let durableNames = new Map<string, Stored>();
+  const failing = new Map<FailingOperation, { at: number; code: string }>();
+  const calls = new Map<FailingOperation, number>();
+  let syncs = 0;
+
+  const failsNow = (operation: FailingOperation): string | undefined => {
+    const call = (calls.get(operation) ?? 0) + 1;
+    calls.set(operation, call);
+    const plan = failing.get(operation);
+    return plan && call >= plan.at ? plan.code : undefined;
+  };
+
+  const check = (operation: FailingOperation) => {
+    const code = failsNow(operation);
+    if (code !== undefined) {
+      throw failure(code);
+    }
+  };
+
+  const openStored = (stored: Stored): DataFile => ({
+    append: async (bytes) => {
+      const code = failsNow('append');
+      const written = code === undefined ? bytes : bytes.subarray(0, bytes.length / 2);
+      stored.content = Buffer.concat([stored.content, written]);
+      if (code !== undefined) {
+        throw failure(code);
+      }
+    },
+    sync: async () => {
+      check('sync');
+      syncs += 1;
+      stored.durable = stored.content;
+    },
+    truncate: async (size) => {
+      stored.content = stored.content.subarray(0, size);
+    },
+    close: async () => undefined,
+  });
+
+  const create = (path: string): Stored => {
+    const stored = { content: Buffer.alloc(0), durable: Buffer.alloc(0) };
+    names.set(path, stored);
+    return stored;
+  };
+
+  const crashed = (stored: Stored, survivingBytes: number, tail: number): Stored => {
+    const isAppend = stored.content.subarray(0, stored.durable.length).equals(stored.durable);
+    const surviving = isAppend
+      ? stored.content.subarray(0, stored.durable.length + survivingBytes)
+      : stored.durable;
+    const zeros = Math.min(tail, stored.content.length - surviving.length);
+    const content = Buffer.concat([surviving, Buffer.alloc(Math.max(0, zeros))]);
+    return { content, durable: content };
+  };
+
+  return {
+    makeFolder: async () => undefined,
+    list: async (path) =>
+      [...names.keys()]
+        .filter((name) => name.startsWith(`${path}/`))
+        .map((name) => name.slice(path.length + 1).split('/')[0]!),
+    read: async (path) => names.get(path)?.content,
+    openAppend: async (path) => openStored(names.get(path) ?? create(path)),
+    create: async (path) => openStored(create(path)),
+    rename: async (from, to) => {
+      check('rename');
+      names.set(to, names.get(from)!);
+      names.delete(from);
+    },
+    remove: async (path) => {
+      names.delete(path);
+    },
+    syncFolder: async () => {
+      check('syncFolder');
+      durableNames = new Map(names);
+    },
+    failFrom: (operation, count, code) => {
+      failing.set(operation, { at: (calls.get(operation) ?? 0) + count, code });
+    },
+    crash: (survivingBytes, tail) => {
+      failing.clear();
+      names = new Map(
+        [...durableNames].map(([name, stored]) => [name, crashed(stored, survivingBytes, tail)]),
+      );
+      durableNames = new Map(names);
+    },
+    flipBit: (path, offset, bit) => {
+      const stored = names.get(path)!;
+      const content = Buffer.from(stored.content);
+      content.writeUInt8(content.readUInt8(offset) ^ (2 ** bit), offset); // eslint-disable-line no-bitwise
+      stored.content = content;
+    },
+    lose: (path) => {
+      names.delete(path);
+    },
+    size: (path) => names.get(path)?.content.length ?? 0,
+    syncs: () => syncs,
+  };
+};
--- /dev/null
+++ b/__tests__/support/replicaWorld.ts
@@ -0,0 +1,430 @@
+/**
+ * Replicas of one group with a network and disks that a property test controls: messages wait until
+ * they are delivered, dropped or repeated, and writes wait until they are synced or lost. Every
+ * effect is checked against the promises of the replicated log.
+ */
+import assert from 'node:assert/strict';
+import { createHash } from 'node:crypto';
+import { createReplica, emptyHardState, emptySnapshot } from '../../src/core/consensus.js';
+import type { ReplicaCore } from '../../src/core/consensus.js';
+import { encodeMembers } from '../../src/core/consensusLog.js';
+import type {
+  AnswerMessage,
+  HardState,
+  LogEntry,
+  PersistEffect,
+  ReplicaEffect,
+  ReplicaEvent,
+  ReplicaSnapshot,
+  RequestMessage,
+  Sender,
+} from '../../src/core/consensusTypes.js';
+import type { Member } from '../../src/types/internal.js';
+
+const electionTimeoutMs = 1_000;
+const heartbeatMs = 200;
+
+interface Disk {
+  hardState: HardState;
+  snapshot: ReplicaSnapshot;
+  entries: readonly LogEntry[];
+}
+
+interface Node {
+  readonly name: string;
+  incarnation: string;
+  core: ReplicaCore;
+  disk: Disk;
+  unsynced: PersistEffect[];
+  held: { readonly afterSequence: number; readonly run: () => void }[];
+  syncedSequence: number;
+  appliedIndex: number;
+  chain: string;
+  /** Reads in progress, with the highest index that a client knew to be committed. */
+  reads: Map<number, number>;
+}
+
+interface Packet {
+  readonly from: Sender;
+  readonly to: string;
+  /** Incarnation that an answer is for; a request goes to whatever runs at the address. */
+  readonly toIncarnation?: string;
+  readonly request?: RequestMessage;
+  readonly answer?: AnswerMessage;
+}
+
+export interface SettleFaults {
+  /** Replicas that the network does not reach. */
+  readonly isolated?: readonly number[];
+  /** Replicas whose process is stopped: they hear nothing and their clock stands still. */
+  readonly paused?: readonly number[];
+  /** Replicas whose writes are not synced. */
+  readonly stalled?: readonly number[];
+}
+
+export interface World {
+  readonly now: () => number;
+  advance(ms: number): void;
+  /** Delivers a message in flight; `keep` leaves a copy that is delivered again later. */
+  deliver(pick: number, keep: boolean): void;
+  drop(pick: number): void;
+  sync(pick: number): void;
+  /** Restarts a replica; of its unsynced writes only the first few survive. */
+  crash(pick: number, surviving: number): void;
+  /** Replaces a replica's disk by an empty one, if the group can survive that. */
+  loseDisk(pick: number): void;
+  propose(pick: number): void;
+  read(pick: number): void;
+  transfer(pick: number): void;
+  compact(pick: number): void;
+  changeMembers(pick: number, target: number, action: 'add' | 'remove'): void;
+  /** Lets the network, the clocks and the disks work for a while, apart from the picked ones. */
+  settle(rounds: number, faults?: SettleFaults): void;
+  readonly counters: {
+    readonly commits: number;
+    readonly leaders: number;
+    readonly reads: number;
+    readonly lostDisks: number;
+    readonly promotions: number;
+    readonly snapshots: number;
+  };
+  roles(): readonly string[];
+  leaderNames(): readonly string[];
+}
+
+const textOf = (bytes: Uint8Array): string => new TextDecoder().decode(bytes);
+const bytesOf = (text: string): Uint8Array => new TextEncoder().encode(text);
+
+/** Short digest of the applied entries, so that states can be compared. */
+const extendChain = (chain: string, { term, index, kind, payload }: LogEntry): string => {
+  const text = `${chain}|${term}.${index}.${kind}.${textOf(payload)}`;
+  return `${index}:${createHash('sha256').update(text).digest('hex').slice(0, 16)}`;
+};
+
+const writeTo = (disk: Disk, write: PersistEffect): Disk => {
+  if (write.snapshot) {
+    return {
+      hardState: write.hardState!,
+      snapshot: write.snapshot,
+      entries: write.entries ?? [],
+    };
+  }
+  const kept =
+    write.truncateFrom === undefined
+      ? disk.entries
+      : disk.entries.filter(({ index }) => index < write.truncateFrom!);
+  return {
+    hardState: write.hardState ?? disk.hardState,
+    snapshot: disk.snapshot,
+    entries: [...kept, ...(write.entries ?? [])],
+  };
+};
+
+/** Creates `size` voters and `spares` empty replicas that can be added. */
+export const createWorld = (size: number, spares: number, random: () => number): World => {
+  const packets: Packet[] = [];
+  const committed = new Map<number, { text: string; chain: string }>();
+  const leaderOfTerm = new Map<number, string>();
+  const counters = { commits: 0, leaders: 0, reads: 0, lostDisks: 0, promotions: 0, snapshots: 0 };
+  let now = 0;
+  let nextId = 0;
+  let knownCommitted = 0;
+
+  const takeId = () => {
+    nextId += 1;
+    return nextId;
+  };
+
+  const memberOf = (name: string, incarnation: string, kind: Member['kind']): Member => ({
+    name,
+    address: name,
+    dataCentre: 'dc',
+    region: 'r',
+    incarnation,
+    kind,
+  });
+
+  const names = Array.from({ length: size + spares }, (_, index) => `n${index}`);
+  const firstMembers = names.slice(0, size).map((name) => memberOf(name, `${name}-0`, 'voter'));
+  const firstEntry: LogEntry = {
+    term: 1,
+    index: 1,
+    kind: 'membership',
+    payload: encodeMembers(firstMembers),
+  };
+  const emptyDisk = (): Disk => ({
+    hardState: emptyHardState,
+    snapshot: emptySnapshot,
+    entries: [],
+  });
+  const foundedDisk = (): Disk => ({
+    hardState: { term: 1, votedFor: '' },
+    snapshot: emptySnapshot,
+    entries: [firstEntry],
+  });
+
+  const createCore = (name: string, incarnation: string, disk: Disk): ReplicaCore =>
+    createReplica({ self: { name, incarnation }, electionTimeoutMs, heartbeatMs, random, ...disk });
+
+  const noteCommitted = (node: Node, entry: LogEntry) => {
+    assert.equal(entry.index, node.appliedIndex + 1, `${node.name} applies out of order`);
+    node.chain = extendChain(node.chain, entry);
+    node.appliedIndex = entry.index;
+    const text = `${entry.term} ${entry.kind} ${textOf(entry.payload)}`;
+    const known = committed.get(entry.index);
+    if (known) {
+      assert.equal(text, known.text, `${node.name} applies another entry ${entry.index}`);
+      assert.equal(node.chain, known.chain, `${node.name} has another history`);
+    } else {
+      counters.commits += 1;
+      committed.set(entry.index, { text, chain: node.chain });
+    }
+    if (node.core.queries.status().role === 'leader') {
+      knownCommitted = Math.max(knownCommitted, entry.index);
+    }
+  };
+
+  const noteRole = (node: Node, role: string, term: number) => {
+    if (role !== 'leader') {
+      return;
+    }
+    const other = leaderOfTerm.get(term);
+    const own = `${node.name} ${node.incarnation}`;
+    assert.ok(other === undefined || other === own, `two leaders in term ${term}`);
+    leaderOfTerm.set(term, own);
+    counters.leaders += 1;
+  };
+
+  const noteReply = (node: Node, message: AnswerMessage) => {
+    if (message.type === 'voteAnswer' && message.granted) {
+      const isNamed = node.core.queries
+        .status()
+        .members.some(({ incarnation }) => incarnation === node.incarnation);
+      assert.ok(isNamed, `${node.name} votes with a disk that no membership names`);
+    }
+  };
+
+  const hold = (node: Node, afterSequence: number, run: () => void) => {
+    if (afterSequence <= node.syncedSequence) {
+      run();
+    } else {
+      node.held.push({ afterSequence, run });
+    }
+  };
+
+  const askers = new Map<number, Sender>();
+
+  const carryOut = (node: Node, effects: readonly ReplicaEffect[]) => {
+    const self = { name: node.name, incarnation: node.incarnation };
+    const handlers: {
+      [Type in ReplicaEffect['type']]: (effect: Extract<ReplicaEffect, { type: Type }>) => void;
+    } = {
+      persist: (effect) => node.unsynced.push(effect),
+      send: ({ to, message, afterSequence }) =>
+        hold(node, afterSequence, () =>
+          packets.push({ from: self, to: to.name, request: message }),
+        ),
+      reply: ({ token, message, afterSequence }) => {
+        const asker = askers.get(token)!;
+        askers.delete(token);
+        noteReply(node, message);
+        hold(node, afterSequence, () =>
+          packets.push({
+            from: self,
+            to: asker.name,
+            toIncarnation: asker.incarnation,
+            answer: message,
+          }),
+        );
+      },
+      apply: ({ entries }) => entries.forEach((entry) => noteCommitted(node, entry)),
+      restore: ({ snapshot }) => {
+        counters.snapshots += 1;
+        node.appliedIndex = snapshot.index;
+        node.chain = textOf(snapshot.data);
+        assert.equal(
+          node.chain,
+          committed.get(snapshot.index)?.chain,
+          'snapshot of another history',
+        );
+      },
+      proposed: () => undefined,
+      refused: () => undefined,
+      readConfirmed: ({ id, index }) => {
+        const expected = node.reads.get(id)!;
+        assert.ok(index >= expected, `${node.name} reads at ${index}, committed is ${expected}`);
+        counters.reads += 1;
+      },
+      readFailed: ({ id }) => node.reads.delete(id),
+      roleChanged: ({ role, term }) => noteRole(node, role, term),
+    };
+    effects.forEach((effect) => {
+      const handle = handlers[effect.type] as (taken: ReplicaEffect) => void;
+      handle(effect);
+    });
+  };
+
+  const step = (node: Node, event: ReplicaEvent) => carryOut(node, node.core.step(event, now));
+
+  const boot = (node: Node, disk: Disk) => {
+    node.disk = disk;
+    node.core = createCore(node.name, node.incarnation, disk);
+    node.unsynced = [];
+    node.held = [];
+    node.syncedSequence = 0;
+    node.appliedIndex = 0;
+    node.chain = '';
+    node.reads = new Map();
+    carryOut(node, node.core.start(now));
+  };
+
+  const nodes = names.map((name, index): Node => {
+    const incarnation = `${name}-0`;
+    const disk = index < size ? foundedDisk() : emptyDisk();
+    const node: Node = {
+      name,
+      incarnation,
+      core: createCore(name, incarnation, disk),
+      disk,
+      unsynced: [],
+      held: [],
+      syncedSequence: 0,
+      appliedIndex: 0,
+      chain: '',
+      reads: new Map(),
+    };
+    boot(node, disk);
+    return node;
+  });
+
+  const nodeAt = (pick: number): Node => nodes[pick % nodes.length]!;
+  const nodeNamed = (name: string): Node => nodes.find((node) => node.name === name)!;
+
+  const deliver: World['deliver'] = (pick, keep) => {
+    const at = pick % Math.max(1, packets.length);
+    const packet = packets[at];
+    if (!packet) {
+      return;
+    }
+    if (!keep) {
+      packets.splice(at, 1);
+    }
+    const node = nodeNamed(packet.to);
+    if (packet.request) {
+      const token = takeId();
+      askers.set(token, packet.from);
+      step(node, { type: 'request', from: packet.from, message: packet.request, token });
+    } else if (packet.answer && packet.toIncarnation === node.incarnation) {
+      step(node, { type: 'answer', from: packet.from, message: packet.answer });
+    }
+  };
+
+  const sync = (node: Node) => {
+    const last = node.unsynced.at(-1);
+    if (!last) {
+      return;
+    }
+    node.disk = node.unsynced.reduce(writeTo, node.disk);
+    node.unsynced = [];
+    node.syncedSequence = last.sequence;
+    step(node, { type: 'persisted', sequence: last.sequence });
+    const due = node.held.filter(({ afterSequence }) => afterSequence <= node.syncedSequence);
+    node.held = node.held.filter(({ afterSequence }) => afterSequence > node.syncedSequence);
+    due.forEach(({ run }) => run());
+  };
+
+  /** A group survives as long as a majority of the voters of every membership keep their disks. */
+  const survivesLossOf = (lost: Node): boolean => {
+    const isIntact = ({ name, incarnation }: Member) =>
+      name !== lost.name && nodeNamed(name).incarnation === incarnation;
+    return nodes.every(({ core }) => {
+      const voters = core.queries.status().members.filter(({ kind }) => kind === 'voter');
+      return voters.length === 0 || voters.filter(isIntact).length * 2 > voters.length;
+    });
+  };
+
+  const voterCount = () =>
+    Math.max(
+      ...nodes.map(
+        ({ core }) => core.queries.status().members.filter(({ kind }) => kind === 'voter').length,
+      ),
+    );
+
+  const settle: World['settle'] = (rounds, { isolated = [], paused = [], stalled = [] } = {}) => {
+    const namesOf = (picks: readonly number[]) => new Set(picks.map((at) => nodeAt(at).name));
+    const stopped = namesOf(paused);
+    const cut = namesOf([...isolated, ...paused]);
+    const slow = namesOf([...stalled, ...paused]);
+    const dropCut = () => {
+      const kept = packets.filter(({ from, to }) => !cut.has(from.name) && !cut.has(to));
+      packets.splice(0, packets.length, ...kept);
+    };
+    for (let round = 0; round < rounds; round += 1) {
+      now += 100;
+      const before = voterCount();
+      nodes
+        .filter(({ name }) => !stopped.has(name))
+        .forEach((node) => step(node, { type: 'tick' }));
+      for (let pass = 0; pass < 4; pass += 1) {
+        nodes.filter(({ name }) => !slow.has(name)).forEach(sync);
+        dropCut();
+        const inFlight = packets.length;
+        for (let count = 0; count < inFlight; count += 1) {
+          deliver(0, false);
+        }
+      }
+      counters.promotions += Math.max(0, voterCount() - before);
+    }
+  };
+
+  return {
+    now: () => now,
+    advance: (ms) => {
+      now += ms;
+      nodes.forEach((node) => step(node, { type: 'tick' }));
+    },
+    deliver,
+    drop: (pick) => {
+      packets.splice(pick % Math.max(1, packets.length), 1);
+    },
+    sync: (pick) => sync(nodeAt(pick)),
+    crash: (pick, surviving) => {
+      const node = nodeAt(pick);
+      const kept = node.unsynced.slice(0, surviving % (node.unsynced.length + 1));
+      boot(node, kept.reduce(writeTo, node.disk));
+    },
+    loseDisk: (pick) => {
+      const node = nodeAt(pick);
+      if (survivesLossOf(node)) {
+        counters.lostDisks += 1;
+        node.incarnation = `${node.name}-${takeId()}`;
+        boot(node, emptyDisk());
+      }
+    },
+    propose: (pick) => {
+      const id = takeId();
+      step(nodeAt(pick), { type: 'propose', id, payload: bytesOf(`p${id}`) });
+    },
+    read: (pick) => {
+      const node = nodeAt(pick);
+      const id = takeId();
+      node.reads.set(id, knownCommitted);
+      step(node, { type: 'read', id });
+    },
+    transfer: (pick) => step(nodeAt(pick), { type: 'transfer' }),
+    compact: (pick) => {
+      const node = nodeAt(pick);
+      step(node, { type: 'compact', index: node.appliedIndex, data: bytesOf(node.chain) });
+    },
+    changeMembers: (pick, target, action) => {
+      const { name, incarnation } = nodeAt(target);
+      const member = memberOf(name, incarnation, 'learner');
+      step(nodeAt(pick), { type: 'changeMembers', id: takeId(), change: { action, member } });
+    },
+    settle,
+    counters,
+    roles: () => nodes.map(({ core }) => core.queries.status().role),
+    leaderNames: () =>
+      nodes.filter(({ core }) => core.queries.status().role === 'leader').map(({ name }) => name),
+  };
+};
