Show each rule of the log and the storage by a test that fails without it

A check for valid records after a torn tail was unreachable, since a torn record ends where the written file ends, and is removed.

--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -155,6 +155,16 @@
     assert.equal(add('e', 4)?.type, 'proposed');
   });
 
+  it('refuses a membership change on the commit index of an earlier leader', () => {
+    const driver = drive();
+    driver.ask('b', { ...append(2, first, []), commitIndex: 1 });
+    assert.equal(driver.core.queries.status().commitIndex, 1);
+    elect(driver);
+    const change = { action: 'add', member: member('d') } as const;
+    const effects = driver.step({ type: 'changeMembers', id: 1, change });
+    assert.deepEqual(effects, [{ type: 'refused', id: 1, reason: 'change_pending' }]);
+  });
+
   it('steps down without answers of a quorum within the election timeout', () => {
     const driver = elect(drive());
     driver.advance(electionTimeoutMs / 2);
@@ -170,8 +180,9 @@
     assert.equal(driver.core.queries.status().commitIndex, 0);
     driver.ack('c', 2);
     assert.equal(driver.core.queries.status().commitIndex, 2);
-    // The answer of b-new came before any time without b; the member keeps its vote.
+    // The member itself was heard a moment ago and keeps its vote.
     driver.ack('b', 2, 'b-0', 2);
+    driver.ack('b', 2, 'b-new', 2);
     driver.advance(heartbeatMs);
     assert.equal(driver.core.queries.status().members[1]?.kind, 'voter');
   });
@@ -190,6 +201,13 @@
     driver.ack('c', 3, 'c-0', 9);
     driver.advance(heartbeatMs);
     assert.equal(replaced()?.kind, 'learner');
+    // An answer of the lost data folder that was on its way for long does not bring it back.
+    driver.ack('b', 2, 'b-0', 2);
+    Array.from({ length: 6 }).forEach((_, at) => {
+      driver.advance(heartbeatMs);
+      driver.ack('c', 3, 'c-0', 10 + at);
+    });
+    assert.equal(replaced()?.incarnation, 'b-new');
     driver.ack('b', 3, 'b-new', 9);
     driver.advance(heartbeatMs);
     assert.equal(replaced()?.kind, 'voter');
--- a/__tests__/storage.test.ts
+++ b/__tests__/storage.test.ts
@@ -85,7 +85,11 @@
       const at = model.entries[amount % Math.max(1, model.entries.length)];
       const index = at?.index ?? model.snapshot.index;
       const entries = model.entries.filter((entry) => entry.index > index);
-      return persist({ hardState, snapshot: snapshotAt(index, at?.term ?? 1), entries });
+      return persist({
+        hardState,
+        snapshot: snapshotAt(index, at?.term ?? model.snapshot.term),
+        entries,
+      });
     },
     reset: () => persist({ hardState, snapshot: snapshotAt(last + 5, term), entries: [] }),
   };
@@ -171,7 +175,12 @@
           states = [synced];
         }
         files.crash(survivingBytes, tail);
-        checkLoaded((await open(files)).loaded, synced, states);
+        const reopened = await open(files);
+        checkLoaded(reopened.loaded, synced, states);
+        const next = writeFor(reopened.loaded, { kind: 'append', amount: 0 }, 99);
+        await reopened.write([next]);
+        const expected = modelAfter(reopened.loaded, next);
+        assert.deepEqual(plain((await open(files)).loaded), plain(expected));
       }),
       { seed, numRuns: runs },
     );
@@ -217,6 +226,20 @@
     }
   });
 
+  it('drops entries of another history when a crash follows a new snapshot', async () => {
+    const files = await filled();
+    const log = await open(files);
+    files.failFrom('rename', 2, 'EIO');
+    const hardState = { term: 2, votedFor: '' };
+    await assert.rejects(
+      log.write([persist({ hardState, snapshot: snapshotAt(3, 2), entries: [] })]),
+      failsWith('storage_failed'),
+    );
+    files.crash(0, 0);
+    const { loaded } = await open(files);
+    assert.deepEqual([loaded.snapshot.index, loaded.entries.length], [3, 0]);
+  });
+
   it('refuses a folder whose files are missing', async () => {
     for (const path of [journalPath, snapshotPath]) {
       const files = await filled();
--- a/src/plugins/journal.ts
+++ b/src/plugins/journal.ts
@@ -84,26 +84,17 @@
   return end;
 };
 
-const isValidAfter = (bytes: Buffer, offset: number): boolean => {
-  for (let next = offset + 1; next + headerBytes < bytes.length; next += 1) {
-    if (readRecord(bytes, next)) {
-      return true;
-    }
-  }
-  return false;
-};
-
-/** A torn tail is a record whose end was not written, with no valid record after its start. */
+/**
+ * A torn tail is a record whose end was not written; then nothing after it was written either. A
+ * record that is there in whole and fails its checks was changed later.
+ */
 const isTornTail = (bytes: Buffer, offset: number): boolean => {
   const written = endOfWritten(bytes);
   const isHeaderWritten = written - offset >= headerBytes;
-  if (isHeaderWritten && !hasHeader(bytes, offset)) {
-    return false;
-  }
-  if (isHeaderWritten && endOfRecord(bytes, offset) <= written) {
-    return false;
+  if (!isHeaderWritten) {
+    return true;
   }
-  return !isValidAfter(bytes, offset);
+  return hasHeader(bytes, offset) && endOfRecord(bytes, offset) > written;
 };
 
 /** Reads all records of a file. */
