Stop idle pings of RPC sessions

Cause: connect-node restarts its ping timer when the streams of a destroyed session close, and the ping then throws ERR_HTTP2_INVALID_SESSION out of a timer; the process of a node whose parent closed its session ended by it. Change: pings only while streams are open.

--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -113,7 +113,10 @@
   const sessionManager = new Http2SessionManager(baseUrl, {
     pingIntervalMs,
     pingTimeoutMs,
-    pingIdleConnection: true,
+    // With pings on idle connections, connect-node 2.1.2 restarts its ping timer when the streams of
+    // a destroyed session close, and the ping then throws out of a timer. An idle connection is
+    // verified by a ping before its next request anyway.
+    pingIdleConnection: false,
     idleConnectionTimeoutMs,
   });
   const transport = createConnectTransport({
