--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -252,7 +252,7 @@
     clusters,
   };
   const holding: Holding = {
-    commands: { ensureCluster: async (service) => clusters.get(service) },
+    commands: { ensureCluster: async (service) => clusters.get(service), use: () => undefined },
     queries: { current: () => held, isDetached: () => false, confirmedAgeMs: () => 0 },
     onChange: () => () => undefined,
   };
--- a/src/plugins/nodeClusters.ts
+++ b/src/core/nodeClusters.ts
@@ -2,13 +2,8 @@
  * Clusters that a node subscribes to, for its own routes and for its children, and the waits of
  * calls for a cluster that is not held yet.
  */
-import type {
-  ClusterCursor,
-  ClusterChange,
-  ClusterLog,
-  ClusterResult,
-} from '../core/clusterLog.js';
-import { applyChange, createClusterLog } from '../core/clusterLog.js';
+import type { ClusterCursor, ClusterChange, ClusterLog, ClusterResult } from './clusterLog.js';
+import { applyChange, createClusterLog } from './clusterLog.js';
 
 /** A change of the subscriptions towards the parent. */
 export interface SubscriptionChange {
--- a/src/plugins/callServer.ts
+++ b/src/plugins/callServer.ts
@@ -180,6 +180,7 @@
   /** The call's own state, with the cluster added if it arrived only now. */
   const withCluster = async ({ held, policy, deadlineAt }: Call): Promise<Held> => {
     const { service } = policy;
+    holding.commands.use(service);
     if (held.clusters.has(service) || upstream.queries.hasFreeSlot(service)) {
       return held;
     }
--- a/src/plugins/nodeFeed.ts
+++ b/src/plugins/nodeFeed.ts
@@ -45,7 +45,7 @@
   writeNodeVersion,
   writeVersion,
 } from './feedMessages.js';
-import { createNodeClusters } from './nodeClusters.js';
+import { createNodeClusters } from '../core/nodeClusters.js';
 import { createParentLoop } from './parentLoop.js';
 
 const tickMs = 500;
@@ -432,7 +432,10 @@
 
   return {
     holding: {
-      commands: { ensureCluster },
+      commands: {
+        ensureCluster,
+        use: (service) => state.commands.use(service, timer.now()),
+      },
       queries: {
         current: state.queries.current,
         isDetached: () => servedFreshness.queries.isDetached(timer.now()),
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -98,6 +98,8 @@
   readonly commands: {
     /** Subscribes to the service's endpoints and resolves when they are held, or undefined. */
     ensureCluster(service: string, timeoutMs: number): Promise<Cluster | undefined>;
+    /** Records a call to the service, which keeps its cluster held. */
+    use(service: string): void;
   };
   readonly queries: {
     current(): Held | undefined;
