Do not ping idle RPC sessions

Cause: connect-node 2.1.2 re-arms its ping timer when the last stream of a destroyed session closes and then pings the destroyed session, which throws ERR_HTTP2_INVALID_SESSION from a timer. Seen in feedTree.test.ts as an uncaught exception; it would end a product process. Change: pingIdleConnection is off. An idle session is verified by a ping before its next use. Ruled out: our own close() racing the ping; the stack is the library's timer alone. Result: feedTree.test.ts failed before and passes after.

--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -113,7 +113,10 @@
   const sessionManager = new Http2SessionManager(baseUrl, {
     pingIntervalMs,
     pingTimeoutMs,
-    pingIdleConnection: true,
+    // With pings on idle connections, connect-node 2.1.2 pings a session that was destroyed while
+    // its streams close, and the exception ends the process. An idle connection is verified by a
+    // ping before its next use in any case.
+    pingIdleConnection: false,
     idleConnectionTimeoutMs,
   });
   const transport = createConnectTransport({
