--- a/src/plugins/atMostOnce.ts
+++ b/src/plugins/atMostOnce.ts
@@ -56,16 +56,21 @@
   return record;
 };
 
-const replay = (answer: LedgerAnswer, listener: CallListener) => {
-  const { 'content-length': length, ...kept } = answer.headers;
-  const headers = Object.entries(kept).flat();
-  const bodyLength = answer.bodyOmitted ? 0 : answer.body.length;
-  if (length !== undefined || bodyLength > 0) {
-    headers.push('content-length', String(bodyLength));
+/** Answers with what was recorded. A body that was not kept cannot be answered with in part. */
+const replay = ({ status, headers, body, bodyOmitted }: LedgerAnswer, listener: CallListener) => {
+  if (bodyOmitted) {
+    const detail = `the call ran and was answered with status ${status}; its body was too large to keep`;
+    listener.onRefusal({ reason: 'key_in_progress', run: 'may_have_run', detail, retried: false });
+    return;
   }
-  listener.onHead({ status: answer.status, headers, isReplayed: true });
-  if (bodyLength > 0) {
-    listener.onData(Buffer.from(answer.body));
+  const { 'content-length': announced, ...kept } = headers;
+  const recorded = Object.entries(kept).flat();
+  if (announced !== undefined || body.length > 0) {
+    recorded.push('content-length', String(body.length));
+  }
+  listener.onHead({ status, headers: recorded, isReplayed: true });
+  if (body.length > 0) {
+    listener.onData(Buffer.from(body));
   }
   listener.onEnd();
 };
