Admit calls by class share, callers in turn, with an adaptive limit

Cause: the first version ordered by importance alone and knew no adaptive limit. Two faults were seen first: a class of importance 1 beside 100 others got no call, because a full line always dropped it, and because its estimated wait was above its limit even with an empty line. Both are guarded by the starvation property.

--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -1,11 +1,15 @@
 /**
  * Admission of calls to the slots of one endpoint, decided by the node beside it. A call is
- * admitted, waits, or is refused before it runs. Every command returns the effects that the caller
- * has to carry out; `admitted` and `refused` may concern calls that waited.
+ * admitted, waits, or is refused before it runs. Free slots go to the classes in proportion to
+ * their importance, measured in slot time. Every command returns the effects that its user has to
+ * carry out; `admitted` and `refused` may concern other calls, which waited.
  */
+import { createAdaptiveLimit } from './adaptiveLimit.js';
+import { createClassLine, type ClassLine } from './classLine.js';
 import type { EndpointLoad } from './evidence.js';
 
 export interface AdmissionCall {
+  /** Unique among the calls that run or wait. */
   readonly id: string;
   readonly className: string;
   /** Who sent the call, for turns within a class. */
@@ -69,95 +73,293 @@
   };
 }
 
+interface ClassState {
+  readonly className: string;
+  readonly line: ClassLine;
+  weight: number;
+  inFlight: number;
+  /** Slot time used per weight while calls wait: the class with the lowest is next. */
+  usedShare: number;
+  /** Usual slot time of a call in ms, as an exponentially weighted average. */
+  usualMs: number | undefined;
+  usedAt: number;
+}
+
+interface RunningCall {
+  readonly state: ClassState;
+  readonly startedAt: number;
+  /** Slot time charged in advance; 0 if no call waited when this one was admitted. */
+  readonly chargedMs: number;
+}
+
 const defaultMaxWaiting = 1_000;
+const usualWeight = 0.1;
+/** Slot time charged to a class before its first call has ended, in ms. */
+const unknownSlotMs = 10;
+/** Each refusal for the deadline lowers the estimate, so that a wrong one does not persist. */
+const refusalDecay = 0.95;
+/** Classes without calls are forgotten after this time, in ms. */
+const idleClassMs = 60_000;
 
 /** Creates the admission of one endpoint. */
 export const createAdmission = ({
   slots,
   maxWaiting = defaultMaxWaiting,
 }: AdmissionOptions): Admission => {
-  const running = new Map<string, AdmissionCall>();
-  const waiting = new Map<string, { call: AdmissionCall; waitsUntil: number }>();
-  let limit = slots;
+  const adaptive = createAdaptiveLimit(slots);
+  const states = new Map<string, ClassState>();
+  const running = new Map<string, RunningCall>();
+  const waitingClass = new Map<string, ClassState>();
   let isLeaving = false;
+  let earliestEnd = Infinity;
+  /** `usedShare` of the class that was served last: where a class that starts to wait joins. */
+  let servedShare = 0;
+
+  const limit = (): number => adaptive.queries.limit();
+
+  const backlogged = (): ClassState[] =>
+    [...states.values()].filter(({ line }) => line.queries.size() > 0);
+
+  const forgetIdle = (now: number): void =>
+    states.forEach(({ className, inFlight, line, usedAt }) => {
+      if (inFlight === 0 && line.queries.size() === 0 && now - usedAt > idleClassMs) {
+        states.delete(className);
+      }
+    });
+
+  const createState = (className: string, now: number): ClassState => {
+    forgetIdle(now);
+    return {
+      className,
+      line: createClassLine(),
+      weight: 1,
+      inFlight: 0,
+      usedShare: servedShare,
+      usualMs: undefined,
+      usedAt: now,
+    };
+  };
+
+  const stateOf = (call: AdmissionCall, now: number): ClassState => {
+    const state = states.get(call.className) ?? createState(call.className, now);
+    states.set(call.className, state);
+    return Object.assign(state, { weight: Math.max(1, call.priority), usedAt: now });
+  };
 
   const refuse = (id: string, reason: AdmissionRefusal): AdmissionEffect => {
-    waiting.delete(id);
+    waitingClass.delete(id);
     return { type: 'refused', id, reason };
   };
 
-  const admit = (call: AdmissionCall): AdmissionEffect => {
-    waiting.delete(call.id);
-    running.set(call.id, call);
-    return { type: 'admitted', id: call.id };
+  const admit = (
+    state: ClassState,
+    id: string,
+    chargedMs: number,
+    startedAt: number,
+  ): AdmissionEffect => {
+    waitingClass.delete(id);
+    state.inFlight += 1;
+    state.usedShare += chargedMs / state.weight;
+    running.set(id, { state, startedAt, chargedMs });
+    return { type: 'admitted', id };
   };
 
-  const expire = (now: number): AdmissionEffect[] =>
-    [...waiting.values()]
-      .filter(({ waitsUntil }) => waitsUntil <= now)
-      .map(({ call }) => refuse(call.id, call.deadlineAt <= now ? 'deadline_past' : 'overloaded'));
+  const cannotMeet = (state: ClassState, { deadlineAt }: AdmissionCall, now: number): boolean =>
+    now >= deadlineAt || (running.size > 0 && now + (state.usualMs ?? 0) > deadlineAt);
+
+  const refuseForDeadline = (state: ClassState, id: string): AdmissionEffect => {
+    state.usualMs = state.usualMs === undefined ? undefined : state.usualMs * refusalDecay;
+    return refuse(id, 'deadline_past');
+  };
+
+  const expire = (now: number): AdmissionEffect[] => {
+    if (now < earliestEnd) {
+      return [];
+    }
+    const effects = backlogged().flatMap(({ line }) =>
+      line.commands
+        .takeExpired(now)
+        .map(({ call }) =>
+          refuse(call.id, call.deadlineAt <= now ? 'deadline_past' : 'overloaded'),
+        ),
+    );
+    earliestEnd = Math.min(Infinity, ...backlogged().map(({ line }) => line.queries.earliestEnd()));
+    return effects;
+  };
+
+  const nextClass = (): ClassState | undefined =>
+    backlogged().reduce<ClassState | undefined>(
+      (next, state) => (next && next.usedShare <= state.usedShare ? next : state),
+      undefined,
+    );
 
   const fill = (now: number): AdmissionEffect[] => {
     const effects = expire(now);
-    const order = [...waiting.values()].sort((a, b) => b.call.priority - a.call.priority);
-    const free = Math.max(0, limit - running.size);
-    return [...effects, ...order.slice(0, free).map(({ call }) => admit(call))];
+    let state = nextClass();
+    while (state && running.size < limit()) {
+      const waiting = state.line.commands.shift();
+      if (waiting) {
+        const { call } = waiting;
+        servedShare = Math.max(servedShare, state.usedShare);
+        effects.push(
+          cannotMeet(state, call, now)
+            ? refuseForDeadline(state, call.id)
+            : admit(state, call.id, state.usualMs ?? unknownSlotMs, now),
+        );
+      }
+      state = nextClass();
+    }
+    return effects;
   };
 
-  const request = (call: AdmissionCall, now: number): AdmissionEffect[] => {
-    if (isLeaving || call.deadlineAt <= now) {
-      return [refuse(call.id, isLeaving ? 'leaving' : 'deadline_past')];
+  /** Slots that a class with waiting calls gets in the long run, for the estimate of its wait. */
+  const expectedSlots = (state: ClassState): number => {
+    const others = [...states.values()].filter((other) => other !== state);
+    const isWaiting = ({ line }: ClassState) => line.queries.size() > 0;
+    const busyElsewhere = others
+      .filter((other) => !isWaiting(other))
+      .reduce((sum, { inFlight }) => sum + inFlight, 0);
+    const otherWeights = others.filter(isWaiting).reduce((sum, { weight }) => sum + weight, 0);
+    const shared = Math.max(1, limit() - busyElsewhere);
+    return (shared * state.weight) / (state.weight + otherWeights);
+  };
+
+  const expectedWaitMs = (state: ClassState, { caller }: AdmissionCall): number =>
+    ((state.line.queries.callsAhead(caller) + 1) * (state.usualMs ?? 0)) / expectedSlots(state);
+
+  /** The first call of a class may always wait: the estimate must not keep a class out for good. */
+  const isWaitTooLong = (state: ClassState, call: AdmissionCall): boolean =>
+    state.line.queries.size() > 0 && expectedWaitMs(state, call) > call.maxWaitMs;
+
+  /** Part of the waiting calls that each class keeps when the line is full, by its importance. */
+  const keptWaiting = (requester: ClassState): ((state: ClassState) => number) => {
+    const sharing = new Set([...backlogged(), requester]);
+    const total = [...sharing].reduce((sum, { weight }) => sum + weight, 0);
+    return ({ weight }) => Math.max(1, Math.floor((maxWaiting * weight) / total));
+  };
+
+  /**
+   * Makes room in a full line: the least important class that has more than its part gives way.
+   * Without that part, calls of the least important class were dropped before their turn came.
+   */
+  const shedFor = (state: ClassState, call: AdmissionCall): AdmissionEffect | undefined => {
+    const { size, sizeOf, longestOfCallers } = state.line.queries;
+    const keptBy = keptWaiting(state);
+    const isWithinPart = size() < keptBy(state);
+    const least = backlogged()
+      .filter((other) => other.line.queries.size() > keptBy(other))
+      .sort((a, b) => a.weight - b.weight)[0];
+    if (!least || (least.weight > state.weight && !isWithinPart)) {
+      return undefined;
+    }
+    if (least === state && sizeOf(call.caller) + 1 >= longestOfCallers()) {
+      return undefined;
     }
-    if (running.size < limit && waiting.size === 0) {
-      return [admit(call)];
+    const dropped = least.line.commands.dropNewest();
+    return dropped && refuse(dropped.call.id, 'overloaded');
+  };
+
+  const wait = (state: ClassState, call: AdmissionCall, now: number): AdmissionEffect[] => {
+    const effects: AdmissionEffect[] = [];
+    if (waitingClass.size >= maxWaiting) {
+      const shed = shedFor(state, call);
+      if (!shed) {
+        return [refuse(call.id, 'overloaded')];
+      }
+      effects.push(shed);
     }
-    if (call.maxWaitMs <= 0 || waiting.size >= maxWaiting) {
-      return [refuse(call.id, 'overloaded')];
+    if (state.line.queries.size() === 0) {
+      // A class that did not wait gathers no credit for the time in which it asked for nothing.
+      state.usedShare = Math.max(state.usedShare, servedShare);
     }
     const waitsUntil = Math.min(now + call.maxWaitMs, call.deadlineAt);
-    waiting.set(call.id, { call, waitsUntil });
-    return [{ type: 'waiting', id: call.id }, ...fill(now)];
+    state.line.commands.push({ call, waitsUntil });
+    waitingClass.set(call.id, state);
+    earliestEnd = Math.min(earliestEnd, waitsUntil);
+    return [...effects, { type: 'waiting', id: call.id }, ...fill(now)];
   };
 
-  const leave = (): AdmissionEffect[] => {
-    isLeaving = true;
-    return [...waiting.keys()].map((id) => refuse(id, 'leaving'));
+  const request = (call: AdmissionCall, now: number): AdmissionEffect[] => {
+    const freed = expire(now);
+    const state = stateOf(call, now);
+    if (isLeaving) {
+      return [...freed, refuse(call.id, 'leaving')];
+    }
+    if (cannotMeet(state, call, now)) {
+      return [...freed, refuseForDeadline(state, call.id)];
+    }
+    if (running.size < limit() && waitingClass.size === 0) {
+      return [...freed, admit(state, call.id, 0, now)];
+    }
+    if (call.maxWaitMs <= 0 || isWaitTooLong(state, call)) {
+      return [...freed, refuse(call.id, 'overloaded')];
+    }
+    return [...freed, ...wait(state, call, now)];
   };
 
-  const release = (id: string, now: number): AdmissionEffect[] => {
-    running.delete(id);
-    waiting.delete(id);
+  /** Frees the slot of a call and corrects what its class was charged for it. */
+  const release = (id: string, now: number): RunningCall | undefined => {
+    const call = running.get(id);
+    if (call) {
+      const { state, startedAt, chargedMs } = call;
+      running.delete(id);
+      state.inFlight -= 1;
+      state.usedShare += chargedMs > 0 ? (now - startedAt - chargedMs) / state.weight : 0;
+    }
+    return call;
+  };
+
+  const learn = ({ state }: RunningCall, latencyMs: number, now: number): void => {
+    const { className, usualMs } = state;
+    state.usualMs =
+      usualMs === undefined ? latencyMs : usualMs + usualWeight * (latencyMs - usualMs);
+    adaptive.commands.record({ className, latencyMs, inFlight: running.size + 1 }, now);
+  };
+
+  const finish = (id: string, now: number, end: FinishOutcome): AdmissionEffect[] => {
+    const call = release(id, now);
+    if (call && end.outcome === 'ok') {
+      learn(call, end.latencyMs, now);
+    }
+    if (call && end.outcome === 'overloaded') {
+      adaptive.commands.recordOverload(now);
+    }
     return fill(now);
   };
 
-  const setLimit = (reported: number, now: number): AdmissionEffect[] => {
-    limit = reported;
+  const cancel = (id: string, now: number): AdmissionEffect[] => {
+    waitingClass.get(id)?.line.commands.remove(id);
+    waitingClass.delete(id);
+    release(id, now);
     return fill(now);
   };
 
-  const classes = (): readonly ClassCounts[] => {
-    const all = [...running.values(), ...[...waiting.values()].map(({ call }) => call)];
-    return [...new Set(all.map(({ className }) => className))].map((className) => ({
-      className,
-      inFlight: [...running.values()].filter((call) => call.className === className).length,
-      waiting: [...waiting.values()].filter(({ call }) => call.className === className).length,
-    }));
+  const setLimit = (reported: number, now: number): AdmissionEffect[] => {
+    adaptive.commands.setSlots(reported);
+    return fill(now);
   };
 
-  const nextTickAt = (): number | undefined =>
-    waiting.size === 0
-      ? undefined
-      : Math.min(...[...waiting.values()].map(({ waitsUntil }) => waitsUntil));
+  const leave = (): AdmissionEffect[] => {
+    isLeaving = true;
+    const ids = [...waitingClass.keys()];
+    ids.forEach((id) => waitingClass.get(id)?.line.commands.remove(id));
+    return ids.map((id) => refuse(id, 'leaving'));
+  };
 
   return {
-    commands: { request, finish: release, cancel: release, tick: fill, setLimit, leave },
+    commands: { request, finish, cancel, tick: fill, setLimit, leave },
     queries: {
-      limit: () => limit,
+      limit,
       inFlight: () => running.size,
-      waiting: () => waiting.size,
-      load: () => ({ inFlight: running.size, limit, waiting: waiting.size }),
-      classes,
-      nextTickAt,
+      waiting: () => waitingClass.size,
+      load: () => ({ inFlight: running.size, limit: limit(), waiting: waitingClass.size }),
+      classes: () =>
+        [...states.values()].map(({ className, inFlight, line }) => ({
+          className,
+          inFlight,
+          waiting: line.queries.size(),
+        })),
+      nextTickAt: () => (waitingClass.size === 0 ? undefined : earliestEnd),
     },
   };
 };
--- /dev/null
+++ b/src/core/classLine.ts
@@ -0,0 +1,111 @@
+/**
+ * Waiting calls of one class. Callers are served in turn and the calls of one caller in order, so
+ * that one caller's burst delays only its own calls.
+ */
+import type { AdmissionCall } from './admission.js';
+
+export interface WaitingCall {
+  readonly call: AdmissionCall;
+  /** Time at which the call has waited as long as it may. */
+  readonly waitsUntil: number;
+}
+
+export interface ClassLine {
+  readonly commands: {
+    push(waiting: WaitingCall): void;
+    /** Takes the call whose turn it is. */
+    shift(): WaitingCall | undefined;
+    /** Takes the newest call of the caller that has most calls here. */
+    dropNewest(): WaitingCall | undefined;
+    remove(id: string): WaitingCall | undefined;
+    /** Takes all calls that have waited as long as they may. */
+    takeExpired(now: number): WaitingCall[];
+  };
+  readonly queries: {
+    size(): number;
+    ids(): string[];
+    /** Earliest end of a wait; infinite if none waits. */
+    earliestEnd(): number;
+    sizeOf(caller: string): number;
+    longestOfCallers(): number;
+    /** Calls that would be served before a new call of this caller. */
+    callsAhead(caller: string): number;
+  };
+}
+
+/** Creates the line of one class. */
+export const createClassLine = (): ClassLine => {
+  // A Map keeps insertion order: the first caller is next, a served caller moves to the end.
+  const callers = new Map<string, WaitingCall[]>();
+  const callerById = new Map<string, string>();
+
+  const forget = (waiting: WaitingCall): WaitingCall => {
+    const { id, caller } = waiting.call;
+    callerById.delete(id);
+    if (callers.get(caller)?.length === 0) {
+      callers.delete(caller);
+    }
+    return waiting;
+  };
+
+  const push = (waiting: WaitingCall): void => {
+    const { id, caller } = waiting.call;
+    const calls = callers.get(caller) ?? [];
+    calls.push(waiting);
+    callers.set(caller, calls);
+    callerById.set(id, caller);
+  };
+
+  const shift = (): WaitingCall | undefined => {
+    const [caller, calls] = callers.entries().next().value ?? ['', []];
+    const waiting = calls.shift();
+    if (!waiting) {
+      return undefined;
+    }
+    callers.delete(caller);
+    callers.set(caller, calls);
+    return forget(waiting);
+  };
+
+  const longest = (): WaitingCall[] =>
+    [...callers.values()].reduce((most, calls) => (calls.length > most.length ? calls : most), []);
+
+  const dropNewest = (): WaitingCall | undefined => {
+    const waiting = longest().pop();
+    return waiting && forget(waiting);
+  };
+
+  const remove = (id: string): WaitingCall | undefined => {
+    const calls = callers.get(callerById.get(id) ?? '') ?? [];
+    const index = calls.findIndex(({ call }) => call.id === id);
+    const [waiting] = index < 0 ? [] : calls.splice(index, 1);
+    return waiting && forget(waiting);
+  };
+
+  const all = (): WaitingCall[] => [...callers.values()].flat();
+
+  const takeExpired = (now: number): WaitingCall[] =>
+    all()
+      .filter(({ waitsUntil }) => waitsUntil <= now)
+      .flatMap(({ call }) => remove(call.id) ?? []);
+
+  const earliestEnd = (): number =>
+    all().reduce((earliest, { waitsUntil }) => Math.min(earliest, waitsUntil), Infinity);
+
+  const callsAhead = (caller: string): number => {
+    const own = callers.get(caller)?.length ?? 0;
+    return [...callers.values()].reduce((sum, calls) => sum + Math.min(calls.length, own + 1), 0);
+  };
+
+  return {
+    commands: { push, shift, dropNewest, remove, takeExpired },
+    queries: {
+      size: () => callerById.size,
+      ids: () => [...callerById.keys()],
+      earliestEnd,
+      sizeOf: (caller) => callers.get(caller)?.length ?? 0,
+      longestOfCallers: () => longest().length,
+      callsAhead,
+    },
+  };
+};
