--- /dev/null
+++ b/scripts/quickstartTraffic.js
@@ -0,0 +1,105 @@
+/**
+ * Traffic of the quick start: the four classes of the road service, sent at steady rates. Every
+ * answer is checked to be whole and to belong to its request.
+ */
+import { randomUUID } from 'node:crypto';
+
+const callTimeoutMs = 30_000;
+const tileBytes = 20_000_000;
+
+const checkSummary = async (answer, requestId) => {
+  const { request_id: answered } = await answer.json();
+  return answered === requestId ? undefined : `the answer belongs to ${answered}`;
+};
+
+const checkTile = async (answer, requestId) => {
+  const body = Buffer.from(await answer.arrayBuffer());
+  const expected = Buffer.alloc(tileBytes, `${requestId}\n`);
+  return body.equals(expected) ? undefined : `the tile has ${body.length} wrong bytes`;
+};
+
+const kinds = [
+  {
+    name: 'field-lookup',
+    everyMs: 25,
+    method: 'GET',
+    path: '/poles/4711?work=10',
+    check: checkSummary,
+  },
+  {
+    name: 'confirmation',
+    everyMs: 200,
+    method: 'POST',
+    path: '/confirmations',
+    withKey: true,
+    check: checkSummary,
+  },
+  {
+    name: 'survey-tile',
+    everyMs: 1_500,
+    method: 'GET',
+    path: `/tiles/31370?bytes=${tileBytes}`,
+    check: checkTile,
+  },
+  { name: 'pole-count', everyMs: 300, method: 'GET', path: '/count', check: checkSummary },
+];
+
+/** Starts the traffic. `stop` waits for the calls in flight. */
+export const startTraffic = (callAddresses) => {
+  const counts = Object.fromEntries(kinds.map(({ name }) => [name, { calls: 0, failed: 0 }]));
+  const failures = [];
+  const keys = [];
+  const open = new Set();
+  let sequence = 0;
+
+  const send = async (kind, requestId, address) => {
+    const headers = { 'x-request-id': requestId };
+    if (kind.withKey) {
+      headers['idempotency-key'] = requestId;
+      keys.push(requestId);
+    }
+    const answer = await fetch(`http://${address}${kind.path}`, {
+      method: kind.method,
+      headers,
+      body: kind.method === 'POST' ? JSON.stringify({ pole: 4711 }) : undefined,
+      signal: AbortSignal.timeout(callTimeoutMs),
+    });
+    if (answer.status !== 200) {
+      throw new Error(`${answer.status} ${await answer.text()}`);
+    }
+    const problem = await kind.check(answer, requestId);
+    if (problem) {
+      throw new Error(problem);
+    }
+  };
+
+  const call = (kind) => {
+    sequence += 1;
+    const address = callAddresses[sequence % callAddresses.length];
+    const count = counts[kind.name];
+    const requestId = randomUUID();
+    count.calls += 1;
+    const running = send(kind, requestId, address)
+      .catch((error) => {
+        count.failed += 1;
+        failures.push(`${kind.name} through ${address}: ${error.message}`);
+      })
+      .finally(() => open.delete(running));
+    open.add(running);
+  };
+
+  const timers = kinds.map((kind) => setInterval(() => call(kind), kind.everyMs));
+  const sum = (field) => Object.values(counts).reduce((total, count) => total + count[field], 0);
+
+  return {
+    counts,
+    failures,
+    keys,
+    calls: () => sum('calls'),
+    failed: () => sum('failed'),
+    stop: async () => {
+      timers.forEach(clearInterval);
+      await Promise.all(open);
+    },
+  };
+};
