--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -113,9 +113,9 @@
   const sessionManager = new Http2SessionManager(baseUrl, {
     pingIntervalMs,
     pingTimeoutMs,
-    // With pings on idle connections, connect-node 2.1.2 restarts its ping timer when the streams of
-    // a destroyed session close, and the ping then throws out of a timer. An idle connection is
-    // verified by a ping before its next request anyway.
+    // With pings on idle connections, connect-node 2.1.2 pings a session that was destroyed while
+    // its streams close, and the exception ends the process. An idle connection is verified by a
+    // ping before its next use in any case.
     pingIdleConnection: false,
     idleConnectionTimeoutMs,
   });
