Test the parts of the fan-out tree

Admission, choice and judgement of parents, freshness, floors, leases, withdrawals, reports and registry, each test with the failure it guards against.

--- /dev/null
+++ b/__tests__/feedCore.test.ts
@@ -0,0 +1,364 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { createBranches, leaseMs, type BranchReport } from '../src/core/branches.js';
+import { createChildAdmission, maxChildren } from '../src/core/childAdmission.js';
+import { applyChange, changeSince, digestEndpoints } from '../src/core/clusterLog.js';
+import { createFloors, floorLifeMs } from '../src/core/floors.js';
+import { confirmationLeaseMs, createFreshness } from '../src/core/freshness.js';
+import { createNodeClusters } from '../src/core/nodeClusters.js';
+import { createParentChoice, maxBackoffMs } from '../src/core/parentChoice.js';
+import { createParentHealth } from '../src/core/parentHealth.js';
+import { createRegistry, massHoldMs, settleMs } from '../src/core/registry.js';
+import { maxLaggards, mergeReports } from '../src/core/reports.js';
+import { createSubtree } from '../src/core/subtree.js';
+import { createUpwardReport } from '../src/core/upwardReport.js';
+import type { Endpoint } from '../src/types/public.js';
+import { check } from './support/arbitraries.js';
+import { endpointOf } from './support/feedFleet.js';
+
+const emptyStatus = { counts: [], laggards: [] };
+
+const setOf = (...endpoints: Endpoint[]): Map<string, Endpoint> =>
+  new Map(endpoints.map((endpoint) => [endpoint.id, endpoint]));
+
+const fullReport = (...endpoints: Endpoint[]): BranchReport => ({
+  status: emptyStatus,
+  announcements: endpoints,
+  withdrawals: [],
+  dropped: [],
+  digest: digestEndpoints(endpoints),
+  full: true,
+});
+
+const renewal = (...endpoints: Endpoint[]): BranchReport => ({
+  ...fullReport(...endpoints),
+  announcements: [],
+  full: false,
+});
+
+const one = endpointOf('one', 'lookup');
+const two = endpointOf('two', 'lookup');
+const three = endpointOf('three', 'lookup');
+const four = endpointOf('four', 'lookup');
+
+describe('admission of children', () => {
+  const parent = { path: ['control'], canFeed: true, sizeOf: () => 0 };
+  const request = (name: string) => ({ name, address: `${name}:1`, role: 'node' as const });
+
+  it('holds 16 children and sends the others on to them evenly', () => {
+    const admission = createChildAdmission(0);
+    const redirects = new Map<string, number>();
+    for (let index = 0; index < maxChildren + 160; index += 1) {
+      const decision = admission.commands.admitChild(request(`node-${index}`), parent, 0);
+      assert.equal(decision.outcome, index < maxChildren ? 'admitted' : 'redirected');
+      if (decision.outcome === 'redirected') {
+        const first = decision.addresses[0] ?? '';
+        redirects.set(first, (redirects.get(first) ?? 0) + 1);
+      }
+    }
+    assert.equal(redirects.size, maxChildren);
+    assert.deepEqual(new Set(redirects.values()), new Set([10]));
+  });
+
+  it('bounds the rate of admissions when children come and go', () => {
+    const admission = createChildAdmission(0);
+    let admitted = 0;
+    for (let tick = 0; tick < 1_000; tick += 1) {
+      const name = `node-${tick}`;
+      if (admission.commands.admitChild(request(name), parent, tick * 10).outcome === 'admitted') {
+        admitted += 1;
+        admission.commands.release(name);
+      }
+    }
+    assert.ok(admitted <= maxChildren + 80, `${admitted} children were admitted in 10 s`);
+  });
+
+  it('refuses a child that is on its own path, and all while it has nothing to feed', () => {
+    const admission = createChildAdmission(0);
+    const below = { ...parent, path: ['control', 'node-a', 'node-b'] };
+    const idle = { ...parent, canFeed: false };
+    assert.equal(admission.commands.admitChild(request('node-a'), below, 0).outcome, 'redirected');
+    assert.equal(admission.commands.admitChild(request('node-c'), idle, 0).outcome, 'redirected');
+  });
+
+  it('admits a restarted child again although it is full', () => {
+    const admission = createChildAdmission(0);
+    for (let index = 0; index < maxChildren; index += 1) {
+      admission.commands.admitChild(request(`node-${index}`), parent, 0);
+    }
+    const decision = admission.commands.admitChild(request('node-3'), parent, 0);
+    assert.equal(decision.outcome, 'admitted');
+  });
+});
+
+describe('choice of a parent', () => {
+  const options = {
+    dataCentre: 'dc-a',
+    ownAddress: 'self:1',
+    controls: [
+      { address: 'control-a:1', dataCentre: 'dc-a' },
+      { address: 'control-b:1', dataCentre: 'dc-b' },
+    ],
+    peers: ['peer-1:1', 'self:1'],
+    random: () => 0.99,
+  };
+
+  it('starts with the own control instance and reaches peers and others within a few tries', () => {
+    const choice = createParentChoice(options);
+    const tried = Array.from({ length: 6 }, () => choice.commands.chooseParent(0)?.address);
+    assert.equal(tried[0], 'control-a:1');
+    assert.deepEqual(new Set(tried), new Set(['control-a:1', 'peer-1:1', 'control-b:1']));
+  });
+
+  it('waits longer after each failed try, up to the limit, and at random', () => {
+    const delays = (random: () => number) => {
+      const choice = createParentChoice({ ...options, random });
+      return Array.from({ length: 10 }, () => choice.commands.chooseParent(0)?.delayMs ?? 0);
+    };
+    const longest = delays(() => 1);
+    assert.deepEqual(longest.slice(0, 4), [100, 200, 400, 800]);
+    assert.equal(longest.at(-1), maxBackoffMs);
+    assert.deepEqual(new Set(delays(() => 0)), new Set([0]));
+  });
+
+  it('follows redirects at once, but not without end, and obeys a time to wait', () => {
+    const choice = createParentChoice(options);
+    choice.commands.redirected(['peer-2:1'], 0);
+    assert.deepEqual(choice.commands.chooseParent(0), { address: 'peer-2:1', delayMs: 0 });
+    for (let hop = 0; hop < 20; hop += 1) {
+      choice.commands.redirected(['peer-2:1'], 1_000);
+    }
+    const next = choice.commands.chooseParent(0);
+    assert.ok((next?.delayMs ?? 0) >= 1_000);
+  });
+
+  it('leaves out a faulty parent while there is another one', () => {
+    const choice = createParentChoice({ ...options, peers: [] });
+    choice.commands.avoid('control-a:1', 0);
+    assert.equal(choice.commands.chooseParent(0)?.address, 'control-b:1');
+    choice.commands.avoid('control-b:1', 0);
+    assert.ok(choice.commands.chooseParent(0));
+  });
+});
+
+describe('judgement of a parent', () => {
+  const beat = { confirmedAgeMs: 0, path: ['control'], rootDataCentre: 'dc-a' };
+  const at = (index: number) => ({ term: 1, index });
+
+  it('leaves a parent whose path contains the node', () => {
+    const health = createParentHealth('self', 'dc-a');
+    const looped = { ...beat, headVersion: at(1), path: ['other', 'self', 'parent'] };
+    assert.equal(health.commands.judge(looped, at(1), 0), 'cycle');
+  });
+
+  it('leaves a parent that lags or went back, less often if all do', () => {
+    const health = createParentHealth('self', 'dc-a');
+    const behind = { ...beat, headVersion: at(1) };
+    assert.equal(health.commands.judge(behind, at(2), 0), 'keep');
+    assert.equal(health.commands.judge(behind, at(2), 3_000), 'lags');
+    health.commands.attached();
+    assert.equal(health.commands.judge(behind, at(2), 4_000), 'keep');
+    assert.equal(health.commands.judge(behind, at(2), 7_000), 'keep');
+    assert.equal(health.commands.judge(behind, at(2), 10_000), 'lags');
+  });
+
+  it('looks for another parent when the present one is cut off or foreign', () => {
+    const health = createParentHealth('self', 'dc-a');
+    health.commands.judge({ ...beat, headVersion: at(1) }, at(1), 0);
+    assert.equal(health.queries.searchReason(0), undefined);
+    const old = { ...beat, headVersion: at(1), confirmedAgeMs: confirmationLeaseMs + 1 };
+    health.commands.judge(old, at(1), 0);
+    assert.equal(health.queries.searchReason(0), 'detached');
+    health.commands.judge({ ...beat, headVersion: at(1), rootDataCentre: 'dc-b' }, at(1), 0);
+    assert.equal(health.queries.searchReason(0), 'foreign');
+    health.commands.judge({ ...beat, headVersion: at(1), rootDataCentre: '' }, at(1), 0);
+    assert.equal(health.queries.searchReason(2_999), undefined);
+    assert.equal(health.queries.searchReason(3_000), 'detached');
+  });
+});
+
+describe('freshness', () => {
+  it('adds the age at the parent to the time since, whatever order confirmations come in', () => {
+    const freshness = createFreshness();
+    assert.equal(freshness.queries.isDetached(0), true);
+    freshness.commands.confirm(2_000, 10_000);
+    freshness.commands.confirm(9_000, 11_000);
+    assert.equal(freshness.queries.ageMs(12_000), 4_000);
+    assert.equal(freshness.queries.isDetached(18_000), false);
+    assert.equal(freshness.queries.isDetached(18_001), true);
+  });
+});
+
+describe('floors', () => {
+  it('keep the highest version of a node for an hour, longer while it reports', () => {
+    const floors = createFloors();
+    floors.commands.record({ name: 'node', version: { term: 2, index: 9 } }, 0);
+    floors.commands.record({ name: 'node', version: { term: 1, index: 99 } }, 0);
+    floors.commands.keep('node', 1_000);
+    floors.commands.expire(floorLifeMs);
+    assert.deepEqual(floors.queries.floorOf('node'), { term: 2, index: 9 });
+    floors.commands.expire(floorLifeMs + 1_000);
+    assert.equal(floors.queries.floorOf('node'), undefined);
+  });
+});
+
+describe('leases of branches', () => {
+  it('are renewed by the digest of the endpoints and not by another one', () => {
+    const branches = createBranches();
+    assert.equal(branches.commands.applyReport('child', fullReport(one), 0), true);
+    assert.equal(branches.commands.applyReport('child', renewal(one), leaseMs - 1), true);
+    assert.deepEqual(branches.commands.expire(leaseMs), []);
+    assert.equal(branches.commands.applyReport('child', renewal(two), leaseMs), false);
+    assert.deepEqual(branches.commands.expire(2 * leaseMs - 1), ['child']);
+    assert.equal(branches.queries.endpoints().size, 0);
+  });
+
+  it('survive a suspension of the parent itself', () => {
+    const subtree = createSubtree(0);
+    subtree.commands.applyReport('child', fullReport(one), [], 0);
+    subtree.commands.tick(500);
+    subtree.commands.tick(60_000);
+    assert.equal(subtree.queries.state().endpoints.size, 1);
+  });
+
+  it('keep an endpoint whose node moves to another parent', () => {
+    const branches = createBranches();
+    branches.commands.applyReport('old parent', fullReport(one), 0);
+    branches.commands.applyReport('new parent', fullReport(one), 5_000);
+    branches.commands.expire(leaseMs);
+    assert.equal(branches.queries.endpoints().has('one'), true);
+  });
+});
+
+describe('withdrawals', () => {
+  it('are not undone by an older record that arrives late by another branch', () => {
+    const subtree = createSubtree(0);
+    subtree.commands.applyReport('a', fullReport(one), [], 0);
+    const withdrawn = { id: 'one', incarnation: 1, sequence: 2 };
+    subtree.commands.applyReport('a', { ...renewal(), withdrawals: [withdrawn] }, [], 1);
+    subtree.commands.applyReport('b', fullReport(one), [], 2);
+    assert.equal(subtree.queries.state().endpoints.size, 0);
+    subtree.commands.applyReport('b', fullReport(endpointOf('one', 'lookup', 3)), [], 3);
+    assert.equal(subtree.queries.state().endpoints.size, 1);
+  });
+});
+
+describe('reports to the parent', () => {
+  it('carry each change once, and everything to a new parent', () => {
+    const upward = createUpwardReport();
+    const nodeVersions = [{ name: 'node', version: { term: 1, index: 1 } }];
+    const state = { endpoints: setOf(one, two), withdrawals: [], nodeVersions };
+    assert.equal(upward.queries.difference(state).announcements.length, 2);
+    upward.commands.answered(state);
+    const quiet = upward.queries.difference(state);
+    assert.equal(quiet.announcements.length + quiet.dropped.length + quiet.nodeVersions.length, 0);
+    const next = { ...state, endpoints: setOf(two) };
+    assert.deepEqual(upward.queries.difference(next).dropped, ['one']);
+    upward.commands.reset();
+    assert.equal(upward.queries.difference(next).full, true);
+    assert.equal(upward.queries.difference(next).announcements.length, 1);
+  });
+
+  it('are bounded and keep the number of nodes exact when merged', () => {
+    check(
+      fc.property(
+        fc.array(fc.nat({ max: 500 }), { minLength: 1, maxLength: 300, size: 'max' }),
+        (indexes) => {
+          const statuses = indexes.map((index, position) => {
+            const version = { term: 1, index };
+            const name = `node-${position}`;
+            return {
+              counts: [{ version, dataCentre: 'dc-a', nodes: 1 }],
+              laggards: [{ name, dataCentre: 'dc-a', version, reason: 'test' }],
+            };
+          });
+          const merged = mergeReports([mergeReports(statuses.slice(1)), ...statuses.slice(0, 1)]);
+          assert.equal(
+            merged.counts.reduce((sum, { nodes }) => sum + nodes, 0),
+            indexes.length,
+          );
+          assert.ok(merged.laggards.length <= maxLaggards);
+          assert.equal(merged.laggards[0]?.version.index, Math.min(...indexes));
+        },
+      ),
+    );
+  });
+});
+
+describe('registry', () => {
+  const isWithdrawn = () => false;
+  const settled = (...endpoints: Endpoint[]) => {
+    const registry = createRegistry('registry', -settleMs);
+    registry.commands.reconcile({ endpoints: setOf(...endpoints), isWithdrawn }, 0);
+    return registry;
+  };
+  const idsOf = (registry: ReturnType<typeof createRegistry>) =>
+    [...registry.queries.log('lookup').endpoints.keys()].sort();
+
+  it('drops a single endpoint at once, and most of them only after the hold', () => {
+    const registry = settled(one, two, three, four);
+    registry.commands.reconcile({ endpoints: setOf(one, two, three), isWithdrawn }, 0);
+    assert.deepEqual(idsOf(registry), ['one', 'three', 'two']);
+    registry.commands.reconcile({ endpoints: setOf(), isWithdrawn }, 1_000);
+    assert.equal(idsOf(registry).length, 3);
+    registry.commands.reconcile({ endpoints: setOf(), isWithdrawn }, massHoldMs + 999);
+    assert.equal(idsOf(registry).length, 3);
+    registry.commands.reconcile({ endpoints: setOf(), isWithdrawn }, massHoldMs + 1_000);
+    assert.equal(idsOf(registry).length, 0);
+  });
+
+  it('drops withdrawn endpoints at once, however many they are', () => {
+    const registry = settled(one, two, three, four);
+    registry.commands.reconcile({ endpoints: setOf(), isWithdrawn: () => true }, 0);
+    assert.equal(idsOf(registry).length, 0);
+  });
+
+  it('does not take endpoints from nodes just after its start', () => {
+    const before = settled(one, two);
+    const clusters = createNodeClusters();
+    clusters.commands.want(new Set(['lookup']));
+    const fetch = (registry: ReturnType<typeof createRegistry>) => {
+      const log = clusters.queries.log('lookup');
+      const cursor = {
+        service: 'lookup',
+        registry: log?.registry ?? '',
+        revision: log?.settling === false ? log.revision : 0,
+      };
+      const change = changeSince(registry.queries.log('lookup'), cursor);
+      return change && clusters.commands.receive(change);
+    };
+    fetch(before);
+    const restarted = createRegistry('another registry', 0);
+    restarted.commands.reconcile({ endpoints: setOf(one), isWithdrawn }, 1);
+    assert.equal(fetch(restarted), 'applied');
+    assert.deepEqual([...(clusters.queries.log('lookup')?.endpoints.keys() ?? [])], ['one', 'two']);
+    restarted.commands.reconcile({ endpoints: setOf(one), isWithdrawn }, settleMs);
+    assert.equal(fetch(restarted), 'applied');
+    assert.deepEqual([...(clusters.queries.log('lookup')?.endpoints.keys() ?? [])], ['one']);
+  });
+
+  it('numbers revisions so that any holder reaches the newest set by deltas', () => {
+    const steps = fc.array(fc.subarray([one, two, three, four]), { maxLength: 12, size: 'max' });
+    check(
+      fc.property(steps, fc.nat({ max: 12 }), (sets, stale) => {
+        const registry = createRegistry('registry', -settleMs);
+        const clusters = createNodeClusters();
+        clusters.commands.want(new Set(['lookup']));
+        sets.forEach((set, step) => {
+          const endpoints = setOf(...set);
+          registry.commands.reconcile({ endpoints, isWithdrawn: () => true }, step);
+          const [cursor] = clusters.queries.cursors();
+          const log = registry.queries.log('lookup');
+          const change = cursor && step >= stale ? changeSince(log, cursor) : undefined;
+          if (change) {
+            assert.equal(clusters.commands.receive(change), 'applied');
+            const held = clusters.queries.log('lookup')?.endpoints.values() ?? [];
+            assert.deepEqual(digestEndpoints(held), digestEndpoints(set));
+            assert.equal(applyChange(structuredClone(log), change), 'already_held');
+          }
+        });
+      }),
+    );
+  });
+});
