Compare targets with endpoints only where the change touches them

Cause: the first apply of a starting deployment was refused, because one of three endpoints of an expected service had announced itself: 'cannot be met by 1 endpoint(s)'. A target that became unreachable by failures would also have blocked every later change of another target. Change: availability, slots and distances are compared for changed classes of services that are not expected; work against time is always checked.

--- a/src/core/configurationChecks.ts
+++ b/src/core/configurationChecks.ts
@@ -129,52 +129,74 @@
   );
 };
 
+type ServiceChoice = (service: string) => boolean;
+
 /** The classes of one service together must not need more slots than its endpoints have. */
-const checkSlots = (configuration: Configuration, inventory: Inventory): Finding[] =>
-  Object.keys(configuration.services).flatMap((service) => {
-    const slots = totalSlots(readyEndpoints(inventory, service));
-    const needs = Object.values(configuration.classes)
-      .filter((trafficClass) => trafficClass.service === service)
-      .flatMap((trafficClass) => {
-        const inUse = slotsInUse(trafficClass);
-        return inUse === undefined ? [] : [{ trafficClass, inUse }];
-      });
-    const total = needs.reduce((sum, { inUse }) => sum + inUse, 0);
-    if (slots === 0 || total <= slots) {
-      return [];
-    }
-    const terms = needs.map(
-      ({ trafficClass: { name, ratePerSecond = 0, workMs = 0 }, inUse }) =>
-        `${name}: ${round(ratePerSecond)}/s * ${round(workMs / 1_000)} s = ${round(inUse)}`,
-    );
-    return [
-      {
-        place:
-          needs.length === 1 ? `class.${needs[0]?.trafficClass.name}.rate` : `service.${service}`,
-        message: `needs more slots than ${service} has (rate * work): ${terms.join(', ')}`,
-        found: `${round(total)} slots`,
-        allowed: `${slots} slots at most`,
-      },
-    ];
-  });
+const checkSlots = (
+  configuration: Configuration,
+  inventory: Inventory,
+  isChecked: ServiceChoice,
+): Finding[] =>
+  Object.keys(configuration.services)
+    .filter(isChecked)
+    .flatMap((service) => {
+      const slots = totalSlots(readyEndpoints(inventory, service));
+      const needs = Object.values(configuration.classes)
+        .filter((trafficClass) => trafficClass.service === service)
+        .flatMap((trafficClass) => {
+          const inUse = slotsInUse(trafficClass);
+          return inUse === undefined ? [] : [{ trafficClass, inUse }];
+        });
+      const total = needs.reduce((sum, { inUse }) => sum + inUse, 0);
+      if (slots === 0 || total <= slots) {
+        return [];
+      }
+      const terms = needs.map(
+        ({ trafficClass: { name, ratePerSecond = 0, workMs = 0 }, inUse }) =>
+          `${name}: ${round(ratePerSecond)}/s * ${round(workMs / 1_000)} s = ${round(inUse)}`,
+      );
+      return [
+        {
+          place:
+            needs.length === 1 ? `class.${needs[0]?.trafficClass.name}.rate` : `service.${service}`,
+          message: `needs more slots than ${service} has (rate * work): ${terms.join(', ')}`,
+          found: `${round(total)} slots`,
+          allowed: `${slots} slots at most`,
+        },
+      ];
+    });
 
-/** Checks a configuration against the fleet. No finding means that it can be put in force. */
+const isSame = (trafficClass: TrafficClass, base: Configuration | undefined): boolean =>
+  JSON.stringify(trafficClass) === JSON.stringify(base?.classes[trafficClass.name]);
+
+/**
+ * Checks a configuration against the fleet. No finding means that it can be put in force.
+ *
+ * Targets are compared with the endpoints that are there now only where the change touches them and
+ * the service is not `expected`: a target that became unreachable because endpoints failed must not
+ * block a change of another one, and an expected service may still be starting.
+ */
 export const checkConfiguration = (
   configuration: Configuration,
   inventory: Inventory,
+  base?: Configuration,
 ): Finding[] => {
-  const checks: ClassCheck[] = [
-    checkService(configuration, inventory),
-    checkRepeats,
-    checkWaiting,
-    checkTime,
-    checkAvailability,
-  ];
+  const changed = Object.values(configuration.classes).filter(
+    (trafficClass) => !isSame(trafficClass, base),
+  );
+  const isExpected: ServiceChoice = (service) => configuration.services[service]?.expected ?? false;
+  const isMeasured: ServiceChoice = (service) =>
+    !isExpected(service) && changed.some((trafficClass) => trafficClass.service === service);
+  const withoutEndpoints: Inventory = { ...inventory, clusters: new Map() };
+  const measure = (trafficClass: TrafficClass): Finding[] => {
+    const known = isExpected(trafficClass.service) ? withoutEndpoints : inventory;
+    return [checkTime, checkAvailability].flatMap((check) => check(trafficClass, known));
+  };
+  const checks = [checkService(configuration, inventory), checkRepeats, checkWaiting];
   return [
-    ...Object.values(configuration.classes).flatMap((trafficClass) =>
-      checks.flatMap((check) => check(trafficClass, inventory)),
-    ),
+    ...changed.flatMap((trafficClass) => checks.flatMap((check) => check(trafficClass, inventory))),
+    ...changed.flatMap(measure),
     ...checkRules(configuration),
-    ...checkSlots(configuration, inventory),
+    ...checkSlots(configuration, inventory, isMeasured),
   ];
 };
--- a/src/plugins/operatorCommands.ts
+++ b/src/plugins/operatorCommands.ts
@@ -163,7 +163,7 @@
     }
     const base = acceptance.queries.head()?.configuration ?? emptyConfiguration;
     const difference = diffLines(base, configuration);
-    const checked = checkConfiguration(configuration, fleet.inventory());
+    const checked = checkConfiguration(configuration, fleet.inventory(), base);
     if (checked.length > 0) {
       return refuse(checked, { difference });
     }
