--- a/__tests__/support/deployment.ts
+++ b/__tests__/support/deployment.ts
@@ -144,14 +144,19 @@
   process.pid % 256,
 ].join('.');
 
-/** Reserves a port: the system chooses it, and nothing else on this host asks for one. */
+const reserved = new Set<string>();
+
+/** Address with a port that the system chooses. The system may offer a closed port again. */
 const reserveAddress = (): Promise<string> =>
   new Promise((resolve, reject) => {
     const server = createServer();
     server.once('error', reject);
     server.listen(0, loopbackHost, () => {
       const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`${loopbackHost}:${port}`));
+      const address = `${loopbackHost}:${port}`;
+      const isTaken = reserved.has(address);
+      reserved.add(address);
+      server.close(() => resolve(isTaken ? reserveAddress() : address));
     });
   });
 
@@ -502,7 +507,20 @@
     progress(`${nodes.length} nodes and their upstreams are up`);
   };
 
+  const upstreamCount = nodes.filter(({ upstream }) => upstream).length;
+
+  /** The leader checks targets against the endpoints that it knows, so it has to know them all. */
+  const endpointsAreKnown = async (): Promise<boolean> => {
+    const { stdout } = await runCli(['status', '--json']);
+    const services = JSON.parse(stdout).services as { endpoints: number }[];
+    return services.reduce((sum, { endpoints }) => sum + endpoints, 0) >= upstreamCount;
+  };
+
   const applyTargets = async (targets: string) => {
+    await waitFor(endpointsAreKnown, {
+      limitMs: startLimitMs,
+      what: 'announcement of all upstreams',
+    });
     const { exitCode, stdout, stderr } = await deployment.apply(targets, ['--wait']);
     if (exitCode !== 0) {
       throw new Error(`apply ended with ${exitCode}\n${stdout}${stderr}`);
--- a/src/cli/inForce.ts
+++ b/src/cli/inForce.ts
@@ -9,6 +9,8 @@
 import { toVersion, versionText } from './text.js';
 
 const pollMs = 100;
+/** The leader measures the time to converge with the next report, after the status is complete. */
+const convergedGraceMs = 2_000;
 
 export const askStatus = (client: OperatorClient): Promise<StatusResponse> =>
   client.ask(({ queries }) => queries.status({}), { repeatable: true });
@@ -58,11 +60,15 @@
   },
 ): Promise<WaitResult> => {
   const until = timer.now() + limitMs;
+  let completeAt: number | undefined;
   for (;;) {
     const status = await askStatus(client);
     const isCurrent = compareVersions(toVersion(status.version), version) >= 0;
     if (isCurrent && dataCentresBehind(status).length === 0) {
-      return { status, complete: true };
+      completeAt ??= timer.now();
+      if (status.convergedMs > 0n || timer.now() - completeAt >= convergedGraceMs) {
+        return { status, complete: true };
+      }
     }
     onProgress(status);
     if (timer.now() >= until) {
--- a/src/cli/report/reportData.ts
+++ b/src/cli/report/reportData.ts
@@ -30,6 +30,9 @@
   ),
 });
 
+/** Part of a node's `/report` that is used here. */
+const reportSchema = z.object({ snapshot: snapshotSchema });
+
 export interface MissingNode {
   readonly address: string;
   readonly reason: string;
@@ -59,7 +62,11 @@
   if (text.length > maxReportBytes) {
     throw new Error(`the report is larger than ${maxReportBytes} bytes`);
   }
-  return snapshotSchema.parse(JSON.parse(text));
+  const parsed = reportSchema.safeParse(JSON.parse(text));
+  if (!parsed.success) {
+    throw new Error(`the answer is not a report: ${parsed.error.issues[0]?.path.join('.')}`);
+  }
+  return parsed.data.snapshot;
 };
 
 /** Asks every node for its report. Nodes that do not answer are named as missing. */
