Keep changes possible while one control instance is down

Cause: a data centre counted as attached only by the answers of its own control instance, so that the loss of one instance refused every change, although its nodes had moved to other control instances within 1.5 s. Control instances also told each other their versions in force only every 3 s, so a change looked unconfirmed for that long. Change: a data centre that another reachable control instance feeds is attached; statuses of lost control instances are dropped; a status that changed is shared within 100 ms. Ruled out: slow distribution; the nodes logged the version in force 3 to 10 ms after acceptance. Result: controlLoss.process.test.ts failed with data_centre_detached before, passes after.

--- a/src/core/attachment.ts
+++ b/src/core/attachment.ts
@@ -1,6 +1,7 @@
 /**
  * Which data centres are attached: those whose control instance answered the leader a short time
- * ago. A change is accepted only while all of them are, or while the operator allowed the others.
+ * ago, or whose nodes are fed by another control instance that did. A change is accepted only while
+ * all of them are, or while the operator allowed the others.
  */
 import type { Member } from '../types/internal.js';
 
@@ -12,18 +13,32 @@
   readonly detached: readonly string[];
 }
 
-/** Sorts the data centres of the members by the contact that the leader has with them. */
-export const judgeAttachment = (
-  members: readonly Member[],
-  contactAgeMs: (member: string) => number,
-): Attachment => {
-  const names = [...new Set(members.map(({ dataCentre }) => dataCentre))].sort();
-  const isAttached = (name: string): boolean =>
-    members.some(
-      (member) => member.dataCentre === name && contactAgeMs(member.name) <= attachedWithinMs,
-    );
+/** What the leader knows about the reach of its changes. */
+export interface Contact {
+  readonly members: readonly Member[];
+  contactAgeMs(member: string): number;
+  /** Data centres of nodes that the control instance feeds. */
+  fedDataCentres(control: string): readonly string[];
+}
+
+/** Data centres that a change reaches now. */
+export const attachedDataCentres = ({
+  members,
+  contactAgeMs,
+  fedDataCentres,
+}: Contact): ReadonlySet<string> => {
+  const reachable = members.filter(({ name }) => contactAgeMs(name) <= attachedWithinMs);
+  return new Set(
+    reachable.flatMap(({ name, dataCentre }) => [dataCentre, ...fedDataCentres(name)]),
+  );
+};
+
+/** Sorts the data centres of the members by whether a change reaches them now. */
+export const judgeAttachment = (contact: Contact): Attachment => {
+  const names = [...new Set(contact.members.map(({ dataCentre }) => dataCentre))].sort();
+  const reached = attachedDataCentres(contact);
   return {
-    attached: names.filter(isAttached),
-    detached: names.filter((name) => !isAttached(name)),
+    attached: names.filter((name) => reached.has(name)),
+    detached: names.filter((name) => !reached.has(name)),
   };
 };
--- a/src/plugins/controlExchange.ts
+++ b/src/plugins/controlExchange.ts
@@ -59,6 +59,8 @@
   stop(): Promise<void>;
   /** Forgets what is too old; called about once a second. */
   tick(): void;
+  /** Tells the other control instances soon about the versions in force of the own tree. */
+  reportSoon(): void;
   endpoints(): Endpoint[];
   /** One-way delay in ms; 0 where it is not measured. */
   delayMs(fromDataCentre: string, toDataCentre: string): number;
@@ -211,6 +213,7 @@
         .filter(({ lostAt }) => lostAt !== undefined && timer.now() - lostAt >= remoteKeepMs)
         .forEach(({ logs }) => logs.clear());
     },
+    reportSoon: () => remotes.forEach(({ link }) => link?.reportSoon()),
     endpoints: () =>
       remotes.flatMap(({ logs }) =>
         [...logs.values()].flatMap(({ endpoints }) => [...endpoints.values()]),
--- a/src/plugins/controlFeed.ts
+++ b/src/plugins/controlFeed.ts
@@ -25,6 +25,12 @@
 /** Endpoint changes that arrive within this time get one revision. */
 const batchMs = 100;
 
+/**
+ * A status that was not renewed for this time, three reports, is left out: the nodes of a lost
+ * control instance attach to others, which then count them.
+ */
+const remoteStatusKeepMs = 10_000;
+
 export interface ControlFeedOptions {
   readonly control: {
     readonly name: string;
@@ -73,11 +79,13 @@
   // Endpoints that nodes get, of all data centres, and those whose leases are held here.
   const registry = createRegistry(incarnation.slice(0, 8), timer.now());
   const leased = createRegistry(incarnation.slice(0, 8), timer.now());
-  const remoteStatuses = new Map<string, SubtreeStatus>();
+  const remoteStatuses = new Map<string, { status: SubtreeStatus; readonly atMs: number }>();
   const listeners = new Set<() => void>();
   const cancels: Cancel[] = [];
   let reconcileDue: Cancel | undefined;
   let notifyDue: Cancel | undefined;
+  /** Counts that the other control instances were told last. */
+  let sharedCounts = '';
 
   const notifySoon = () => {
     notifyDue ??= timer.after(batchMs, () => {
@@ -118,8 +126,20 @@
     changed: reconcileSoon,
   });
 
+  const shareStatus = () => {
+    const counts = JSON.stringify(ownStatus().counts);
+    if (counts !== sharedCounts) {
+      sharedCounts = counts;
+      exchange.reportSoon();
+    }
+    notifySoon();
+  };
+
   const reportFromControl = (child: Subscriber, report: ReportRequest): boolean => {
-    remoteStatuses.set(child.name, readBranchReport(report).status);
+    remoteStatuses.set(child.name, {
+      status: readBranchReport(report).status,
+      atMs: timer.now(),
+    });
     exchange.learnDelays(report.delays);
     notifySoon();
     return true;
@@ -132,7 +152,7 @@
       readNodeVersions(report.nodeVersions),
       timer.now(),
     );
-    notifySoon();
+    shareStatus();
     return known;
   };
 
@@ -149,7 +169,8 @@
       child.role === 'control' ? reportFromControl(child, report) : reportFromNode(child, report),
     detached: (child) => {
       subtree.commands.detach(child.name);
-      notifySoon();
+      remoteStatuses.delete(child.name);
+      shareStatus();
     },
     needsChanged: () => undefined,
   };
@@ -172,7 +193,14 @@
     reconcile();
   };
 
-  const status = (): SubtreeStatus => mergeReports([ownStatus(), ...remoteStatuses.values()]);
+  const statusOf = (name: string): SubtreeStatus => {
+    const remote = remoteStatuses.get(name);
+    const isFresh = remote !== undefined && timer.now() - remote.atMs <= remoteStatusKeepMs;
+    return isFresh ? remote.status : emptyStatus;
+  };
+
+  const status = (): SubtreeStatus =>
+    mergeReports([ownStatus(), ...[...remoteStatuses.keys()].map(statusOf)]);
 
   const dataCentres = (): string[] => {
     const named = [control.dataCentre, ...cluster.members.map(({ dataCentre }) => dataCentre)];
@@ -183,6 +211,10 @@
     fleet: {
       counts: () => status().counts,
       laggards: () => status().laggards,
+      fedDataCentres: (name) => {
+        const { counts } = name === control.name ? ownStatus() : statusOf(name);
+        return [...new Set(counts.map(({ dataCentre }) => dataCentre))];
+      },
       inventory: () => ({
         clusters: registry.queries.clusters(),
         delayMs: exchange.delayMs,
--- a/src/plugins/operatorCommands.ts
+++ b/src/plugins/operatorCommands.ts
@@ -111,7 +111,11 @@
   const leaderAddress = (): string => group.queries.leader()?.address ?? '';
 
   const attachment = (): Attachment =>
-    judgeAttachment(group.queries.members(), group.queries.contactAgeMs);
+    judgeAttachment({
+      members: group.queries.members(),
+      contactAgeMs: group.queries.contactAgeMs,
+      fedDataCentres: fleet.fedDataCentres,
+    });
 
   const toChange = (request: ApplyRequest, operator: string): Change => ({
     changeId: request.changeId,
--- a/src/plugins/operatorQueries.ts
+++ b/src/plugins/operatorQueries.ts
@@ -4,7 +4,7 @@
  */
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { Acceptance, AppliedChange, ChangeRecord } from '../core/acceptance.js';
-import { attachedWithinMs } from '../core/attachment.js';
+import { attachedDataCentres } from '../core/attachment.js';
 import { explainPolicy } from '../core/policy.js';
 import { compareVersions, noVersion } from '../core/version.js';
 import { OperatorQueries } from '../gen/auburnsill/v1/operator_pb.js';
@@ -89,7 +89,14 @@
     reason,
   });
 
-  const toDataCentre = (name: string) => {
+  const reachedDataCentres = () =>
+    attachedDataCentres({
+      members: group.queries.members(),
+      contactAgeMs: group.queries.contactAgeMs,
+      fedDataCentres: fleet.fedDataCentres,
+    });
+
+  const toDataCentre = (name: string, reached: ReadonlySet<string>) => {
     const members = group.queries.members().filter(({ dataCentre }) => dataCentre === name);
     const counts = fleet.counts().filter(({ dataCentre }) => dataCentre === name);
     const inForce = counts.filter(({ version }) => compareVersions(version, headVersion()) === 0);
@@ -99,7 +106,7 @@
       name,
       region: members[0]?.region ?? '',
       control: members.map((member) => member.name).join(', '),
-      attached: age <= attachedWithinMs,
+      attached: reached.has(name),
       nodes: sum(counts.map(({ nodes }) => nodes)),
       nodesInForce: sum(inForce.map(({ nodes }) => nodes)),
       laggards: fleet
@@ -118,7 +125,7 @@
 
   const status = () => ({
     version: toWireVersion(headVersion()),
-    dataCentres: dataCentreNames().map(toDataCentre),
+    dataCentres: dataCentreNames().map((name) => toDataCentre(name, reachedDataCentres())),
     members: group.queries.members().map(toMember),
     services: [...fleet.inventory().clusters.values()].map(({ service, endpoints }) =>
       toService(service, endpoints),
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -136,6 +136,8 @@
   /** Nodes by data centre and version. */
   counts(): readonly { dataCentre: string; version: Version; nodes: number }[];
   laggards(): readonly FleetNode[];
+  /** Data centres of the nodes that the control instance feeds, by its last report. */
+  fedDataCentres(control: string): readonly string[];
   inventory(): Inventory;
   onChange(listener: () => void): () => void;
 }
