--- /dev/null
+++ b/__tests__/burn.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import {
+  burnReport,
+  createBurn,
+  maxBurnRows,
+  mergeBurn,
+  type CallOutcome,
+  type RecordedCall,
+} from '../src/core/burn.js';
+import { parseTargets } from '../src/core/configuration.js';
+import { check } from './support/arbitraries.js';
+
+const minute = 60_000;
+
+const record = (calls: readonly RecordedCall[], now = 0) => {
+  const burn = createBurn();
+  calls.forEach((call) => burn.commands.recordOutcome(call, now));
+  return burn;
+};
+
+const call = (outcome: CallOutcome, className = 'c', dataCentre = 'a'): RecordedCall => ({
+  className,
+  dataCentre,
+  outcome,
+});
+
+const callArbitrary = fc.record(
+  {
+    className: fc.constantFrom('c', 'd'),
+    dataCentre: fc.constantFrom('a', 'b'),
+    outcome: fc.constantFrom<CallOutcome>('good', 'late', 'shed', 'failed', 'waiting'),
+  },
+  { noNullPrototype: true },
+);
+
+const { configuration } = parseTargets(
+  '[class.c]\nservice = "s"\nshare = 0.9\nanswer_within = "1s"\navailability = 0.9',
+  't',
+);
+
+describe('burn', () => {
+  it('merges nodes to the same result as one node that saw all calls, over JSON', () => {
+    const calls = fc.array(callArbitrary, { maxLength: 40 });
+    check(
+      fc.property(calls, calls, (left, right) => {
+        const snapshots = [left, right].map((part) => record(part).queries.snapshot(0));
+        const together = mergeBurn([record([...left, ...right]).queries.snapshot(0)]);
+        assert.deepEqual(mergeBurn(JSON.parse(JSON.stringify(snapshots))), together);
+        assert.deepEqual(mergeBurn(snapshots.reverse()), together);
+      }),
+    );
+  });
+
+  it('lets outcomes leave the short window after 5 minutes and the long one after an hour', () => {
+    const burn = record([call('failed')]);
+    const at = (now: number) => burn.queries.snapshot(now).entries[0];
+    assert.equal(at(4 * minute)?.short.failed, 1);
+    assert.equal(at(5 * minute)?.short.failed, 0);
+    assert.equal(at(59 * minute)?.long.failed, 1);
+    assert.equal(at(60 * minute), undefined);
+    burn.commands.recordOutcome(call('good'), 60 * minute);
+    assert.equal(at(60 * minute)?.long.failed, 0, 'the slot of the hour before is reused');
+  });
+
+  it('reports the budget that is left and what used it', () => {
+    const calls = [...Array(90).fill(call('good')), ...Array(6).fill(call('late'))];
+    const burn = record([...calls, ...Array(4).fill(call('shed')), call('good', 'gone')]);
+    const [line, ...others] = burnReport(burn.queries.snapshot(0), configuration!);
+    assert.deepEqual(others, [], 'a class without a target has no burn');
+    assert.ok(Math.abs(line!.allowedShare - 0.2) < 1e-9);
+    assert.ok(Math.abs(line!.longBurn - 0.5) < 1e-9);
+    assert.ok(Math.abs(line!.budgetLeft - 0.5) < 1e-9);
+    assert.equal(line!.mainCause, 'late');
+  });
+
+  it('keeps a bounded number of rows and counts the rest together', () => {
+    const burn = createBurn();
+    const calls = Array.from({ length: 3_000 }, (_, index) => call('good', `c${index}`));
+    calls.forEach((item) => burn.commands.recordOutcome(item, 0));
+    const { entries } = burn.queries.snapshot(0);
+    assert.equal(entries.length, maxBurnRows + 1);
+    assert.equal(
+      entries.reduce((sum, { long }) => sum + long.good, 0),
+      calls.length,
+    );
+  });
+});
--- a/src/core/retry.ts
+++ b/src/core/retry.ts
@@ -38,7 +38,7 @@
   readonly budget: RetryBudget;
   /** Time left until the call's deadline, in ms. */
   readonly remainingMs: number;
-  /** The call came from another node of this system or already carries `x-retried`. */
+  /** This node took the call from its caller, and the call is not itself a retry (`x-retried`). */
   readonly isFirstNode: boolean;
   readonly random: () => number;
   readonly now: number;
@@ -66,61 +66,95 @@
   readonly now: number;
 }
 
-const budgetCap = 100;
-const budgetFloor = 3;
+/** Retries that a node may make before it has seen any calls, and after quiet times. */
+const initialTokens = 10;
+/** Unused retries are kept up to this number: 3 s worth at 300 calls a second. */
+const maxTokens = 100;
+/** Longest delay before the first retry in ms; it doubles with each attempt. */
+const baseDelayMs = 5;
+const maxDelayMs = 250;
+/** Time left below which no answer can be expected from another attempt, in ms. */
+const minUsefulMs = 1;
 
-/** Creates the retry budget of one node. */
+/** Failures that another attempt would meet again, or that leave nobody to answer. */
+const finalReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
+  'bad_request',
+  'cancelled',
+  'deadline_past',
+  'key_in_progress',
+  'key_mismatch',
+  'key_required',
+  'ledger_unavailable',
+  'malformed_message',
+  'no_configuration',
+  'unauthorized',
+  'unknown_class',
+]);
+
+/** Creates the retry budget of one node: a token for each `1 / share` first attempts. */
 export const createRetryBudget = ({ share }: { share: number }): RetryBudget => {
-  let tokens = budgetFloor;
+  let tokens = initialTokens;
+  const balance = (): number => Math.floor(tokens + 1e-9);
   return {
     commands: {
       recordCall: () => {
-        tokens = Math.min(budgetCap, tokens + share);
+        tokens = Math.min(maxTokens, tokens + share);
       },
       spend: () => {
-        if (tokens < 1) {
-          return false;
-        }
-        tokens -= 1;
-        return true;
+        const isLeft = balance() >= 1;
+        tokens -= isLeft ? 1 : 0;
+        return isLeft;
       },
     },
-    queries: { available: () => tokens >= 1, balance: () => Math.floor(tokens) },
+    queries: { available: () => balance() >= 1, balance },
   };
 };
 
+type RetryRule = (question: RetryQuestion) => boolean;
+
+/** Reasons against a retry, in the order in which they are reported. */
+const rules: readonly (readonly [NoRetryReason, RetryRule])[] = [
+  ['not_first_node', ({ isFirstNode }) => !isFirstNode],
+  ['retried_below', ({ failure }) => failure.retried],
+  ['not_retryable', ({ failure }) => finalReasons.has(failure.reason)],
+  [
+    'may_have_run',
+    ({ failure, policy }) =>
+      failure.run === 'may_have_run' && (!policy.idempotent || policy.atMostOnce),
+  ],
+  ['attempts_used', ({ attempt, policy }) => attempt >= policy.maxAttempts],
+  ['budget_empty', ({ budget, now }) => !budget.queries.available(now)],
+];
+
+/** Delay before the next attempt in ms: exponential with full jitter. */
+const delayBefore = ({ attempt, random }: RetryQuestion): number =>
+  random() * Math.min(maxDelayMs, baseDelayMs * 2 ** (attempt - 1));
+
 /** Decides about a retry. Does not take it out of the budget: call `spend` when it is sent. */
 export const decideRetry = (question: RetryQuestion): RetryDecision => {
-  const { attempt, failure, policy, budget, remainingMs, isFirstNode, random, now } = question;
-  const no = (reason: NoRetryReason): RetryDecision => ({ retry: false, reason });
-  if (!isFirstNode) {
-    return no('not_first_node');
-  }
-  if (failure.retried) {
-    return no('retried_below');
-  }
-  if (failure.run === 'may_have_run' && !policy.idempotent) {
-    return no('may_have_run');
+  const against = rules.find(([, isAgainst]) => isAgainst(question));
+  if (against) {
+    return { retry: false, reason: against[0] };
   }
-  if (attempt >= policy.maxAttempts) {
-    return no('attempts_used');
-  }
-  const delayMs = random() * 5 * 2 ** attempt;
-  if (remainingMs <= delayMs) {
-    return no('deadline');
-  }
-  return budget.queries.available(now) ? { retry: true, delayMs } : no('budget_empty');
+  const delayMs = delayBefore(question);
+  return question.remainingMs - delayMs < minUsefulMs
+    ? { retry: false, reason: 'deadline' }
+    : { retry: true, delayMs };
 };
 
+/**
+ * Whether a failure goes up with `x-retried: true`. An empty budget counts too: otherwise each
+ * level above would spend its own budget on the same failure, 1.1 ^ 9 = 2.4 times the calls.
+ */
+export const isRetriedBelow = (attempts: number, decision: RetryDecision): boolean =>
+  attempts > 1 ||
+  (!decision.retry && (decision.reason === 'retried_below' || decision.reason === 'budget_empty'));
+
 /** Delay in ms after which a second copy of the call is sent, or undefined for none. */
 export const decideHedge = (question: HedgeQuestion): number | undefined => {
   const { policy, budget, attempt, remainingMs, isFirstNode, now } = question;
-  const delayMs = policy.hedgeAfterMs;
-  const isAllowed = isFirstNode && policy.idempotent && !policy.atMostOnce && attempt === 1;
-  return isAllowed &&
-    delayMs !== undefined &&
-    delayMs < remainingMs &&
-    budget.queries.available(now)
-    ? delayMs
-    : undefined;
+  const { hedgeAfterMs, idempotent, atMostOnce, maxAttempts } = policy;
+  const isAllowed = isFirstNode && idempotent && !atMostOnce && attempt === 1 && maxAttempts > 1;
+  const isInTime = hedgeAfterMs !== undefined && hedgeAfterMs < remainingMs;
+  return isAllowed && isInTime && budget.queries.available(now) ? hedgeAfterMs : undefined;
 };
