--- /dev/null
+++ b/bench/overload.ts
@@ -0,0 +1,167 @@
+/**
+ * Overload: a class that has to be answered fast shares two endpoints with a class that may wait,
+ * and the waiting class is raised to 2 and 5 times the capacity for a while. Baseline in the same
+ * run: the same calls straight to the same upstreams in turn, which queue and shed nothing.
+ */
+import { startDeployment, type Deployment } from '../__tests__/support/deployment.js';
+import { runLoad, type CallPattern, type PatternResult } from './support/load.js';
+
+interface BenchContext {
+  readonly print: (line: string) => void;
+}
+
+const endpoints = 2;
+const slots = 4;
+const workMs = 40;
+/** Calls a second that the endpoints can work on: slots / work. */
+const capacity = (endpoints * slots * 1_000) / workMs;
+const targetMs = 400;
+const waitMs = 2_000;
+const fastRate = capacity / 2;
+const quietBulkRate = capacity * 0.3;
+const burstStartMs = 5_000;
+const burstMs = 8_000;
+const totalMs = 20_000;
+const deadlineMs = 2 * targetMs;
+
+const targets = `
+[service.s]
+expected = true
+[class.fast]
+service = "s"
+match = [{ method = "GET", path = "/fast" }]
+answer_within = "${targetMs}ms"
+idempotent = true
+importance = 80
+work = "${workMs}ms"
+[class.bulk]
+service = "s"
+match = [{ method = "GET", path = "/bulk" }]
+may_wait = "${waitMs}ms"
+idempotent = true
+importance = 10
+`;
+
+const fast = (ratePerSecond: number): CallPattern => ({
+  name: 'fast',
+  method: 'GET',
+  path: '/fast',
+  ratePerSecond,
+  usefulWithinMs: targetMs,
+});
+
+const bulk = (ratePerSecond: number): CallPattern => ({
+  name: 'bulk',
+  method: 'GET',
+  path: '/bulk',
+  ratePerSecond,
+});
+
+const sleep = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const sumSecond = (patterns: readonly PatternResult[], second: number): number =>
+  patterns.reduce((sum, { usefulBySecond }) => sum + (usefulBySecond[second] ?? 0), 0);
+
+/** Whole seconds after the end of the burst until the base load is answered as before. */
+const recoverySeconds = (patterns: readonly PatternResult[], endMs: number): number => {
+  const expected = 0.95 * (fastRate + quietBulkRate);
+  const from = Math.ceil(endMs / 1_000);
+  for (let second = from; second < totalMs / 1_000; second += 1) {
+    if (sumSecond(patterns, second) >= expected) {
+      return second - from;
+    }
+  }
+  return Number.POSITIVE_INFINITY;
+};
+
+const runBurst = async (addresses: readonly string[], factor: number, timeoutMs: number) => {
+  const base = runLoad({
+    targets: addresses,
+    patterns: [fast(fastRate), bulk(quietBulkRate)],
+    warmUpMs: burstStartMs,
+    measureMs: totalMs - burstStartMs,
+    timeoutMs,
+  });
+  await sleep(burstStartMs);
+  const burstRate = factor * capacity - fastRate - quietBulkRate;
+  const burst = await runLoad({
+    targets: addresses,
+    patterns: [bulk(burstRate)],
+    warmUpMs: 2_000,
+    measureMs: burstMs - 2_000,
+    timeoutMs,
+  });
+  const { patterns, maxStartLagMs } = await base;
+  const [fastResult, bulkResult] = patterns;
+  // The burst's process starts about a second late; these seconds lie well inside it.
+  const inside = [8, 9, 10, 11];
+  const fastUseful =
+    inside.reduce((sum, second) => sum + (fastResult?.usefulBySecond[second] ?? 0), 0) /
+    inside.length;
+  const baseBulk =
+    inside.reduce((sum, second) => sum + (bulkResult?.usefulBySecond[second] ?? 0), 0) /
+    inside.length;
+  const burstSeconds = burst.patterns[0]?.usefulBySecond.slice(3, 7) ?? [];
+  const burstBulk =
+    burstSeconds.reduce((sum, count) => sum + count, 0) / Math.max(1, burstSeconds.length);
+  return {
+    factor,
+    usefulPerSecond: Math.round(fastUseful + baseBulk + burstBulk),
+    fastUsefulPerSecond: Math.round(fastUseful),
+    fastUsefulShare: Number((fastUseful / fastRate).toFixed(3)),
+    fastP99Ms: Math.round(fastResult?.latencyMs.p99 ?? 0),
+    bulkP99Ms: Math.round(burst.patterns[0]?.latencyMs.p99 ?? 0),
+    bulkShed: burst.patterns[0]?.reasons ?? {},
+    recoverySeconds: recoverySeconds(patterns, burstStartMs + burstMs + 1_000),
+    generatorLagMs: Math.round(Math.max(maxStartLagMs, burst.maxStartLagMs)),
+  };
+};
+
+/** Useful answers a second at an offered load that the endpoints can just work on. */
+const measurePeak = async (addresses: readonly string[], timeoutMs: number) => {
+  const { patterns } = await runLoad({
+    targets: addresses,
+    patterns: [fast(fastRate), bulk(capacity * 0.5)],
+    warmUpMs: 4_000,
+    measureMs: 6_000,
+    timeoutMs,
+  });
+  return Math.round(patterns.reduce((sum, { useful }) => sum + useful, 0) / 6);
+};
+
+const measure = async (addresses: readonly string[], timeoutMs: number) => ({
+  peakPerSecond: await measurePeak(addresses, timeoutMs),
+  bursts: [await runBurst(addresses, 2, timeoutMs), await runBurst(addresses, 5, timeoutMs)],
+});
+
+const upstreamAddresses = ({ nodes }: Deployment): string[] =>
+  nodes.flatMap(({ upstream }) => (upstream ? [upstream.address()] : []));
+
+export const run = async ({ print }: BenchContext) => {
+  const deployment = await startDeployment({
+    dataCentres: [
+      {
+        name: 'a',
+        upstreams: [
+          { service: 's', count: endpoints, slots, behaviour: { workMs, queue: 100_000 } },
+        ],
+        callerNodes: 1,
+      },
+    ],
+    targets,
+  });
+  try {
+    const caller = deployment.nodes.filter(({ upstream }) => !upstream).map(({ calls }) => calls);
+    print(`capacity ${capacity}/s, fast ${fastRate}/s, target ${targetMs} ms`);
+    const auburnsill = await measure(caller, waitMs + 30_000);
+    print(`through nodes: ${JSON.stringify(auburnsill, null, 1)}`);
+    const baseline = await measure(upstreamAddresses(deployment), deadlineMs);
+    print(`without shedding: ${JSON.stringify(baseline, null, 1)}`);
+    return { bench: 'overload', capacityPerSecond: capacity, targetMs, auburnsill, baseline };
+  } finally {
+    await deployment.stop();
+  }
+};
--- a/bench/support/load.ts
+++ b/bench/support/load.ts
@@ -17,6 +17,8 @@
   /** Sends a fresh idempotency key with each call. */
   readonly withKey?: boolean;
   readonly ratePerSecond: number;
+  /** Answers up to this latency count as useful. Default: all answers with status below 400. */
+  readonly usefulWithinMs?: number;
 }
 
 export interface LoadOptions {
@@ -26,6 +28,8 @@
   readonly warmUpMs: number;
   readonly measureMs: number;
   readonly timeoutMs?: number;
+  /** How targets are chosen: in turn, or the one with the fewest calls in flight. */
+  readonly balance?: 'in_turn' | 'least_in_flight';
   readonly seed?: number;
 }
 
@@ -37,6 +41,10 @@
   /** Refusals by their reason. */
   readonly reasons: Readonly<Record<string, number>>;
   readonly failed: number;
+  /** Answers with status below 400 within `usefulWithinMs`. */
+  readonly useful: number;
+  /** Useful answers by the second in which they ended, from the start of the load on. */
+  readonly usefulBySecond: readonly number[];
   /** Latency from the planned start to the last byte, in ms, of answers with status below 400. */
   readonly latencyMs: Readonly<Record<'mean' | 'p50' | 'p90' | 'p99' | 'p999' | 'max', number>>;
 }
@@ -63,11 +71,23 @@
   const reasons: Record<string, number> = {};
   let calls = 0;
   let failed = 0;
+  let useful = 0;
+  const usefulBySecond: number[] = [];
+  const isUseful = (status: number, latencyMs: number): boolean =>
+    status > 0 && status < 400 && latencyMs <= (pattern.usefulWithinMs ?? Infinity);
   const atPercentile = (percentile: number): number =>
     histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
   return {
+    recordSecond: (status: number, latencyMs: number, endedAtMs: number) => {
+      const second = Math.floor(endedAtMs / 1_000);
+      for (let empty = usefulBySecond.length; empty <= second; empty += 1) {
+        usefulBySecond.push(0);
+      }
+      usefulBySecond[second]! += Number(isUseful(status, latencyMs));
+    },
     record: (status: number, latencyMs: number, reason?: string) => {
       calls += 1;
+      useful += Number(isUseful(status, latencyMs));
       statuses[status] = (statuses[status] ?? 0) + 1;
       if (reason) {
         reasons[reason] = (reasons[reason] ?? 0) + 1;
@@ -85,6 +105,8 @@
       statuses,
       reasons,
       failed,
+      useful,
+      usefulBySecond,
       latencyMs: {
         mean: histogram.mean / microsecondsPerMs,
         p50: atPercentile(50),
@@ -118,9 +140,17 @@
   const startedAt = performance.now();
   const endAt = warmUpMs + measureMs;
   const open = new Set<Promise<void>>();
+  const inFlight = targets.map(() => 0);
   let sequence = 0;
   let maxStartLagMs = 0;
 
+  const chooseTarget = (): number => {
+    const turn = sequence % targets.length;
+    return options.balance === 'least_in_flight'
+      ? inFlight.reduce((least, count, index) => (count < inFlight[least]! ? index : least), turn)
+      : turn;
+  };
+
   const call = async (
     pattern: CallPattern,
     plannedAt: number,
@@ -128,15 +158,19 @@
   ) => {
     sequence += 1;
     const id = `load-${options.seed ?? 1}-${sequence}`;
-    const target = targets[sequence % targets.length];
+    const target = chooseTarget();
+    inFlight[target]! += 1;
     const isMeasured = plannedAt >= warmUpMs;
     const finish = (status: number, reason?: string) => {
+      inFlight[target]! -= 1;
+      const endedAt = performance.now() - startedAt;
+      recorder.recordSecond(status, endedAt - plannedAt, endedAt);
       if (isMeasured) {
-        recorder.record(status, performance.now() - startedAt - plannedAt, reason);
+        recorder.record(status, endedAt - plannedAt, reason);
       }
     };
     try {
-      const answer = await request(`http://${target}${pattern.path}`, {
+      const answer = await request(`http://${targets[target]}${pattern.path}`, {
         method: pattern.method,
         dispatcher: agent,
         headersTimeout: timeoutMs,
