Share the retry budget across levels by x-retried

Change: x-retried of an upstream's answer is passed on and respected; a failed answer or refusal is marked if it was retried or the budget was empty.

--- a/src/plugins/callHeaders.ts
+++ b/src/plugins/callHeaders.ts
@@ -63,7 +63,6 @@
   replayedHeader,
   requestIdHeader,
   runHeader,
-  'x-retried',
 ]);
 
 export interface CallHeaders {
--- a/src/plugins/callRun.ts
+++ b/src/plugins/callRun.ts
@@ -5,7 +5,14 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { AttemptOutcome, Evidence } from '../core/evidence.js';
-import { decideHedge, decideRetry, type RetryBudget } from '../core/retry.js';
+import {
+  decideHedge,
+  decideRetry,
+  isRetriedBelow,
+  retriedHeader,
+  type RetryBudget,
+  type RetryDecision,
+} from '../core/retry.js';
 import { chooseEndpoint } from '../core/routing.js';
 import type {
   AnswerHead,
@@ -21,6 +28,7 @@
 import { Failure } from '../utils/failure.js';
 import type { Cancel, Timer } from '../utils/timer.js';
 import { reportOf } from './callAnswers.js';
+import { headerIn } from './callHeaders.js';
 import type { LocalUpstream } from './localUpstream.js';
 import type { RemoteNodes } from './remoteNode.js';
 
@@ -131,19 +139,20 @@
       return true;
     };
 
-    const refuse = (failure: AttemptFailureReport) => {
+    const refuse = (failure: AttemptFailureReport, decision?: RetryDecision) => {
+      const retried = decision ? isRetriedBelow(attempts, decision) : attempts > 1;
       if (end()) {
         listener.onRefusal({
           ...failure,
           run: mayHaveRun ? 'may_have_run' : failure.run,
-          retried: failure.retried || attempts > 1,
+          retried: failure.retried || retried,
         });
       }
     };
 
-    const retryOrRefuse = (failure: AttemptFailureReport) => {
+    const decide = (failure: AttemptFailureReport): RetryDecision => {
       const now = timer.now();
-      const decision = decideRetry({
+      return decideRetry({
         attempt: attempts,
         failure,
         policy,
@@ -153,9 +162,14 @@
         random,
         now,
       });
+    };
+
+    const retryOrRefuse = (failure: AttemptFailureReport) => {
+      const decision = decide(failure);
       // A body that is read once cannot be sent again.
-      if (!decision.retry || plan.body.kind === 'stream' || !budget.commands.spend(now)) {
-        refuse(failure);
+      const isStream = plan.body.kind === 'stream';
+      if (!decision.retry || isStream || !budget.commands.spend(timer.now())) {
+        refuse(failure, decision);
         return;
       }
       options.onRetry(policy.className);
@@ -183,25 +197,34 @@
       }
     };
 
-    const canTryAgain = (status: number): boolean =>
-      policy.idempotent &&
-      retryableStatuses.has(status) &&
-      plan.body.kind !== 'stream' &&
-      attempts < policy.maxAttempts &&
-      budget.queries.available(timer.now()) &&
-      plan.deadlineAt > timer.now();
+    /** Tries again after an answer that says that the upstream failed, or marks it as retried. */
+    const tryAgain = (attempt: Attempt, head: AnswerHead): boolean => {
+      if (!policy.idempotent || !retryableStatuses.has(head.status)) {
+        return false;
+      }
+      const isMarked = headerIn(head.headers, retriedHeader) === 'true';
+      const failure: AttemptFailureReport = {
+        reason: 'upstream_failed',
+        run: 'may_have_run',
+        detail: `status ${head.status}`,
+        retried: isMarked,
+      };
+      const decision = decide(failure);
+      if (decision.retry && plan.body.kind !== 'stream') {
+        active.delete(attempt);
+        attempt.running?.abort();
+        onFailure(attempt, failure);
+        return true;
+      }
+      if (!isMarked && isRetriedBelow(attempts, decision)) {
+        head.headers.push(retriedHeader, 'true');
+      }
+      return false;
+    };
 
     const listenTo = (attempt: Attempt): AttemptListener => ({
       onHead: (head) => {
-        if (canTryAgain(head.status)) {
-          active.delete(attempt);
-          attempt.running?.abort();
-          onFailure(attempt, {
-            reason: 'upstream_failed',
-            run: 'may_have_run',
-            detail: `status ${head.status}`,
-            retried: false,
-          });
+        if (tryAgain(attempt, head)) {
           return;
         }
         winner = attempt;
