Keep the slots of an upstream that fails

Change: a 503 shrinks the limit only while the upstream also answers calls and more than half of the limit is in use; growth is a tenth of the limit at a time and held for at most 5 s, since a limit of 1 took more than a minute to return.

--- a/src/core/adaptiveLimit.ts
+++ b/src/core/adaptiveLimit.ts
@@ -9,8 +9,8 @@
   readonly commands: {
     /** Counts an answered call. `inFlight` includes the call itself. */
     record(call: { className: string; latencyMs: number; inFlight: number }, now: number): void;
-    /** Notes that the upstream refused an admitted call for lack of a slot. */
-    recordOverload(now: number): void;
+    /** Notes that the upstream refused an admitted call as if for lack of a slot. */
+    recordOverload(inFlight: number, now: number): void;
     /** Takes over the reported slots. */
     setSlots(slots: number): void;
   };
@@ -29,6 +29,7 @@
 /** Latency over its base at which the limit shrinks. Windows at constant load stay below 1.5. */
 const shrinkAbove = 2;
 const growBelow = 1.5;
+const growShare = 0.1;
 const shrinkTarget = 1.3;
 const maxShrink = 0.5;
 /** A shrink has to bring latency below this part of the one before, or it is taken back. */
@@ -36,7 +37,9 @@
 const overloadShrink = 0.9;
 const overloadPauseMs = 100;
 const minGrowthHoldMs = 2_000;
-const maxGrowthHoldMs = 60_000;
+const maxGrowthHoldMs = 5_000;
+/** An upstream that answers nothing at all is failing: fewer calls at a time would not help. */
+const answeringMs = 1_000;
 
 interface Trial {
   readonly limitBefore: number;
@@ -58,6 +61,7 @@
   let growthHoldUntil = 0;
   let growthHoldMs = minGrowthHoldMs;
   let overloadedAt = Number.NEGATIVE_INFINITY;
+  let answeredAt = Number.NEGATIVE_INFINITY;
 
   const means = (): { className: string; count: number; meanMs: number }[] =>
     [...sums]
@@ -90,7 +94,7 @@
   };
 
   const grow = (): void => {
-    limit = Math.min(slots, limit + 1);
+    limit = Math.min(slots, limit + Math.max(1, Math.floor(limit * growShare)));
     if (limit === slots) {
       growthHoldMs = minGrowthHoldMs;
     }
@@ -123,6 +127,7 @@
 
   const record: AdaptiveLimit['commands']['record'] = ({ className, latencyMs, inFlight }, now) => {
     windowStart ??= now;
+    answeredAt = now;
     const known = sums.get(className) ?? { count: 0, sumMs: 0 };
     sums.set(className, { count: known.count + 1, sumMs: known.sumMs + latencyMs });
     windowCalls += 1;
@@ -132,8 +137,10 @@
     }
   };
 
-  const recordOverload = (now: number): void => {
-    if (now - overloadedAt < overloadPauseMs) {
+  const recordOverload = (inFlight: number, now: number): void => {
+    const isAnswering = now - answeredAt < answeringMs;
+    const isNearLimit = inFlight > limit / 2;
+    if (!isAnswering || !isNearLimit || now - overloadedAt < overloadPauseMs) {
       return;
     }
     overloadedAt = now;
