Compare classes by content, not by the order of their keys

Cause: a class read from TOML and the same class decoded from the log may differ in key order, and then count as changed. Change: isDeepStrictEqual.

--- a/src/core/configurationChecks.ts
+++ b/src/core/configurationChecks.ts
@@ -2,6 +2,7 @@
  * Checks of a configuration against the fleet: targets that name nothing, contradict each other or
  * cannot be met. Each finding carries its arithmetic.
  */
+import { isDeepStrictEqual } from 'node:util';
 import type { Inventory } from '../types/internal.js';
 import type { Configuration, Finding, TrafficClass } from '../types/public.js';
 import {
@@ -167,7 +168,7 @@
     });
 
 const isSame = (trafficClass: TrafficClass, base: Configuration | undefined): boolean =>
-  JSON.stringify(trafficClass) === JSON.stringify(base?.classes[trafficClass.name]);
+  isDeepStrictEqual(trafficClass, base?.classes[trafficClass.name]);
 
 /**
  * Checks a configuration against the fleet. No finding means that it can be put in force.
