--- /dev/null
+++ b/__tests__/distribution.process.test.ts
@@ -0,0 +1,243 @@
+import assert from 'node:assert/strict';
+import { readFileSync, writeFileSync } from 'node:fs';
+import { describe, it } from 'node:test';
+import { withDeployment, type Deployment, type MeshNode } from './support/deployment.js';
+import {
+  createChangeClient,
+  indexOf,
+  reportOf,
+  targetsOf,
+  waitForVersion,
+} from './support/fleetView.js';
+import { waitFor } from './support/waitFor.js';
+
+/** Polls all nodes and records every step back to an older version. */
+const watchVersions = (nodes: readonly MeshNode[]) => {
+  const highest = new Map<string, number>();
+  const stepsBack: string[] = [];
+  let stopped = false;
+  const look = async (node: MeshNode) => {
+    const { version } = await reportOf(node);
+    const before = highest.get(node.name) ?? 0;
+    // A node that has just started holds nothing yet and serves nothing.
+    if (version !== undefined && indexOf(version) < before) {
+      stepsBack.push(`${node.name} from ${before} to ${version}`);
+    }
+    highest.set(node.name, Math.max(before, indexOf(version)));
+  };
+  const watch = async () => {
+    while (!stopped) {
+      await Promise.all(nodes.map((node) => look(node).catch(() => undefined)));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+    }
+  };
+  const running = watch();
+  return {
+    stop: async () => {
+      stopped = true;
+      await running;
+      assert.deepEqual(stepsBack, [], 'a proxy went back to an older version');
+    },
+  };
+};
+
+const waitForFresh = (nodes: readonly MeshNode[], limitMs = 30_000) =>
+  waitFor(async () => (await Promise.all(nodes.map(reportOf))).every(({ detached }) => !detached), {
+    limitMs,
+    everyMs: 50,
+    what: `confirmations younger than the lease on ${nodes.length} nodes`,
+  });
+
+const addPeers = ({ settingsFile }: MeshNode, peers: readonly string[]) => {
+  const text = readFileSync(settingsFile, 'utf8');
+  const line = `peers = [${peers.map((peer) => JSON.stringify(peer)).join(', ')}]`;
+  writeFileSync(settingsFile, text.replace('[cluster]', `[cluster]\n${line}`));
+};
+
+const readMetric = async ({ admin }: MeshNode, name: string): Promise<number> => {
+  const text = await (await fetch(`http://${admin}/metrics`)).text();
+  const line = text.split('\n').find((each) => each.startsWith(name));
+  return Number(line?.split(' ').at(-1) ?? 0);
+};
+
+const lookup = { service: 'lookup', count: 2 };
+
+const setUp = async (deployment: Deployment) => {
+  const changes = createChangeClient(deployment);
+  const version = await changes.apply(targetsOf(['lookup']));
+  await waitForVersion(deployment.nodes, version);
+  return changes;
+};
+
+describe('distribution over real processes', () => {
+  it('recovers when half of all processes die at once, the source among them', async () => {
+    const dataCentres = [{ name: 'a', upstreams: [lookup], callerNodes: 18 }];
+    await withDeployment({ dataCentres }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const watch = watchVersions(deployment.nodes);
+      const dying = [
+        ...deployment.controls,
+        ...deployment.nodes.filter((_, index) => index % 2 === 0),
+      ];
+      await Promise.all(dying.map(({ process }) => process.end('SIGKILL')));
+      dying.forEach(({ process }) => process.start());
+      await waitFor(
+        async () => (await fetch(`http://${deployment.controls[0]?.admin}/readyz`)).ok,
+        { what: 'readiness of the control instance' },
+      );
+      const version = await changes.apply(targetsOf(['lookup'], 60));
+      await waitForVersion(deployment.nodes, version);
+      await waitForFresh(deployment.nodes);
+      await waitFor(
+        async () =>
+          (await Promise.all(deployment.nodes.map(reportOf))).every(
+            ({ endpoints }) => endpoints.lookup?.ready === 2,
+          ),
+        { limitMs: 30_000, what: 'both endpoints on all nodes' },
+      );
+      await watch.stop();
+      changes.close();
+    });
+  });
+
+  it('starts nodes from peers alone while the source is out', async () => {
+    const dataCentres = [{ name: 'a', upstreams: [lookup], callerNodes: 4 }];
+    await withDeployment({ dataCentres }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const [first, second, ...others] = deployment.nodes;
+      assert.ok(first && second);
+      const newcomers = others.slice(-2);
+      await Promise.all(newcomers.map(({ process }) => process.end('SIGKILL')));
+      const version = await changes.apply(targetsOf(['lookup'], 60));
+      await waitForVersion([first, second], version);
+      await deployment.controls[0]?.process.end('SIGKILL');
+      newcomers.forEach((node) => {
+        addPeers(node, [first.peer, second.peer]);
+        node.process.start();
+      });
+      await waitForVersion(newcomers, version);
+      const reports = await Promise.all(newcomers.map(reportOf));
+      reports.forEach(({ endpoints }) => assert.equal(endpoints.lookup?.ready, 2));
+      await waitFor(
+        async () => (await Promise.all(newcomers.map(reportOf))).every(({ detached }) => detached),
+        { what: 'the mark of answers as stale without a source' },
+      );
+      deployment.controls[0]?.process.start();
+      await waitForFresh(deployment.nodes);
+      changes.close();
+    });
+  });
+
+  it('lets a cut-off data centre serve its last version and take the newest after', async () => {
+    const dataCentres = ['a', 'b', 'c'].map((name) => ({
+      name,
+      upstreams: [{ service: 'lookup', count: 1 }],
+      callerNodes: 1,
+    }));
+    await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const watch = watchVersions(deployment.nodes);
+      const inside = deployment.namesIn('c');
+      const outside = [...deployment.namesIn('a'), ...deployment.namesIn('b')];
+      const cutOff = deployment.nodes.filter(({ dataCentre }) => dataCentre === 'c');
+      const connected = deployment.nodes.filter(({ dataCentre }) => dataCentre !== 'c');
+      const before = await Promise.all(cutOff.map(reportOf));
+      deployment.partition(inside, outside);
+      await waitFor(
+        async () => (await Promise.all(cutOff.map(reportOf))).every(({ detached }) => detached),
+        { limitMs: 40_000, what: 'detached nodes in the cut-off data centre' },
+      );
+      const version = await changes.apply(targetsOf(['lookup'], 60), ['c']);
+      await waitForVersion(connected, version);
+      const during = await Promise.all(cutOff.map(reportOf));
+      during.forEach((report, index) => {
+        assert.equal(report.version, before[index]?.version);
+        assert.ok((report.endpoints.lookup?.ready ?? 0) >= 1, 'the own endpoints are gone');
+      });
+      deployment.heal();
+      await waitForVersion(deployment.nodes, version, 40_000);
+      await waitForFresh(deployment.nodes);
+      await watch.stop();
+      changes.close();
+    });
+  });
+
+  it('leaves a feed connection that has gone silent for good', async () => {
+    const dataCentres = [{ name: 'a', upstreams: [lookup], callerNodes: 2 }];
+    await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const [control] = deployment.controls;
+      assert.ok(control);
+      deployment.proxy(control.name, 'peer').silenceOpen();
+      // The client of the test had its connection silenced as well.
+      changes.close();
+      const next = createChangeClient(deployment);
+      const startedAt = performance.now();
+      const version = await next.apply(targetsOf(['lookup'], 60));
+      await waitForVersion(deployment.nodes, version, 7_000);
+      assert.ok(performance.now() - startedAt < 7_000);
+      next.close();
+    });
+  });
+
+  it('brings a process that slept through 500 changes up to date with one update', async () => {
+    const dataCentres = [{ name: 'a', upstreams: [lookup], callerNodes: 2 }];
+    await withDeployment({ dataCentres }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const [restarted, suspended] = deployment.nodes.slice(-2);
+      assert.ok(restarted && suspended);
+      const counter = 'auburnsill_feed_messages_total{direction="received",kind="configuration"}';
+      const countBefore = await readMetric(suspended, counter);
+      await restarted.process.end('SIGKILL');
+      suspended.process.pause();
+      let version = '';
+      for (let change = 0; change < 500; change += 1) {
+        version = await changes.apply(targetsOf(['lookup'], 1 + (change % 100)));
+      }
+      restarted.process.start();
+      suspended.process.resume();
+      await waitForVersion(deployment.nodes, version);
+      assert.equal(await readMetric(restarted, counter), 1);
+      const received = (await readMetric(suspended, counter)) - countBefore;
+      // Changes that were sent before the suspension was noticed can still be in its buffers.
+      assert.ok(received <= 250, `${received} updates`);
+      changes.close();
+    });
+  });
+
+  it('sends no work to an upstream that left where its withdrawal did not arrive', async () => {
+    const dataCentres = [
+      { name: 'a', upstreams: [{ service: 'lookup', count: 2 }], callerNodes: 1 },
+    ];
+    await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const [leaver, , caller] = deployment.nodes;
+      assert.ok(leaver?.upstream && caller);
+      const callOnce = async () => (await fetch(`http://${caller.calls}/lookup`)).status;
+      await waitFor(async () => (await callOnce()) === 200, { what: 'an answered call' });
+      deployment.disturb(
+        [caller.name],
+        deployment.controls.map(({ name }) => name),
+        {
+          toClient: { silent: true },
+          toServer: { silent: true },
+        },
+      );
+      await leaver.upstream.drain();
+      const startedBefore = (await leaver.upstream.counters()).started;
+      for (let call = 0; call < 50; call += 1) {
+        assert.equal(await callOnce(), 200);
+      }
+      assert.equal((await leaver.upstream.counters()).started, startedBefore);
+      assert.equal((await reportOf(caller)).endpoints.lookup?.ready, 2, 'the withdrawal arrived');
+      deployment.heal();
+      await waitFor(async () => (await reportOf(caller)).endpoints.lookup?.ready === 1, {
+        limitMs: 30_000,
+        what: 'the withdrawal after the fault',
+      });
+      changes.close();
+    });
+  });
+});
--- a/__tests__/support/faultProxy.ts
+++ b/__tests__/support/faultProxy.ts
@@ -45,6 +45,8 @@
   set(change: FaultChange, source?: string): void;
   /** Lifts all faults. Held connections go on. */
   heal(source?: string): void;
+  /** Loses all further bytes of the connections that are open now; new ones are not affected. */
+  silenceOpen(source?: string): void;
   /** Resets all open connections, or those of one source. */
   reset(source?: string): void;
   /** Connects held connections onward, in the given order of their arrival. */
@@ -78,6 +80,12 @@
   }
 };
 
+const silencedFaults: LinkFaults = {
+  toServer: { ...noDirectionFaults(), discard: true },
+  toClient: { ...noDirectionFaults(), discard: true },
+  accept: 'open',
+};
+
 interface Pump {
   /** Sends what has become due; called when faults change. */
   wake(): void;
@@ -173,6 +181,7 @@
   readonly client: Socket;
   server?: Socket;
   readonly pumps: Pump[];
+  isSilenced: boolean;
 }
 
 /** Starts a proxy on a port that the system chooses. */
@@ -191,8 +200,11 @@
   const faultsOf = (source: string | undefined): LinkFaults =>
     (source === undefined ? undefined : faultsBySource.get(source)) ?? faultsOfAll;
 
+  const faultsOfConnection = ({ source, isSilenced }: Connection): LinkFaults =>
+    isSilenced ? silencedFaults : faultsOf(source);
+
   const open = (connection: Connection) => {
-    const { client, source } = connection;
+    const { client } = connection;
     const server = connect({ ...targetAddress, allowHalfOpen: true });
     connection.server = server;
     server.setNoDelay(true);
@@ -200,8 +212,8 @@
     server.on('close', () => connections.delete(connection));
     client.on('close', (hadError) => (hadError ? resetSocket(server) : server.end()));
     connection.pumps.push(
-      createPump(client, server, () => faultsOf(source).toServer),
-      createPump(server, client, () => faultsOf(source).toClient),
+      createPump(client, server, () => faultsOfConnection(connection).toServer),
+      createPump(server, client, () => faultsOfConnection(connection).toClient),
     );
   };
 
@@ -215,7 +227,7 @@
     client.setNoDelay(true);
     client.on('error', () => undefined);
     const source = sourceOf(client.remotePort ?? 0);
-    const connection: Connection = { source, client, pumps: [] };
+    const connection: Connection = { source, client, pumps: [], isSilenced: false };
     connections.add(connection);
     client.on('close', () => connections.delete(connection));
     acceptModes[faultsOf(source).accept](connection);
@@ -269,6 +281,12 @@
       }
       release();
     },
+    silenceOpen: (source) =>
+      [...connections]
+        .filter((connection) => source === undefined || connection.source === source)
+        .forEach((connection) => {
+          connection.isSilenced = true;
+        }),
     reset,
     release,
     connections: () => connections.size,
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -9,6 +9,7 @@
 import { createAdminServer, type CheckState } from '../plugins/adminServer.js';
 import { createConsensusTransport, type Receiver } from '../plugins/consensusTransport.js';
 import { createControlFeed } from '../plugins/controlFeed.js';
+import { createFeedMetrics } from '../plugins/feedMetrics.js';
 import { createControlMetrics, type ObservedGroup } from '../plugins/controlMetrics.js';
 import type { ControlSettings } from '../plugins/controlSettings.js';
 import { createConvergence } from '../plugins/convergence.js';
@@ -157,6 +158,7 @@
     timer,
     log,
     random,
+    metrics: createFeedMetrics(metrics.registry),
   });
   const convergence = createConvergence(
     source,
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -7,6 +7,7 @@
 import { explainPolicy } from '../core/policy.js';
 import { createRetryBudget } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
+import type { Cluster } from '../types/public.js';
 import type { Announcer, Holding, LedgerClient } from '../types/internal.js';
 import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
@@ -58,6 +59,11 @@
 const formatAddress = ({ host, port }: Address): string =>
   host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
 
+const countStates = ({ endpoints }: Cluster) => ({
+  ready: endpoints.filter(({ state }) => state === 'ready').length,
+  leaving: endpoints.filter(({ state }) => state === 'leaving').length,
+});
+
 /** Creates a node around its configuration. */
 export const createNodeRuntime = (options: NodeRuntimeOptions): NodeRuntime => {
   const { node, access, holding, metrics, timer, log, random } = options;
@@ -140,6 +146,9 @@
       burn: held ? burnReport(snapshot, held.configuration) : [],
       upstream: upstream.queries.load(),
       services: held ? [...held.clusters.keys()] : [],
+      endpoints: Object.fromEntries(
+        [...(held?.clusters ?? [])].map(([service, cluster]) => [service, countStates(cluster)]),
+      ),
     };
   };
 
