--- /dev/null
+++ b/__tests__/refusalTruth.test.ts
@@ -0,0 +1,192 @@
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import {
+  lookupTargets,
+  makeCall,
+  startMesh,
+  type CallAnswer,
+  type Mesh,
+  type MeshOptions,
+} from './support/callMesh.js';
+import { startFaultProxy, type FaultProxy } from './support/faultProxy.js';
+import { waitFor } from './support/waitFor.js';
+
+const bodyBytes = 300;
+
+/** Sends raw bytes to a node and collects what comes back until the connection ends. */
+const sendRaw = (address: string, text: string, halfClose = false): Promise<string> =>
+  new Promise((resolve, reject) => {
+    const [host, port] = address.split(':');
+    const socket = connect({ host, port: Number(port), allowHalfOpen: true });
+    let received = '';
+    socket.on('data', (part) => {
+      received += part.toString('latin1');
+    });
+    socket.on('error', reject);
+    socket.on('end', () => socket.end());
+    socket.on('close', () => resolve(received));
+    if (halfClose) {
+      socket.end(text);
+    } else {
+      socket.write(text);
+    }
+  });
+
+/** A refusal that says `not_run` is true only if the upstream never got the whole request. */
+const assertTrue = (mesh: Mesh, answer: CallAnswer, place: string) => {
+  const refusal = JSON.parse(answer.body);
+  assert.ok(['not_run', 'may_have_run'].includes(refusal.run), `${place}: ${answer.body}`);
+  if (refusal.run === 'not_run') {
+    assert.equal(mesh.upstream.started(), 0, `${place}: ${answer.body}`);
+  }
+};
+
+describe('truth of refusals', () => {
+  let mesh: Mesh | undefined;
+  let proxy: FaultProxy | undefined;
+
+  const start = async (options?: MeshOptions) => {
+    mesh = await startMesh(options);
+    return mesh;
+  };
+
+  afterEach(async () => {
+    await mesh?.stop();
+    await proxy?.close();
+    proxy = undefined;
+  });
+
+  const post = (target: Mesh, headers: Record<string, string> = {}) =>
+    makeCall(target.caller, '/plain', {
+      method: 'POST',
+      headers: { 'x-request-id': 'r', ...headers },
+      body: 'x'.repeat(bodyBytes),
+    });
+
+  it('holds when the connection to the upstream dies after any number of bytes', async () => {
+    const target = await start();
+    const results: string[] = [];
+    for (const limit of [1, 2, 15, 16, 17, 100, 200, 300, 400, 500]) {
+      target.upstream.onBytes((socket, total) => total >= limit && socket.resetAndDestroy());
+      const answer = await post(target);
+      assertTrue(target, answer, `after ${limit} bytes`);
+      results.push(JSON.parse(answer.body).run);
+    }
+    assert.ok(results.every((run) => run === 'may_have_run'));
+  });
+
+  it('says not_run when the upstream takes no connection', async () => {
+    const target = await start();
+    await target.upstream.stop();
+    const answer = await post(target);
+    assert.equal(answer.status, 503, answer.body);
+    assert.equal(JSON.parse(answer.body).run, 'not_run');
+    assert.equal(target.upstream.started(), 0);
+  });
+
+  it('holds when the connection between nodes dies after any number of bytes', async () => {
+    const target = await start({
+      forwardThrough: async (forward) => {
+        proxy = await startFaultProxy({ target: forward, host: '127.0.0.1' });
+        return proxy.address;
+      },
+    });
+    let started = 0;
+    for (const direction of ['toServer', 'toClient'] as const) {
+      for (const limit of [0, 1, 10, 40, 200, 400, 600, 700, 800, 900, 1_000, 1_100]) {
+        proxy?.set({
+          toServer: { truncateAfterBytes: direction === 'toServer' ? limit : Infinity },
+          toClient: { truncateAfterBytes: direction === 'toClient' ? limit : Infinity },
+        });
+        proxy?.reset();
+        const before = target.upstream.started();
+        const answer = await post(target).catch(() => undefined);
+        started = target.upstream.started() - before;
+        const run = answer && answer.status >= 400 ? JSON.parse(answer.body).run : undefined;
+        if (run === 'not_run') {
+          assert.equal(started, 0, `${direction} ${limit}: ${answer?.body}`);
+        }
+      }
+    }
+  });
+
+  it('says may_have_run when an earlier attempt may have run and the last was refused', async () => {
+    const target = await start({ slots: 1 });
+    let calls = 0;
+    target.upstream.onRequest(({ socket }) => {
+      calls += 1;
+      socket.destroy();
+      target.callerNode.runtime.stop(0).catch(() => undefined);
+      target.announce('leaving').catch(() => undefined);
+    });
+    const answer = await makeCall(target.caller, '/lookup/1').catch(() => undefined);
+    assert.ok(calls >= 1);
+    if (answer) {
+      assert.equal(JSON.parse(answer.body).run, 'may_have_run', answer.body);
+    }
+  });
+
+  it('refuses without running: busy, leaving, past deadline, unknown class, missing key', async () => {
+    const target = await start({ slots: 1 });
+    const before = {
+      past: await post(target, { 'x-request-deadline-ms': '0' }),
+      negative: await post(target, { 'x-request-deadline-ms': '-5' }),
+      noNumber: await post(target, { 'x-request-deadline-ms': 'soon' }),
+      unknown: await post(target, { 'x-class': 'none' }),
+      noKey: await makeCall(target.caller, '/orders', { method: 'POST', body: 'x' }),
+    };
+    assert.deepEqual(
+      Object.values(before).map(({ body }) => JSON.parse(body).reason),
+      ['deadline_past', 'deadline_past', 'bad_request', 'unknown_class', 'key_required'],
+    );
+    target.ledger.setReachable(false);
+    const noLedger = await makeCall(target.caller, '/orders', {
+      method: 'POST',
+      headers: { 'idempotency-key': 'k' },
+      body: 'x',
+    });
+    assert.equal(JSON.parse(noLedger.body).reason, 'ledger_unavailable');
+    assert.equal(target.upstream.started(), 0);
+
+    target.upstream.onRequest(() => undefined);
+    const held = post(target).catch(() => undefined);
+    await waitFor(() => target.upstream.started() === 1, { what: 'the slot is taken' });
+    const busy = await post(target);
+    assert.equal(JSON.parse(busy.body).reason, 'overloaded');
+    assert.equal(busy.headers['retry-after'], '1');
+    target.announce('leaving').catch(() => undefined);
+    await waitFor(
+      async () => {
+        const { body } = await post(target);
+        return ['leaving', 'no_upstream'].includes(JSON.parse(body).reason);
+      },
+      { what: 'the endpoint is withdrawn' },
+    );
+    assert.equal(target.upstream.started(), 1);
+    await held;
+  });
+
+  it('answers malformed requests clearly and does not run them', async () => {
+    const target = await start({ targets: lookupTargets });
+    const head = 'POST /plain HTTP/1.1\r\nhost: a\r\n';
+    const malformed = {
+      'conflicting lengths': `${head}content-length: 3\r\ncontent-length: 4\r\n\r\nabcd`,
+      'length and chunked': `${head}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
+      'no number as length': `${head}content-length: x\r\n\r\n`,
+      'oversized header': `${head}x-large: ${'a'.repeat(20_000)}\r\n\r\n`,
+      'malformed header': `${head}bad header\r\n\r\n`,
+      'no HTTP': 'hello\r\n\r\n',
+      'two deadlines': `${head}x-request-deadline-ms: 5\r\nx-request-deadline-ms: 6\r\n\r\n`,
+      'broken chunk': `${head}transfer-encoding: chunked\r\n\r\nzz\r\n`,
+    };
+    for (const [name, text] of Object.entries(malformed)) {
+      const answer = await sendRaw(target.caller, text, true);
+      assert.match(answer, /^HTTP\/1\.1 4(00|31) /, `${name}: ${answer}`);
+      assert.match(answer, /"run":"not_run"/, name);
+    }
+    const short = await sendRaw(target.caller, `${head}content-length: 10\r\n\r\nabc`, true);
+    assert.match(short, /^HTTP\/1\.1 400 [^]*"run":"not_run"/);
+    assert.equal(target.upstream.started(), 0);
+  });
+});
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -293,7 +293,9 @@
       random: () => 0.5,
     });
     const bound: BoundAddresses = await runtime.start();
-    throughProxy = await options.forwardThrough?.(formatAddress(bound.forward));
+    if (name === 'beside') {
+      throughProxy = await options.forwardThrough?.(formatAddress(bound.forward));
+    }
     return {
       runtime,
       calls: formatAddress(bound.calls),
