Report faults of settings and of the files that they name together

Cause: the schema was checked first, so a missing token file showed only after the other faults were mended; a node ended with 1 and without the code of the error, a control instance with 2.

Change: readSettings takes further checks of the unchecked value; token files are read in one place (16 characters or more for both programs); both programs end through bin/startFailure. nodeSettings moved to plugins beside controlSettings, so that 'auburnsill check' can use it.

--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -6,13 +6,12 @@
  */
 import { parseArgs } from 'node:util';
 import { readControlSettings } from '../plugins/controlSettings.js';
-import { Failure } from '../utils/failure.js';
 import { createLog, type Log } from '../utils/log.js';
 import { createTimer } from '../utils/timer.js';
 import { startControlInstance } from './controlInstance.js';
+import { describeFailure, failStart, programExitCodes } from './startFailure.js';
 
 const usage = 'usage: auburnsill-control --settings FILE [--bootstrap]';
-const exitCodes = { failed: 1, badInput: 2 } as const;
 /** A graceful stop that takes longer is cut off. */
 const stopLimitMs = 30_000;
 
@@ -29,13 +28,6 @@
   }
 };
 
-const describe = (error: unknown): string => {
-  if (error instanceof Failure) {
-    return `${error.code} ${error.message}`;
-  }
-  return error instanceof Error ? (error.stack ?? error.message) : String(error);
-};
-
 const exit = (code: number): never => {
   // Ends the process at once: after a disk failure nothing may be sent any more.
   // eslint-disable-next-line n/no-process-exit
@@ -47,31 +39,26 @@
   return exit(code);
 };
 
-const failStart = (error: unknown): never => {
-  const isInput = error instanceof Failure && error.reason === 'invalid_settings';
-  return fail(isInput ? exitCodes.badInput : exitCodes.failed, describe(error));
-};
-
 const stopOnSignals = (log: Log, stop: () => Promise<void>) => {
   let isStopping = false;
   const onSignal = (signal: NodeJS.Signals) => {
     if (isStopping) {
       log.warn('second signal, ending at once', { signal });
-      exit(exitCodes.failed);
+      exit(programExitCodes.failed);
     }
     isStopping = true;
     log.info('stopping', { signal });
-    setTimeout(() => exit(exitCodes.failed), stopLimitMs).unref();
+    setTimeout(() => exit(programExitCodes.failed), stopLimitMs).unref();
     stop()
       .then(() => exit(0))
-      .catch((error: unknown) => fail(exitCodes.failed, describe(error)));
+      .catch((error: unknown) => fail(programExitCodes.failed, describeFailure(error)));
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
 };
 
 const main = async () => {
-  const given = readArguments() ?? fail(exitCodes.badInput, usage);
+  const given = readArguments() ?? fail(programExitCodes.badInput, usage);
   const settings = readControlSettings(given.settings);
   const log = createLog(settings.control.name, settings.logLevel);
   const instance = await startControlInstance({
@@ -80,7 +67,7 @@
     timer: createTimer(),
     log: log.part('control'),
     random: Math.random,
-    onFatal: (error) => fail(exitCodes.failed, describe(error)),
+    onFatal: (error) => fail(programExitCodes.failed, describeFailure(error)),
   });
   stopOnSignals(log.part('control'), instance.stop);
 };
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -12,9 +12,11 @@
 import { createNodeFeed } from '../plugins/nodeFeed.js';
 import { createNodeRuntime } from '../plugins/nodeRuntime.js';
 import { createRpcServer, parseAddress, type Address } from '../plugins/rpc.js';
+import { Failure } from '../utils/failure.js';
 import { createLog, type Log } from '../utils/log.js';
 import { createTimer } from '../utils/timer.js';
-import { readNodeSettings, type NodeSettings } from './nodeSettings.js';
+import { readNodeSettings, type NodeSettings } from '../plugins/nodeSettings.js';
+import { failStart } from './startFailure.js';
 
 const stopLimitMs = 30_000;
 const peerGraceMs = 500;
@@ -133,20 +135,23 @@
   process.on('SIGINT', onSignal);
 };
 
-const main = async () => {
-  const { values } = parseArgs({ options: { settings: { type: 'string' } } });
-  if (values.settings === undefined) {
-    throw new Error(usage);
+const settingsFileOf = (): string => {
+  try {
+    const { values } = parseArgs({ options: { settings: { type: 'string' } } });
+    if (values.settings !== undefined) {
+      return values.settings;
+    }
+  } catch {
+    // Unknown arguments get the same answer as missing ones.
   }
-  const settings = readNodeSettings(values.settings);
+  throw new Failure('invalid_settings', usage);
+};
+
+const main = async () => {
+  const settings = readNodeSettings(settingsFileOf());
   const log = createLog(settings.node.name, settings.log.level);
   const stop = await startNode(settings, log);
   stopOnSignals(stop, log);
 };
 
-main().catch((error: unknown) => {
-  process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-  // A part that was started before the failure would keep the process alive.
-  // eslint-disable-next-line n/no-process-exit
-  process.exit(1);
-});
+main().catch(failStart);
--- a/src/cli/checkFile.ts
+++ b/src/cli/checkFile.ts
@@ -1,11 +1,13 @@
 /**
  * Checks of a file on its own, without the fleet. The kind of file is told by its tables.
  */
-import type { z } from 'zod';
+import { readNodeSettings } from '../plugins/nodeSettings.js';
 import { checkConfiguration, parseTargets } from '../core/configuration.js';
 import type { Inventory } from '../types/internal.js';
 import type { Configuration, Finding } from '../types/public.js';
-import { checkValue, parseTomlText } from '../utils/settings.js';
+import { FindingsError } from '../utils/findings.js';
+import { parseTomlText, readSettings } from '../utils/settings.js';
+import { readControlSettings } from '../plugins/controlSettings.js';
 import { cliSettingsSchema } from './connectionSettings.js';
 
 export type FileKind = 'targets' | 'node settings' | 'control settings' | 'command line settings';
@@ -35,10 +37,6 @@
     : findings;
 };
 
-const settingsSchemas: Partial<Record<FileKind, z.ZodType>> = {
-  'command line settings': cliSettingsSchema,
-};
-
 const kindOf = (value: Readonly<Record<string, unknown>>): FileKind => {
   if ('node' in value) {
     return 'node settings';
@@ -49,14 +47,31 @@
   return 'control' in value ? 'control settings' : 'targets';
 };
 
+const findingsOf = (read: () => unknown): readonly Finding[] => {
+  try {
+    read();
+    return [];
+  } catch (error) {
+    if (error instanceof FindingsError) {
+      return error.findings;
+    }
+    throw error;
+  }
+};
+
+const checks: Readonly<Record<FileKind, (text: string, file: string) => readonly Finding[]>> = {
+  targets: checkTargets,
+  'node settings': (_, file) => findingsOf(() => readNodeSettings(file)),
+  'control settings': (_, file) => findingsOf(() => readControlSettings(file)),
+  'command line settings': (_, file) => findingsOf(() => readSettings(file, cliSettingsSchema)),
+};
+
+/** Checks the file with the given text, and the files that it names. */
 export const checkFile = (text: string, file: string): CheckedFile => {
   const { value, findings } = parseTomlText(text, file);
   if (!value) {
     return { kind: 'targets', findings };
   }
   const kind = kindOf(value);
-  const schema = settingsSchemas[kind];
-  return schema
-    ? { kind, findings: checkValue(value, file, schema).findings }
-    : { kind, findings: checkTargets(text, file) };
+  return { kind, findings: checks[kind](text, file) };
 };
--- a/src/cli/queries/check.ts
+++ b/src/cli/queries/check.ts
@@ -2,7 +2,6 @@
  * `auburnsill check`: checks a settings or target file without a connection.
  */
 import { readFile } from 'node:fs/promises';
-import { basename } from 'node:path';
 import { Command, Option } from 'clipanion';
 import { BaseCommand } from '../baseCommand.js';
 import { checkFile } from '../checkFile.js';
@@ -32,7 +31,7 @@
     const text = await readFile(this.file, 'utf8').catch((error: Error) => {
       throw new CommandFailure('usage', error.message, { cause: error });
     });
-    const { kind, findings } = checkFile(text, basename(this.file));
+    const { kind, findings } = checkFile(text, this.file);
     findings.forEach((finding) => this.context.stderr.write(`${formatFinding(finding)}\n`));
     const result = findings.length === 0 ? 'correct' : plural(findings.length, 'finding');
     this.print(`${this.file}: ${kind}, ${result}`);
--- a/src/plugins/controlSettings.ts
+++ b/src/plugins/controlSettings.ts
@@ -9,8 +9,8 @@
 import type { LogLevel } from '../utils/log.js';
 import { checkValue, parseTomlText, readSettings } from '../utils/settings.js';
 import { parseAddress, type Address } from './rpc.js';
+import { readTokenFile } from './tokenFile.js';
 
-const minTokenLength = 16;
 /** At most 7 instances are set aside for control. */
 const maxMembers = 7;
 
@@ -76,20 +76,6 @@
   }
 };
 
-const readToken = (file: string, place: string, findings: Finding[]): string => {
-  const before = findings.length;
-  const token = readText(file, place, findings).trim();
-  if (findings.length === before && token.length < minTokenLength) {
-    findings.push({
-      place,
-      message: 'the token is too short',
-      found: `${token.length} characters`,
-      allowed: `${minTokenLength} characters or more`,
-    });
-  }
-  return token;
-};
-
 const readOperators = (
   file: string,
   place: string,
@@ -132,33 +118,50 @@
   return findings;
 };
 
+/** Path of the operators file in settings that are not checked yet. */
+const operatorsPathIn = (settings: unknown): string | undefined => {
+  const { cluster } = (settings ?? {}) as { cluster?: { operators_file?: unknown } };
+  const path = cluster?.operators_file;
+  return typeof path === 'string' && path !== '' ? path : undefined;
+};
+
+interface NamedFiles {
+  readonly token: string;
+  readonly operators: Readonly<Record<string, string>>;
+  readonly findings: readonly Finding[];
+}
+
+const readNamedFiles = (file: string, settings: unknown): NamedFiles => {
+  const { token, findings: ofToken } = readTokenFile(file, settings);
+  const findings = [...ofToken];
+  const path = operatorsPathIn(settings);
+  const operators =
+    path === undefined
+      ? {}
+      : readOperators(resolve(dirname(file), path), `${file}: cluster.operators_file`, findings);
+  return { token, operators, findings };
+};
+
 /** Reads the settings. Throws a FindingsError with every problem in them. */
 export const readControlSettings = (file: string): ControlSettings => {
-  const parsed = readSettings(file, settingsSchema);
-  const folder = dirname(resolve(file));
+  let files: NamedFiles = { token: '', operators: {}, findings: [] };
+  const parsed = readSettings(file, settingsSchema, (value) => {
+    files = readNamedFiles(file, value);
+    return files.findings;
+  });
   const { control, listen, storage, cluster, log } = parsed;
   const findings = checkMembers(parsed, file);
-  const token = readToken(
-    resolve(folder, cluster.token_file),
-    `${file}: cluster.token_file`,
-    findings,
-  );
-  const operators = readOperators(
-    resolve(folder, cluster.operators_file),
-    `${file}: cluster.operators_file`,
-    findings,
-  );
   if (findings.length > 0) {
     throw new FindingsError('invalid_settings', findings);
   }
   return {
     control: { name: control.name, dataCentre: control.data_centre, region: control.region },
     listen: { peer: parseAddress(listen.peer)!, admin: parseAddress(listen.admin)! },
-    folder: resolve(folder, storage.folder),
+    folder: resolve(dirname(resolve(file)), storage.folder),
     cluster: {
       name: cluster.name,
-      token,
-      operators,
+      token: files.token,
+      operators: files.operators,
       members: cluster.members.map((member) => ({
         name: member.name,
         address: member.address,
--- a/src/bin/nodeSettings.ts
+++ b/src/plugins/nodeSettings.ts
@@ -1,11 +1,9 @@
 /**
  * Settings of a node, see docs/design.md.
  */
-import { readFileSync } from 'node:fs';
-import { dirname, resolve } from 'node:path';
 import { z } from 'zod';
-import { parseAddress } from '../plugins/rpc.js';
-import { FindingsError } from '../utils/findings.js';
+import { parseAddress } from './rpc.js';
+import { readTokenFile } from './tokenFile.js';
 import { readSettings } from '../utils/settings.js';
 
 const maxListed = 64;
@@ -40,26 +38,13 @@
 
 export type NodeSettings = z.infer<typeof schema> & { readonly token: string };
 
-const readToken = (settingsFile: string, tokenFile: string): string => {
-  const file = resolve(dirname(settingsFile), tokenFile);
-  const place = `${settingsFile}: cluster.token_file`;
-  let token: string;
-  try {
-    // Settings are read once, before the loop has other work.
-    // eslint-disable-next-line n/no-sync
-    token = readFileSync(file, 'utf8').trim();
-  } catch (error) {
-    const message = error instanceof Error ? error.message : String(error);
-    throw new FindingsError('invalid_settings', [{ place, message, found: tokenFile }]);
-  }
-  if (token === '') {
-    throw new FindingsError('invalid_settings', [{ place, message: 'the file is empty' }]);
-  }
-  return token;
-};
-
 /** Reads the settings of a node and its token. Throws a FindingsError with every problem. */
 export const readNodeSettings = (file: string): NodeSettings => {
-  const settings = readSettings(file, schema);
-  return { ...settings, token: readToken(file, settings.cluster.token_file) };
+  let token = '';
+  const settings = readSettings(file, schema, (value) => {
+    const tokenFile = readTokenFile(file, value);
+    token = tokenFile.token;
+    return tokenFile.findings;
+  });
+  return { ...settings, token };
 };
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -73,24 +73,34 @@
   return { findings };
 };
 
-/** Reads a settings file. Throws a FindingsError with every problem in it. */
-export const readSettings = <Output>(file: string, schema: z.ZodType<Output>): Output => {
-  let text: string;
+const readText = (file: string): string => {
   try {
     // Settings are read once, before the loop has other work.
     // eslint-disable-next-line n/no-sync
-    text = readFileSync(file, 'utf8');
+    return readFileSync(file, 'utf8');
   } catch (error) {
     const message = error instanceof Error ? error.message : String(error);
     throw new FindingsError('invalid_settings', [{ place: file, message }]);
   }
-  const { value, findings } = parseTomlText(text, file);
-  if (!value) {
-    throw new FindingsError('invalid_settings', findings);
+};
+
+/**
+ * Reads a settings file. Throws a FindingsError with every problem in it. `checkFurther` gets the
+ * parsed value before the schema was applied, and adds the problems that the schema cannot see.
+ */
+export const readSettings = <Output>(
+  file: string,
+  schema: z.ZodType<Output>,
+  checkFurther: (value: unknown) => readonly Finding[] = () => [],
+): Output => {
+  const parsed = parseTomlText(readText(file), file);
+  if (!parsed.value) {
+    throw new FindingsError('invalid_settings', parsed.findings);
   }
-  const checked = checkValue(value, file, schema);
-  if (checked.output === undefined) {
-    throw new FindingsError('invalid_settings', checked.findings);
+  const checked = checkValue(parsed.value, file, schema);
+  const findings = [...checked.findings, ...checkFurther(parsed.value)];
+  if (checked.output === undefined || findings.length > 0) {
+    throw new FindingsError('invalid_settings', findings);
   }
   return checked.output;
 };
