--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -40,6 +40,8 @@
 }
 
 const defaultLimitMs = 15_000;
+/** Limit while no instance has taken a connection: a restart takes about a second. */
+const unsentLimitMs = 5_000;
 const pauseMs = 200;
 const requestTimeoutMs = 5_000;
 
@@ -101,13 +103,17 @@
   };
 
   const ask: OperatorClient['ask'] = async (send, { repeatable, limitMs = defaultLimitMs }) => {
-    const until = timer.now() + limitMs;
+    const startedAt = timer.now();
+    let wasSent = false;
     let mayHaveRun = false;
     let lastError = 'no answer';
-    for (let turn = 0; timer.now() < until; turn += 1) {
+    const isInTime = (): boolean =>
+      timer.now() - startedAt < (wasSent ? limitMs : Math.min(limitMs, unsentLimitMs));
+    for (let turn = 0; isInTime(); turn += 1) {
       const address = nextAddress(turn);
       try {
         const reply = await send(peerAt(address));
+        wasSent = true;
         if (reply.outcome !== 'not_leader') {
           preferred = address;
           return reply;
@@ -123,6 +129,7 @@
         if (refusingCodes.has(code)) {
           throw new CommandFailure('refused', lastError, { cause: error });
         }
+        wasSent ||= !wasNotSent(error);
         mayHaveRun ||= !wasNotSent(error);
         if (mayHaveRun && !repeatable) {
           break;
--- a/src/core/acceptance.ts
+++ b/src/core/acceptance.ts
@@ -96,11 +96,12 @@
   return { ...change, configuration: decodeConfiguration(encodeText(configuration)) };
 };
 
-/** Digest of what makes two requests the same change. */
-const fingerprintOf = ({ baseVersion, targets }: Change): string =>
-  createHash('sha256')
-    .update(JSON.stringify([baseVersion.term, baseVersion.index, targets]))
-    .digest('hex');
+/**
+ * Digest of what makes two requests the same change. The base does not count: a resend after the
+ * first request was accepted, with the current version as its base, still asks for that change.
+ */
+const fingerprintOf = ({ targets }: Change): string =>
+  createHash('sha256').update(targets).digest('hex');
 
 /** Creates the state machine of the group `configuration`. */
 export const createAcceptance = (): Acceptance => {
