--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -252,7 +252,7 @@
     clusters,
   };
   const holding: Holding = {
-    commands: { ensureCluster: async (service) => clusters.get(service) },
+    commands: { ensureCluster: async (service) => clusters.get(service), use: () => undefined },
     queries: { current: () => held, isDetached: () => false, confirmedAgeMs: () => 0 },
     onChange: () => () => undefined,
   };
@@ -293,7 +293,9 @@
       random: () => 0.5,
     });
     const bound: BoundAddresses = await runtime.start();
-    throughProxy = await options.forwardThrough?.(formatAddress(bound.forward));
+    if (name === 'beside') {
+      throughProxy = await options.forwardThrough?.(formatAddress(bound.forward));
+    }
     return {
       runtime,
       calls: formatAddress(bound.calls),
--- a/src/plugins/operatorCommands.ts
+++ b/src/plugins/operatorCommands.ts
@@ -111,7 +111,11 @@
   const leaderAddress = (): string => group.queries.leader()?.address ?? '';
 
   const attachment = (): Attachment =>
-    judgeAttachment(group.queries.members(), group.queries.contactAgeMs);
+    judgeAttachment({
+      members: group.queries.members(),
+      contactAgeMs: group.queries.contactAgeMs,
+      fedDataCentres: fleet.fedDataCentres,
+    });
 
   const toChange = (request: ApplyRequest, operator: string): Change => ({
     changeId: request.changeId,
@@ -163,7 +167,7 @@
     }
     const base = acceptance.queries.head()?.configuration ?? emptyConfiguration;
     const difference = diffLines(base, configuration);
-    const checked = checkConfiguration(configuration, fleet.inventory());
+    const checked = checkConfiguration(configuration, fleet.inventory(), base);
     if (checked.length > 0) {
       return refuse(checked, { difference });
     }
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -98,6 +98,8 @@
   readonly commands: {
     /** Subscribes to the service's endpoints and resolves when they are held, or undefined. */
     ensureCluster(service: string, timeoutMs: number): Promise<Cluster | undefined>;
+    /** Records a call to the service, which keeps its cluster held. */
+    use(service: string): void;
   };
   readonly queries: {
     current(): Held | undefined;
@@ -134,6 +136,8 @@
   /** Nodes by data centre and version. */
   counts(): readonly { dataCentre: string; version: Version; nodes: number }[];
   laggards(): readonly FleetNode[];
+  /** Data centres of the nodes that the control instance feeds, by its last report. */
+  fedDataCentres(control: string): readonly string[];
   inventory(): Inventory;
   onChange(listener: () => void): () => void;
 }
