Test control instances as processes under faults, resend a lost tail

Cause: a member whose disk lost synced entries at the end of its log never caught up, since the leader did not go back below the index that the member had acknowledged. Change: a refused append moves the next index back without that floor; the match index stays.

--- /dev/null
+++ b/__tests__/controlDisk.process.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import { readFileSync, rmSync, truncateSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { describe, it } from 'node:test';
+import type { ApplyResponse } from '../src/gen/auburnsill/v1/operator_pb.js';
+import {
+  createControlClient,
+  findLeader,
+  targetsOf,
+  waitUntilEqual,
+  type ControlClient,
+} from './support/controlClient.js';
+import { withDeployment, type ControlInstance, type Deployment } from './support/deployment.js';
+import { createManagedProcess } from './support/managedProcess.js';
+import { waitFor } from './support/waitFor.js';
+
+const dataCentreNames = ['dc-a', 'dc-b', 'dc-c'];
+const options = { dataCentres: dataCentreNames.map((name) => ({ name })) };
+
+interface Cluster {
+  readonly deployment: Deployment;
+  readonly clients: readonly ControlClient[];
+  /** A control instance that does not lead. */
+  follower(): Promise<ControlInstance>;
+}
+
+const withCluster = (body: (cluster: Cluster) => Promise<void>): Promise<void> =>
+  withDeployment(options, async (deployment) => {
+    const clients = deployment.controls.map((control) => createControlClient(deployment, control));
+    const follower = async () => {
+      const { name } = await findLeader(clients);
+      return deployment.controls.find((control) => control.name !== name)!;
+    };
+    try {
+      await body({ deployment, clients, follower });
+    } finally {
+      clients.forEach(({ close }) => close());
+    }
+  });
+
+const apply = async (
+  clients: readonly ControlClient[],
+  changeId: string,
+  rate: number,
+  base?: ApplyResponse,
+): Promise<ApplyResponse> => {
+  const leader = await findLeader(clients);
+  return leader.commands.apply({
+    changeId,
+    targets: targetsOf(rate),
+    allowDetached: dataCentreNames,
+    baseVersion: base?.version,
+  });
+};
+
+const journalOf = ({ dataFolder }: ControlInstance): string =>
+  join(dataFolder, 'configuration', 'journal');
+
+const incarnationOf = ({ dataFolder }: ControlInstance): string =>
+  JSON.parse(readFileSync(join(dataFolder, 'identity.json'), 'utf8')).incarnation;
+
+const loseDisk = async (control: ControlInstance) => {
+  await control.process.end('SIGKILL');
+  rmSync(control.dataFolder, { recursive: true });
+};
+
+/** Waits until the membership holds the instance's present data folder as a voter. */
+const waitUntilRepaired = (clients: readonly ControlClient[], control: ControlInstance) =>
+  waitFor(
+    async () => {
+      const leader = await findLeader(clients);
+      const { members } = await leader.queries.status({});
+      return members.some(
+        ({ name, role, incarnation }) =>
+          name === control.name && role === 'follower' && incarnation === incarnationOf(control),
+      );
+    },
+    { what: `repair of ${control.name}`, limitMs: 40_000 },
+  );
+
+describe('a control instance that loses its disk', () => {
+  it('votes again after it has caught up, and a second loss right after that is survived', async () => {
+    await withCluster(async ({ deployment, clients, follower }) => {
+      const first = await follower();
+      const base = await apply(clients, 'c1', 1);
+      const lostIncarnation = incarnationOf(first);
+      await loseDisk(first);
+      const second = await apply(clients, 'c2', 2, base);
+      assert.equal(second.outcome, 'accepted');
+      // A founder that starts again with --bootstrap must not found another cluster.
+      first.process.start(first === deployment.controls[0] ? ['--bootstrap'] : []);
+      await waitUntilRepaired(clients, first);
+      assert.notEqual(incarnationOf(first), lostIncarnation);
+
+      const leader = await findLeader(clients);
+      const next = deployment.control(leader.name);
+      await loseDisk(next);
+      const third = await apply(clients, 'c3', 3, second);
+      assert.equal(third.outcome, 'accepted', JSON.stringify(third.findings));
+      next.process.start(next === deployment.controls[0] ? ['--bootstrap'] : []);
+      await waitUntilRepaired(clients, next);
+      await waitUntilEqual(deployment.controls);
+      const { items } = await (await findLeader(clients)).queries.history({});
+      assert.deepEqual(
+        items.map(({ changeId }) => changeId),
+        ['c3', 'c2', 'c1'],
+      );
+    });
+  });
+});
+
+describe('a damaged log', () => {
+  it('loses a torn tail and goes on', async () => {
+    await withCluster(async ({ deployment, clients, follower }) => {
+      await apply(clients, 'c1', 1);
+      const control = await follower();
+      await control.process.end('SIGKILL');
+      const { length } = readFileSync(journalOf(control));
+      truncateSync(journalOf(control), length - 7);
+      control.process.start();
+      await waitUntilEqual(deployment.controls);
+      assert.equal(control.process.isRunning(), true);
+    });
+  });
+
+  it('is refused after a flipped bit, and the instance joins again with an empty folder', async () => {
+    await withCluster(async ({ deployment, clients, follower }) => {
+      await apply(clients, 'c1', 1);
+      const control = await follower();
+      await control.process.end('SIGKILL');
+      const bytes = readFileSync(journalOf(control));
+      const at = Math.floor(bytes.length / 2);
+      bytes.writeUInt8((bytes.readUInt8(at) + 1) % 256, at);
+      writeFileSync(journalOf(control), bytes);
+      control.process.start();
+      assert.equal(await control.process.exited(), 1);
+      assert.match(control.process.stderr(), /E105 data folder is damaged: .*journal/);
+      rmSync(control.dataFolder, { recursive: true });
+      control.process.start();
+      await waitUntilRepaired(clients, control);
+      await waitUntilEqual(deployment.controls);
+    });
+  });
+});
+
+describe('a disk that fails', () => {
+  [
+    ['sync EIO', 'a failed sync'],
+    ['append ENOSPC', 'a full disk'],
+  ].forEach(([fault, name]) => {
+    it(`ends the process at ${name}; the others go on and nothing accepted is lost`, async () => {
+      await withCluster(async ({ deployment, clients, follower }) => {
+        const control = await follower();
+        await control.process.end('SIGTERM');
+        const faultFile = join(deployment.folder, 'disk-fault');
+        const failing = createManagedProcess({
+          name: `${control.name}-failing`,
+          args: [
+            join(import.meta.dirname, '../dist/auburnsill-control.js'),
+            '--settings',
+            control.settingsFile,
+          ],
+          cwd: deployment.folder,
+          env: {
+            NODE_OPTIONS: `--import ${join(import.meta.dirname, 'support/diskFaults.js')}`,
+            DISK_FAULT_FILE: faultFile,
+          },
+        });
+        failing.start();
+        await waitUntilEqual(deployment.controls);
+        writeFileSync(faultFile, fault!);
+        const base = await apply(clients, 'c1', 1);
+        assert.equal(base.outcome, 'accepted');
+        assert.equal(await failing.exited(), 1);
+        assert.match(failing.stderr(), /E106 storage failed/);
+        rmSync(faultFile);
+        control.process.start();
+        await waitUntilEqual(deployment.controls);
+        assert.equal((await apply(clients, 'c2', 2, base)).outcome, 'accepted');
+      });
+    });
+  });
+});
+
+describe('a control instance that cannot start', () => {
+  it('says why: bad settings, a folder in use, another owner, an address in use', async () => {
+    await withCluster(async ({ deployment }) => {
+      const [first, second] = deployment.controls;
+      const settings = readFileSync(first!.settingsFile, 'utf8');
+      const startWith = async (text: string): Promise<[number | null, string]> => {
+        const file = join(deployment.folder, 'other.toml');
+        writeFileSync(file, text);
+        const other = createManagedProcess({
+          name: 'other',
+          args: [join(import.meta.dirname, '../dist/auburnsill-control.js'), '--settings', file],
+          cwd: deployment.folder,
+        });
+        other.start();
+        const code = await other.exited();
+        return [code, other.stderr()];
+      };
+      const [badCode, badText] = await startWith(
+        settings.replace(/peer = .*/, 'peer = "nowhere"\nport = 1'),
+      );
+      assert.equal(badCode, 2);
+      assert.match(badText, /listen\.peer.*\n?.*/);
+      assert.match(badText, /listen\.port: unknown key/);
+
+      const [lockedCode, lockedText] = await startWith(settings);
+      assert.equal(lockedCode, 1);
+      assert.match(lockedText, /E103 data folder is in use/);
+
+      await second!.process.end('SIGTERM');
+      const foreign = settings.replace(/folder = .*/, `folder = "${second!.dataFolder}"`);
+      const [foreignCode, foreignText] = await startWith(foreign);
+      assert.equal(foreignCode, 1);
+      assert.match(foreignText, /E104 .*belongs to control-dc-b/);
+
+      const [inUseCode, inUseText] = await startWith(
+        settings.replace(/folder = .*/, 'folder = "new.data"'),
+      );
+      assert.equal(inUseCode, 1);
+      assert.match(inUseText, /E107 address is in use/);
+    });
+  });
+});
--- a/__tests__/support/controlClient.ts
+++ b/__tests__/support/controlClient.ts
@@ -63,3 +63,22 @@
 may_wait = "30s"
 rate = ${rate}
 `;
+
+/** Value of a gauge of a control instance, for the group `configuration`. */
+export const readGauge = async ({ admin }: ControlInstance, name: string): Promise<number> => {
+  const text = await (await fetch(`http://${admin}/metrics`)).text();
+  const pattern = new RegExp(`^auburnsill_control_${name}\\{group="configuration"\\} (.+)$`, 'm');
+  return Number(pattern.exec(text)?.[1]);
+};
+
+/** Waits until all instances have applied the same entries. */
+export const waitUntilEqual = (controls: readonly ControlInstance[]): Promise<unknown> =>
+  waitFor(
+    async () => {
+      const [first, ...others] = await Promise.all(
+        controls.map((control) => readGauge(control, 'applied_index')),
+      );
+      return first! > 0 && others.every((index) => index === first);
+    },
+    { what: 'equal logs', limitMs: 30_000 },
+  );
--- a/src/core/consensusReplication.ts
+++ b/src/core/consensusReplication.ts
@@ -159,8 +159,8 @@
     progress.matchIndex = Math.max(progress.matchIndex, answer.matchIndex);
     progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
   } else {
-    const hinted = Math.min(progress.nextIndex - 1, answer.matchIndex + 1);
-    progress.nextIndex = Math.max(hinted, progress.matchIndex + 1, 1);
+    // May go below the match index: a disk that lost the end of its log gets it again.
+    progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, answer.matchIndex + 1));
   }
 };
 
