Wait for the endpoints before the source outage in the peers test

Cause: the test killed the source 10 ms after the acceptance and within the registry's batch of 100 ms, so no process had ever held the endpoints: all six nodes reported 0 ready (log of a failing run). Ruled out: a peer that sends an incomplete cluster. Change: the test first waits until all nodes hold both endpoints; its checks are unchanged.

--- a/__tests__/distribution.process.test.ts
+++ b/__tests__/distribution.process.test.ts
@@ -64,6 +64,15 @@
 
 const lookup = { service: 'lookup', count: 2 };
 
+const waitForEndpoints = (deployment: Deployment) =>
+  waitFor(
+    async () =>
+      (await Promise.all(deployment.nodes.map(reportOf))).every(
+        ({ endpoints }) => endpoints.lookup?.ready === 2,
+      ),
+    { limitMs: 30_000, what: 'both endpoints on all nodes' },
+  );
+
 const setUp = async (deployment: Deployment) => {
   const changes = createChangeClient(deployment);
   const version = await changes.apply(targetsOf(['lookup']));
@@ -90,13 +99,7 @@
       const version = await changes.apply(targetsOf(['lookup'], 60));
       await waitForVersion(deployment.nodes, version);
       await waitForFresh(deployment.nodes);
-      await waitFor(
-        async () =>
-          (await Promise.all(deployment.nodes.map(reportOf))).every(
-            ({ endpoints }) => endpoints.lookup?.ready === 2,
-          ),
-        { limitMs: 30_000, what: 'both endpoints on all nodes' },
-      );
+      await waitForEndpoints(deployment);
       await watch.stop();
       changes.close();
     });
@@ -108,6 +111,8 @@
       const changes = await setUp(deployment);
       const [first, second, ...others] = deployment.nodes;
       assert.ok(first && second, 'no nodes');
+      // Peers can pass on only what the source told them before its outage.
+      await waitForEndpoints(deployment);
       const newcomers = others.slice(-2);
       await Promise.all(newcomers.map(({ process }) => process.end('SIGKILL')));
       const version = await changes.apply(targetsOf(['lookup'], 60));
