--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -53,6 +53,11 @@
 
 type WireAnswer = Omit<LedgerAnswer, 'body'> & { readonly body: string };
 
+interface Snapshot {
+  readonly claims: readonly [string, Omit<Claim, 'answer'> & { answer?: WireAnswer }][];
+  readonly withBody: readonly string[];
+}
+
 const encodeText = (text: string): Uint8Array => new TextEncoder().encode(text);
 const decodeText = (bytes: Uint8Array): string => new TextDecoder().decode(bytes);
 
@@ -66,10 +71,14 @@
   body: new Uint8Array(Buffer.from(body, 'base64')),
 });
 
+const omitBody = (answer: LedgerAnswer): LedgerAnswer => ({
+  ...answer,
+  body: new Uint8Array(),
+  bodyOmitted: true,
+});
+
 const limitBody = (answer: LedgerAnswer): LedgerAnswer =>
-  answer.body.length <= maxAnswerBodyBytes
-    ? answer
-    : { ...answer, body: new Uint8Array(), bodyOmitted: true };
+  answer.body.length <= maxAnswerBodyBytes ? answer : omitBody(answer);
 
 export const encodeLedgerCommand = (command: LedgerCommand): Uint8Array =>
   encodeText(
@@ -94,10 +103,14 @@
   let claims = new Map<string, Claim>();
   let bodyBytes = 0;
 
+  /** Keys with a recorded body, oldest first. */
+  const withBody = new Set<string>();
+
   const sizeOf = ({ answer }: Claim): number => answer?.body.length ?? 0;
 
   const drop = (id: string, claim: Claim) => {
     claims.delete(id);
+    withBody.delete(id);
     bodyBytes -= sizeOf(claim);
   };
 
@@ -128,15 +141,21 @@
   };
 
   const limitBodies = () => {
-    for (const [id, kept] of claims) {
+    for (const id of withBody) {
       if (bodyBytes <= limits.maxBodyBytes) {
         return;
       }
-      if (kept.answer && sizeOf(kept) > 0) {
-        bodyBytes -= sizeOf(kept);
-        const answer = { ...kept.answer, body: new Uint8Array(), bodyOmitted: true };
-        claims.set(id, { ...kept, answer });
-      }
+      const kept = claims.get(id)!;
+      bodyBytes -= sizeOf(kept);
+      withBody.delete(id);
+      claims.set(id, { ...kept, answer: omitBody(kept.answer!) });
+    }
+  };
+
+  const addBody = (id: string, { body }: LedgerAnswer) => {
+    if (body.length > 0) {
+      withBody.add(id);
+      bodyBytes += body.length;
     }
   };
 
@@ -148,7 +167,7 @@
     }
     if (!existing.answer) {
       claims.set(id, { ...existing, answer: command.answer });
-      bodyBytes += command.answer.body.length;
+      addBody(id, command.answer);
       limitBodies();
     }
     return { outcome: 'recorded' };
@@ -179,28 +198,30 @@
     ) => LedgerResult;
   } = { claim, complete, release, expire };
 
-  const snapshot = (): Uint8Array =>
-    encodeText(
-      JSON.stringify(
-        [...claims].map(([id, { answer, ...kept }]) => [
-          id,
-          answer ? { ...kept, answer: toWire(answer) } : kept,
-        ]),
-      ),
-    );
+  const snapshot = (): Uint8Array => {
+    const content: Snapshot = {
+      claims: [...claims].map(([id, { answer, ...kept }]) => [
+        id,
+        answer ? { ...kept, answer: toWire(answer) } : kept,
+      ]),
+      // In order: replicas that restored a snapshot have to drop the same bodies as the others.
+      withBody: [...withBody],
+    };
+    return encodeText(JSON.stringify(content));
+  };
 
   const restore = (data: Uint8Array) => {
-    const content = (data.length === 0 ? [] : JSON.parse(decodeText(data))) as [
-      string,
-      Omit<Claim, 'answer'> & { answer?: WireAnswer },
-    ][];
+    const content: Snapshot =
+      data.length === 0 ? { claims: [], withBody: [] } : (JSON.parse(decodeText(data)) as Snapshot);
     claims = new Map(
-      content.map(([id, { answer, ...kept }]) => [
+      content.claims.map(([id, { answer, ...kept }]) => [
         id,
         answer ? { ...kept, answer: fromWire(answer) } : kept,
       ]),
     );
-    bodyBytes = [...claims.values()].reduce((sum, kept) => sum + sizeOf(kept), 0);
+    bodyBytes = 0;
+    withBody.clear();
+    content.withBody.forEach((id) => addBody(id, claims.get(id)!.answer!));
   };
 
   return {
