Send to an unreachable member with heartbeats only, plan compactions on the tick

Cause: a request that failed at once was followed by the next one in the same turn, so a leader with a member that was down and behind did nothing else; a stop of three groups in one process never ended. A compaction was planned only while entries were applied, so that a log stayed long after a burst.

--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -213,6 +213,16 @@
     assert.equal(replaced()?.kind, 'voter');
   });
 
+  it('sends to an unreachable member with heartbeats only, and not in a busy loop', () => {
+    const driver = elect(drive());
+    driver.ack('c', 2);
+    const sentToB = (effects: readonly ReplicaEffect[]) =>
+      effects.filter((effect) => effect.type === 'send' && effect.to.name === 'b').length;
+    assert.equal(sentToB(driver.step({ type: 'unreachable', name: 'b' })), 0);
+    assert.equal(sentToB(driver.advance(heartbeatMs)), 1);
+    assert.equal(sentToB(driver.step({ type: 'unreachable', name: 'b' })), 0);
+  });
+
   it('hands its leadership to a member that holds the whole log', () => {
     const driver = elect(drive());
     driver.ack('b', 2);
--- a/src/core/consensus.ts
+++ b/src/core/consensus.ts
@@ -305,6 +305,7 @@
     if (progress) {
       progress.inflightAt = undefined;
       progress.snapshotOffset = undefined;
+      progress.isReachable = false;
     }
   },
   persisted: (replica, { sequence }) => {
--- a/src/core/consensusProgress.ts
+++ b/src/core/consensusProgress.ts
@@ -13,6 +13,7 @@
   ackedRound: 0,
   inflightAt: undefined,
   snapshotOffset: undefined,
+  isReachable: true,
   createdAt: replica.now,
   contactAt: -Infinity,
   otherIncarnation: undefined,
@@ -51,6 +52,7 @@
     return undefined;
   }
   progress.contactAt = replica.now;
+  progress.isReachable = true;
   progress.otherIncarnation = undefined;
   progress.ackedRound = Math.max(progress.ackedRound, round);
   return progress;
--- a/src/core/consensusReplication.ts
+++ b/src/core/consensusReplication.ts
@@ -73,7 +73,7 @@
   otherMembers(replica).forEach((member) => {
     const progress = replica.progress.get(member.name);
     const behind = progress && progress.nextIndex <= replica.log.queries.lastIndex();
-    if (behind && isIdle(replica, progress)) {
+    if (behind && progress.isReachable && isIdle(replica, progress)) {
       sendAppend(replica, member, progress, true);
     }
   });
--- a/src/core/consensusTypes.ts
+++ b/src/core/consensusTypes.ts
@@ -201,6 +201,8 @@
   /** Time at which entries or a snapshot chunk were sent and not answered yet. */
   inflightAt: number | undefined;
   snapshotOffset: number | undefined;
+  /** False after a failed request: entries go with heartbeats only until the member answers. */
+  isReachable: boolean;
   readonly createdAt: number;
   /** Time of the last counted answer; minus infinity before the first one. */
   contactAt: number;
--- a/src/plugins/replicaGroup.ts
+++ b/src/plugins/replicaGroup.ts
@@ -272,7 +272,6 @@
       }),
     apply: ({ entries }) => {
       entries.forEach(applyEntry);
-      planCompaction();
     },
     restore: ({ snapshot }) => {
       machine.restore(snapshot.data);
@@ -388,6 +387,7 @@
       carryOut(replica.start(timer.now()));
       cancelTick = timer.every(times.tickMs, () => {
         step({ type: 'tick' });
+        planCompaction();
         compactIfDue();
       });
     },
