--- a/__tests__/cli.process.test.ts
+++ b/__tests__/cli.process.test.ts
@@ -5,6 +5,7 @@
 import { after, before, describe, it } from 'node:test';
 import { startDeployment, type CommandResult, type Deployment } from './support/deployment.js';
 import { createControlClient, findLeader } from './support/controlClient.js';
+import { waitFor } from './support/waitFor.js';
 
 const targetsWith = (answerWithin: string, more = ''): string => `
 [class.lookup]
@@ -24,6 +25,15 @@
     deployment = await startDeployment({
       dataCentres: [{ name: 'a', upstreams: [{ service: 'lookups', count: 2 }] }],
     });
+    // The targets name a service that is not expected, so its endpoints have to be known.
+    await waitFor(
+      async () => {
+        const { stdout } = await deployment.cli(['status', '--json']);
+        const { services } = JSON.parse(stdout);
+        return services.some((service: { endpoints: number }) => service.endpoints === 2);
+      },
+      { what: 'both endpoints at the leader' },
+    );
   });
 
   after(() => deployment.stop());
