Count failed answers against an endpoint, the own upstream included

Calls also stayed at an own upstream that was ejected. Change: statuses from 500 on are failures for the evidence, 503 is a refusal; an ejected own upstream is not preferred.

--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -220,6 +220,40 @@
     );
   });
 
+  it('believes calls in flight of its own over a load report that says there are none', () => {
+    const endpoints = times(2, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    times(20, (index) => attempt(evidence, `e${index % 2}`, 0));
+    times(8, () => evidence.commands.recordStart('e0', 0));
+    evidence.commands.recordLoad('e0', { inFlight: 0, limit: 10, waiting: 0 }, 0);
+    assert.equal(
+      countBy(
+        times(100, () => choose(1)),
+        'e0',
+      ),
+      0,
+    );
+  });
+
+  it('lets a load report lose its weight within seconds', () => {
+    const endpoints = times(2, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    evidence.commands.recordLoad('e0', { inFlight: 10, limit: 10, waiting: 10 }, 0);
+    assert.equal(
+      countBy(
+        times(100, () => choose(100)),
+        'e0',
+      ),
+      0,
+    );
+    assert.ok(
+      countBy(
+        times(100, () => choose(5_000)),
+        'e0',
+      ) > 20,
+    );
+  });
+
   it('forgets endpoints that left, also when their last answer arrives later', () => {
     const { evidence } = createRoute({ endpoints: [] });
     evidence.commands.retain('routedienst', ['a', 'b'], 0);
--- a/bench/support/load.ts
+++ b/bench/support/load.ts
@@ -33,6 +33,8 @@
   /** How targets are chosen: in turn, or the one with the fewest calls in flight. */
   readonly balance?: 'in_turn' | 'least_in_flight';
   readonly seed?: number;
+  /** Source address of the connections: nodes tell callers apart by it. */
+  readonly localAddress?: string;
 }
 
 export interface PatternResult {
@@ -142,6 +144,7 @@
     connections: options.connections ?? 256,
     pipelining: 1,
     keepAliveTimeout: 30_000,
+    connect: { localAddress: options.localAddress },
   });
   const startedAt = performance.now();
   const endAt = warmUpMs + measureMs;
--- a/src/plugins/callRun.ts
+++ b/src/plugins/callRun.ts
@@ -81,6 +81,8 @@
   readonly endpointId: string;
   readonly startedAt: number;
   running: RunningAttempt | undefined;
+  /** Status of the answer; 0 before its head. */
+  status: number;
 }
 
 const outcomeByReason: Partial<Record<FailureReason, AttemptOutcome>> = {
@@ -91,6 +93,17 @@
   deadline_exceeded: 'timed_out',
 };
 
+const failedStatus = 500;
+const refusedStatus = 503;
+
+/** What an answer says about the endpoint: 503 is a refusal, other statuses from 500 a failure. */
+const outcomeOfStatus = (status: number): AttemptOutcome => {
+  if (status === refusedStatus) {
+    return 'refused';
+  }
+  return status >= failedStatus ? 'failed' : 'ok';
+};
+
 /** Statuses of an upstream after which an idempotent call is tried again. */
 const retryableStatuses = new Set([502, 503, 504]);
 
@@ -182,7 +195,8 @@
 
     const onFailure = (attempt: Attempt, failure: AttemptFailureReport) => {
       active.delete(attempt);
-      recordEnd(attempt, outcomeByReason[failure.reason] ?? 'failed');
+      const byStatus = attempt.status >= failedStatus && outcomeOfStatus(attempt.status);
+      recordEnd(attempt, byStatus || (outcomeByReason[failure.reason] ?? 'failed'));
       mayHaveRun ||= failure.run === 'may_have_run';
       if (isOver) {
         return;
@@ -224,6 +238,7 @@
 
     const listenTo = (attempt: Attempt): AttemptListener => ({
       onHead: (head) => {
+        attempt.status = head.status;
         if (tryAgain(attempt, head)) {
           return;
         }
@@ -235,7 +250,7 @@
       onData: (chunk) => (winner === attempt ? listener.onData(chunk) : true),
       onEnd: () => {
         active.delete(attempt);
-        recordEnd(attempt, 'ok');
+        recordEnd(attempt, outcomeOfStatus(attempt.status));
         if (winner === attempt && end()) {
           listener.onEnd();
         }
@@ -272,7 +287,10 @@
         refuse(earlier ?? reportOf(new Failure('deadline_past')));
         return;
       }
-      const isLocal = upstream.queries.hasFreeSlot(policy.service) && !excluded.has(home.name);
+      const isLocal =
+        upstream.queries.hasFreeSlot(policy.service) &&
+        !excluded.has(home.name) &&
+        !evidence.queries.isEjected(home.name, now);
       const cluster = isLocal ? undefined : plan.held.clusters.get(policy.service);
       const endpoint = cluster && chooseRemote(cluster);
       if (!isLocal && !endpoint) {
@@ -285,6 +303,7 @@
         endpointId: endpoint?.id ?? home.name,
         startedAt: now,
         running: undefined,
+        status: 0,
       };
       active.add(attempt);
       evidence.commands.recordStart(attempt.endpointId, now);
