Let the evidence of failures fade

Change: failures lose half of their weight in the rank every 2 s; ejection still counts them in full. Figures: the new test fails before (0 of 100 calls after 10 s) and passes after (above 20).

--- /dev/null
+++ b/__tests__/callRun.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createEvidence } from '../src/core/evidence.js';
+import { createRetryBudget } from '../src/core/retry.js';
+import { createCallRunner } from '../src/plugins/callRun.js';
+import { createLocalUpstream } from '../src/plugins/localUpstream.js';
+import type { RemoteNodes } from '../src/plugins/remoteNode.js';
+import type { AnswerHead } from '../src/types/calls.js';
+import { createManualTimer } from '../src/utils/timer.js';
+import { createCluster, createEndpoint, createPolicy, createRandom } from './support/fleet.js';
+
+interface Answer {
+  readonly status: number;
+  readonly headers?: string[];
+}
+
+/** A runner whose endpoints answer at once with what `answerOf` says. */
+const createRunner = (endpointIds: string[], answerOf: (endpointId: string) => Answer) => {
+  const timer = createManualTimer();
+  const random = createRandom(3);
+  const evidence = createEvidence({ random });
+  const budget = createRetryBudget({ share: 0.1 });
+  const sent: string[] = [];
+  const remote: RemoteNodes = {
+    send: ({ id }, _, listener) => {
+      sent.push(id);
+      timer.after(1, () => {
+        const { status, headers = [] } = answerOf(id);
+        listener.onHead({ status, headers: [...headers] });
+        listener.onEnd();
+      });
+      return { abort: () => undefined, resume: () => undefined, mayHaveRun: () => true };
+    },
+  };
+  const runner = createCallRunner({
+    home: { name: 'home', dataCentre: 'a', region: 'r' },
+    timer,
+    random,
+    upstream: createLocalUpstream(timer),
+    remote,
+    evidence,
+    budget,
+    onRetry: () => undefined,
+  });
+  const cluster = createCluster(endpointIds.map((id) => createEndpoint(id)));
+  const policy = createPolicy();
+  const call = (): AnswerHead | undefined => {
+    let answer: AnswerHead | undefined;
+    runner.run(
+      {
+        requestId: 'r',
+        held: {
+          version: { term: 1, index: 1 },
+          digest: new Uint8Array(),
+          configuration: { services: {}, classes: {} },
+          policies: new Map(),
+          clusters: new Map([[policy.service, cluster]]),
+        },
+        policy,
+        caller: 'x',
+        method: 'GET',
+        path: '/',
+        headers: [],
+        body: { kind: 'none' },
+        deadlineAt: timer.now() + 1_000,
+      },
+      {
+        onHead: (head) => {
+          answer = head;
+        },
+        onData: () => true,
+        onEnd: () => undefined,
+        onRefusal: () => undefined,
+      },
+    );
+    timer.advance(100);
+    return answer;
+  };
+  return { call, evidence, budget, sent, timer };
+};
+
+describe('call runner', () => {
+  it('ejects an endpoint that answers 500, however fast it is', () => {
+    const { call, evidence, sent, timer } = createRunner(['bad', 'b', 'c', 'd'], (id) => ({
+      status: id === 'bad' ? 500 : 200,
+    }));
+    for (
+      let calls = 0;
+      calls < 1_000 && !evidence.queries.isEjected('bad', timer.now());
+      calls += 1
+    ) {
+      call();
+    }
+    assert.equal(evidence.queries.isEjected('bad', timer.now()), true);
+    assert.ok(sent.filter((id) => id === 'bad').length <= 5);
+  });
+
+  it('does not try again what was retried below', () => {
+    const { call, sent } = createRunner(['a', 'b'], () => ({
+      status: 503,
+      headers: ['x-retried', 'true'],
+    }));
+    assert.deepEqual(call()?.headers, ['x-retried', 'true']);
+    assert.equal(sent.length, 1);
+  });
+
+  it('marks a failed answer that was tried again or found the budget empty', () => {
+    const { call, sent, budget } = createRunner(['a', 'b', 'c'], () => ({ status: 503 }));
+    assert.deepEqual(call()?.headers, ['x-retried', 'true']);
+    assert.equal(new Set(sent).size, 3, 'each attempt goes to another endpoint');
+    while (budget.commands.spend(0));
+    assert.deepEqual(call()?.headers, ['x-retried', 'true']);
+    assert.equal(sent.length, 4);
+  });
+});
--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -158,6 +158,26 @@
     );
   });
 
+  it('comes back to an endpoint after a single failure', () => {
+    const endpoints = times(2, (index) => createEndpoint(`e${index}`));
+    const { evidence, choose } = createRoute({ endpoints });
+    times(20, (index) => attempt(evidence, `e${index % 2}`, 0));
+    attempt(evidence, 'e0', 0, 'failed');
+    assert.equal(
+      countBy(
+        times(100, () => choose(1)),
+        'e0',
+      ),
+      0,
+    );
+    assert.ok(
+      countBy(
+        times(100, () => choose(10_000)),
+        'e0',
+      ) > 20,
+    );
+  });
+
   it('avoids an endpoint that takes calls and answers nothing before they time out', () => {
     const endpoints = times(2, (index) => createEndpoint(`e${index}`));
     const { evidence, choose } = createRoute({ endpoints });
--- a/src/core/ejection.ts
+++ b/src/core/ejection.ts
@@ -16,6 +16,7 @@
   /** The endpoint was ejected and no probe has succeeded since. */
   isOut: boolean;
   isProbing: boolean;
+  failedAt: number;
   returnedAt: number;
 }
 
@@ -40,6 +41,7 @@
   ejectedUntil: 0,
   isOut: false,
   isProbing: false,
+  failedAt: Number.NEGATIVE_INFINITY,
   returnedAt: Number.NEGATIVE_INFINITY,
 });
 
@@ -85,8 +87,9 @@
   }
 };
 
-const countSample = (state: EjectionState, isFailure: boolean): void => {
+const countSample = (state: EjectionState, isFailure: boolean, now: number): void => {
   state.samples += 1;
+  state.failedAt = isFailure ? now : state.failedAt;
   state.failureShare += failureWeight * (Number(isFailure) - state.failureShare);
   state.consecutiveFailures = isFailure ? state.consecutiveFailures + 1 : 0;
 };
@@ -98,7 +101,7 @@
   random: () => number,
   now: number,
 ): void => {
-  countSample(state, isFailure);
+  countSample(state, isFailure, now);
   const isProbeTime = state.isOut && now >= state.ejectedUntil;
   if (isProbeTime && !isFailure) {
     returnToUse(state, now);
--- a/src/core/endpointRank.ts
+++ b/src/core/endpointRank.ts
@@ -13,6 +13,8 @@
 const loadHalfLifeMs = 500;
 /** Half-life of the evidence of refusals in ms. */
 const refusalHalfLifeMs = 500;
+/** Half-life of the evidence of failures in ms: without it one failure kept calls away for good. */
+const failureHalfLifeMs = 2_000;
 /** Half-life in ms of a latency that no call has confirmed, so that an endpoint is tried again. */
 const latencyHalfLifeMs = 10_000;
 const latencyFreshMs = 1_000;
@@ -63,7 +65,9 @@
     return 1;
   }
   const refused = known.refusedShare * halve(now - known.refusedAt, refusalHalfLifeMs);
-  return Math.max(minAnswerShare, (1 - known.ejection.failureShare) * (1 - refused));
+  const { failureShare, failedAt } = known.ejection;
+  const failed = failureShare * halve(now - failedAt, failureHalfLifeMs);
+  return Math.max(minAnswerShare, (1 - failed) * (1 - refused));
 };
 
 /** Middle of the latencies of the endpoints, in ms: what an unknown endpoint is assumed to take. */
