Explain the share of slots beside the other classes of the service

Cause: explain printed 100% for every class, since it was given the class alone. Change: both users of explainPolicy pass all classes of the service.

--- a/src/core/policyDerivation.ts
+++ b/src/core/policyDerivation.ts
@@ -80,15 +80,18 @@
   };
 };
 
+/** All classes of the service of a class, itself included. */
+export const siblingsOf = (
+  configuration: Configuration,
+  { service }: TrafficClass,
+): readonly TrafficClass[] =>
+  Object.values(configuration.classes).filter((trafficClass) => trafficClass.service === service);
+
 /** Derives the policies of all classes, by class name. */
-export const derivePolicies = (configuration: Configuration): Map<string, Policy> => {
-  const classes = Object.values(configuration.classes);
-  const siblingsOf = ({ service }: TrafficClass) =>
-    classes.filter((trafficClass) => trafficClass.service === service);
-  return new Map(
-    classes.map((trafficClass) => [
+export const derivePolicies = (configuration: Configuration): Map<string, Policy> =>
+  new Map(
+    Object.values(configuration.classes).map((trafficClass) => [
       trafficClass.name,
-      derivePolicy(trafficClass, siblingsOf(trafficClass)),
+      derivePolicy(trafficClass, siblingsOf(configuration, trafficClass)),
     ]),
   );
-};
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -4,7 +4,7 @@
  */
 import { createBurn, burnReport } from '../core/burn.js';
 import { createEvidence } from '../core/evidence.js';
-import { explainPolicy } from '../core/policy.js';
+import { explainPolicy, siblingsOf } from '../core/policy.js';
 import { createRetryBudget } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
 import type { Cluster } from '../types/public.js';
@@ -160,7 +160,11 @@
       .filter(({ name }) => className === undefined || name === className)
       .map((trafficClass) => ({
         class: trafficClass.name,
-        lines: explainPolicy(trafficClass, held?.clusters.get(trafficClass.service)),
+        lines: explainPolicy(
+          trafficClass,
+          held?.clusters.get(trafficClass.service),
+          held && siblingsOf(held.configuration, trafficClass),
+        ),
       }));
   };
 
--- a/src/plugins/operatorQueries.ts
+++ b/src/plugins/operatorQueries.ts
@@ -5,7 +5,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { Acceptance, AppliedChange, ChangeRecord } from '../core/acceptance.js';
 import { attachedDataCentres } from '../core/attachment.js';
-import { explainPolicy } from '../core/policy.js';
+import { explainPolicy, siblingsOf } from '../core/policy.js';
 import { compareVersions, noVersion } from '../core/version.js';
 import { OperatorQueries } from '../gen/auburnsill/v1/operator_pb.js';
 import type { FleetNode, FleetStatus, Member, ReplicaGroup } from '../types/internal.js';
@@ -142,7 +142,7 @@
     const cluster = fleet.inventory().clusters.get(trafficClass.service);
     return {
       version: toWireVersion(stored.version),
-      lines: explainPolicy(trafficClass, cluster),
+      lines: explainPolicy(trafficClass, cluster, siblingsOf(stored.configuration, trafficClass)),
     };
   };
 
