Count refused calls that waited apart from those shed at once

Cause: the burn report had an outcome 'waiting' that nothing recorded. Change: an overloaded refusal counts as waiting after half of the class's wait limit.

--- a/__tests__/burn.test.ts
+++ b/__tests__/burn.test.ts
@@ -6,6 +6,7 @@
   createBurn,
   maxBurnRows,
   mergeBurn,
+  outcomeOfRefusal,
   type CallOutcome,
   type RecordedCall,
 } from '../src/core/burn.js';
@@ -75,6 +76,13 @@
     assert.equal(line!.mainCause, 'late');
   });
 
+  it('tells calls that were refused at once from calls that waited in vain', () => {
+    assert.equal(outcomeOfRefusal('overloaded', 1, 100), 'shed');
+    assert.equal(outcomeOfRefusal('overloaded', 100, 100), 'waiting');
+    assert.equal(outcomeOfRefusal('overloaded', 100, 0), 'shed');
+    assert.equal(outcomeOfRefusal('upstream_failed', 100, 100), 'failed');
+  });
+
   it('keeps a bounded number of rows and counts the rest together', () => {
     const burn = createBurn();
     const calls = Array.from({ length: 3_000 }, (_, index) => call('good', `c${index}`));
--- a/src/core/burn.ts
+++ b/src/core/burn.ts
@@ -4,6 +4,7 @@
  * minutes, and the number of rows has a limit. Snapshots of several nodes can be merged.
  */
 import type { Configuration, TrafficClass } from '../types/public.js';
+import type { FailureReason } from '../utils/failure.js';
 
 /**
  * Outcome of a call against its target. `waiting` is a call that was late or refused because it
@@ -155,6 +156,21 @@
   return { commands: { recordOutcome }, queries: { snapshot } };
 };
 
+/** Part of its wait limit after which a refused call counts as one that waited. */
+const waitedShare = 0.5;
+
+/** Outcome of a call that was refused with this reason, `elapsedMs` after it arrived. */
+export const outcomeOfRefusal = (
+  reason: FailureReason,
+  elapsedMs: number,
+  maxWaitMs: number,
+): CallOutcome => {
+  if (reason !== 'overloaded') {
+    return 'failed';
+  }
+  return maxWaitMs > 0 && elapsedMs >= waitedShare * maxWaitMs ? 'waiting' : 'shed';
+};
+
 /** Adds up the snapshots of several nodes. The order of the snapshots does not matter. */
 export const mergeBurn = (snapshots: readonly BurnSnapshot[]): BurnSnapshot => {
   const entries = new Map<string, BurnEntry>();
--- a/src/plugins/callServer.ts
+++ b/src/plugins/callServer.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
-import type { Burn, CallOutcome } from '../core/burn.js';
+import { outcomeOfRefusal, type Burn, type CallOutcome } from '../core/burn.js';
 import { matchClass } from '../core/classMatching.js';
 import { formatVersion } from '../core/version.js';
 import type { AttemptFailureReport } from '../types/calls.js';
@@ -95,7 +95,9 @@
     if (call.isOver) {
       return;
     }
-    finish(call, failure.reason === 'overloaded' ? 'shed' : 'failed', failure.reason);
+    const elapsedMs = timer.now() - call.startedAt;
+    const outcome = outcomeOfRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
+    finish(call, outcome, failure.reason);
     // The rest of the body is not read: the connection cannot carry another request.
     call.response.shouldKeepAlive &&= call.request.complete;
     writeRefusal(call.response, failure, call.requestId, versionHeaders(call));
