--- /dev/null
+++ b/bench/cut.ts
@@ -0,0 +1,99 @@
+/**
+ * A data centre is cut off, several changes are accepted without it, and the cut is healed.
+ * Measured is the time until every proxy of the cut-off data centre has the newest version in
+ * force, and whether any proxy went back to an older one. The fault proxies run in this process and
+ * look up the source of each connection, which bounds the size.
+ */
+import { createChangeClient, indexOf, targetsOf } from '../__tests__/support/fleetView.js';
+import { waitFor } from '../__tests__/support/waitFor.js';
+import { services, startFeedLoad } from './support/feedLoad.js';
+import { quantile, slope } from './support/processFigures.js';
+
+const defaultSizes = [9, 24, 48];
+const changesDuringCut = 5;
+const cutMs = 15_000;
+const limitMs = 60_000;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Steps back to an older version in the log of a process. */
+const countStepsBack = (lines: readonly string[]): number => {
+  const indexes = lines
+    .filter((line) => line.includes('feed: version in force'))
+    .map((line) => indexOf((JSON.parse(line) as { version: string }).version));
+  return indexes.filter((index, place) => place > 0 && index < (indexes[place - 1] ?? 0)).length;
+};
+
+const measure = async (size: number, print: (line: string) => void) => {
+  const fleet = await startFeedLoad(size, print, { faultProxies: true });
+  const { deployment } = fleet;
+  try {
+    const inside = deployment.namesIn('c');
+    const outside = [...deployment.namesIn('a'), ...deployment.namesIn('b')];
+    const cutOff = deployment.nodes.filter(({ dataCentre }) => dataCentre === 'c');
+    const connected = deployment.nodes.filter(({ dataCentre }) => dataCentre !== 'c');
+    deployment.partition(inside, outside);
+    await sleep(cutMs / 2);
+    const controls = deployment.controls.filter(({ dataCentre }) => dataCentre !== 'c');
+    const changes = createChangeClient({ ...deployment, controls });
+    let version = '';
+    let sentAt = 0;
+    for (let change = 0; change < changesDuringCut; change += 1) {
+      sentAt = Date.now();
+      version = await changes.apply(targetsOf(services, 10 + change), ['c']);
+    }
+    await sleep(cutMs / 2);
+    const during = fleet.inForceAt(version);
+    const healedAt = Date.now();
+    deployment.heal();
+    await waitFor(() => fleet.inForceAt(version).size === size, {
+      limitMs,
+      everyMs: 50,
+      what: 'the newest version on all nodes',
+    });
+    const after = fleet.inForceAt(version);
+    const times = cutOff.map(({ name }) => (after.get(name) ?? 0) - healedAt);
+    changes.close();
+    return {
+      nodes: size,
+      nodesCutOff: cutOff.length,
+      changes: changesDuringCut,
+      connectedInForceMs: Math.max(
+        ...connected.map(({ name }) => (during.get(name) ?? NaN) - sentAt),
+      ),
+      cutOffInForceDuringCut: cutOff.filter(({ name }) => during.has(name)).length,
+      inForceAfterHealMs: { p50: quantile(times, 0.5), max: Math.max(...times) },
+      stepsBack: deployment.nodes.reduce(
+        (sum, { process }) => sum + countStepsBack(process.output()),
+        0,
+      ),
+    };
+  } finally {
+    await fleet.stop();
+  }
+};
+
+export const run = async ({
+  print,
+  options,
+}: {
+  print: (line: string) => void;
+  options: Readonly<Record<string, unknown>>;
+}) => {
+  const sizes =
+    typeof options.sizes === 'string' ? options.sizes.split(',').map(Number) : defaultSizes;
+  const rows: Awaited<ReturnType<typeof measure>>[] = [];
+  for (const size of sizes) {
+    rows.push(await measure(Math.ceil(size / 3) * 3, print));
+    print(JSON.stringify(rows.at(-1)));
+  }
+  const points = rows.map((row) => ({ x: row.nodes, y: row.inForceAfterHealMs.max }));
+  return {
+    bench: 'cut',
+    product: rows,
+    slopes: rows.length < 2 ? undefined : { inForceAfterHealMsPerNode: slope(points) },
+  };
+};
--- /dev/null
+++ b/bench/herd.ts
@@ -0,0 +1,122 @@
+/**
+ * Recovery from a herd death: half of all nodes and one of the three control instances end at once
+ * and start again, and a change is accepted meanwhile. Measured is the time until that change is in
+ * force on every proxy, and what the herd costs the source. In the baseline all lost nodes
+ * reconnect to the source at once.
+ */
+import { startBaseline } from './support/baseline.js';
+import { startFeedLoad, type SentChange } from './support/feedLoad.js';
+import { quantile, round, slope } from './support/processFigures.js';
+import { waitFor } from '../__tests__/support/waitFor.js';
+
+const defaultSizes = [9, 50, 150];
+const limitMs = 120_000;
+const herdWindowMs = 10_000;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+interface Herd {
+  /** Ends half of the processes and starts them again. */
+  strike(): Promise<void>;
+  change(): Promise<SentChange>;
+  inForceAt(version: string): Map<string, number>;
+  sample(): Promise<{ at: number; sourceProcessorMs: number; sourceBytes: number }>;
+}
+
+const measure = async (herd: Herd, size: number) => {
+  const before = await herd.sample();
+  const struckAt = Date.now();
+  await herd.strike();
+  const { version, sentAt } = await herd.change();
+  const acceptedMs = Date.now() - struckAt;
+  await sleep(Math.max(0, herdWindowMs - (Date.now() - struckAt)));
+  const after = await herd.sample();
+  await waitFor(() => herd.inForceAt(version).size === size, {
+    limitMs,
+    everyMs: 100,
+    what: `the change on ${size} nodes`,
+  });
+  const times = [...herd.inForceAt(version).values()].map((at) => at - struckAt);
+  const seconds = (after.at - before.at) / 1_000;
+  return {
+    nodes: size,
+    acceptedAfterMs: acceptedMs,
+    sentAfterMs: sentAt - struckAt,
+    inForceAfterMs: {
+      p50: quantile(times, 0.5),
+      p99: quantile(times, 0.99),
+      max: Math.max(...times),
+    },
+    sourceCoreShare: round(
+      (after.sourceProcessorMs - before.sourceProcessorMs) / seconds / 1_000,
+      3,
+    ),
+    sourceBytes: after.sourceBytes - before.sourceBytes,
+  };
+};
+
+type Row = Awaited<ReturnType<typeof measure>>;
+
+const slopesOf = (rows: readonly Row[]) => {
+  const of = (pick: (row: Row) => number) =>
+    Number(slope(rows.map((row) => ({ x: row.nodes, y: pick(row) }))).toPrecision(3));
+  return rows.length < 2
+    ? undefined
+    : {
+        inForceAfterMsPerNode: of(({ inForceAfterMs }) => inForceAfterMs.max),
+        sourceBytesPerNode: of(({ sourceBytes }) => sourceBytes),
+        sourceCoreSharePerNode: of(({ sourceCoreShare }) => sourceCoreShare),
+      };
+};
+
+const measureProduct = async (size: number, print: (line: string) => void): Promise<Row> => {
+  const fleet = await startFeedLoad(size, print);
+  const { nodes, controls } = fleet.deployment;
+  const lostControl = controls.at(-1);
+  const dying = [
+    ...nodes.filter((_, index) => index % 2 === 0),
+    ...(lostControl ? [lostControl] : []),
+  ];
+  const survivors = controls.filter((control) => control !== lostControl);
+  const strike = async () => {
+    await Promise.all(dying.map(({ process }) => process.end('SIGKILL')));
+    dying.forEach(({ process }) => process.start());
+  };
+  // The control instance that restarts has its counters at zero: the others count as the source.
+  const sample = () => fleet.sample(survivors);
+  return measure({ ...fleet, strike, sample }, size).finally(fleet.stop);
+};
+
+const measureBaseline = async (size: number): Promise<Row> => {
+  const simple = await startBaseline(size);
+  const strike = async () => simple.restartHalf();
+  return measure({ ...simple, strike }, size).finally(simple.stop);
+};
+
+export const run = async ({
+  print,
+  options,
+}: {
+  print: (line: string) => void;
+  options: Readonly<Record<string, unknown>>;
+}) => {
+  const sizes =
+    typeof options.sizes === 'string' ? options.sizes.split(',').map(Number) : defaultSizes;
+  const product: Row[] = [];
+  const baseline: Row[] = [];
+  for (const size of sizes.map((each) => Math.ceil(each / 3) * 3)) {
+    product.push(await measureProduct(size, print));
+    print(`product: ${JSON.stringify(product.at(-1))}`);
+    baseline.push(await measureBaseline(size));
+    print(`baseline: ${JSON.stringify(baseline.at(-1))}`);
+  }
+  return {
+    bench: 'herd',
+    product,
+    baseline,
+    slopes: { product: slopesOf(product), baseline: slopesOf(baseline) },
+  };
+};
--- /dev/null
+++ b/bench/support/baseline.ts
@@ -0,0 +1,148 @@
+/**
+ * Runs the baseline of the distribution benchmarks: see baselineProcess.ts.
+ */
+import { fork, type ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { build } from 'esbuild';
+import { configurationOf } from '../../__tests__/support/feedFleet.js';
+import { waitFor } from '../../__tests__/support/waitFor.js';
+import type { SentChange } from './feedLoad.js';
+import { services } from './feedLoad.js';
+import { processorMs, residentMb } from './processFigures.js';
+
+interface Message {
+  readonly listening?: string;
+  readonly accepted?: number;
+  readonly inForce?: number;
+  readonly at?: number;
+  readonly traffic?: { readonly receivedBytes: number; readonly sentBytes: number };
+}
+
+export interface Baseline {
+  change(): Promise<SentChange>;
+  churn(endpoints: number): void;
+  inForceAt(version: string): Map<string, number>;
+  sample(): Promise<{
+    at: number;
+    sourceProcessorMs: number;
+    nodeMb: number[];
+    sourceBytes: number;
+    allBytes: number;
+  }>;
+  /** Ends half of the nodes and starts them again. */
+  restartHalf(): void;
+  stop(): void;
+}
+
+export const startBaseline = async (size: number): Promise<Baseline> => {
+  const folder = mkdtempSync(join(tmpdir(), 'auburnsill-baseline-'));
+  const script = join(folder, 'baseline.mjs');
+  await build({
+    entryPoints: [join(import.meta.dirname, 'baselineProcess.ts')],
+    outfile: script,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'esm',
+    logLevel: 'error',
+    banner: {
+      js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);",
+    },
+  });
+  const start = (args: readonly string[]): ChildProcess =>
+    fork(script, args, { execArgv: [], stdio: 'ignore', serialization: 'json' });
+  const nodes: ChildProcess[] = [];
+  const inForce = new Map<number, Map<string, number>>();
+  let address = '';
+  let accepted = 0;
+  let traffic: Message['traffic'];
+  let churned = 0;
+
+  const source = start(['source']);
+  source.on('message', (message: Message) => {
+    address = message.listening ?? address;
+    accepted = message.accepted ?? accepted;
+    traffic = message.traffic ?? traffic;
+  });
+  process.on('exit', () => [source, ...nodes].forEach((child) => child.kill('SIGKILL')));
+  await waitFor(() => address, { what: 'the start of the baseline source' });
+
+  const startOne = (index: number) => {
+    const child = start([
+      'node',
+      address,
+      `node-${index}`,
+      services[index % services.length] ?? '',
+    ]);
+    nodes[index] = child;
+    child.on('message', ({ inForce: version, at }: Message) => {
+      const times = inForce.get(version ?? 0) ?? new Map<string, number>();
+      inForce.set(version ?? 0, times);
+      times.set(`node-${index}`, at ?? 0);
+    });
+  };
+  for (let index = 0; index < size; index += 1) {
+    startOne(index);
+  }
+
+  const change = async (): Promise<SentChange> => {
+    const before = accepted;
+    const sentAt = Date.now();
+    source.send({ configuration: configurationOf(services, 1 + (before % 99)) });
+    await waitFor(() => accepted > before, { everyMs: 1, what: 'the change' });
+    return { version: String(accepted), sentAt };
+  };
+
+  const inForceAt = (version: string): Map<string, number> => {
+    const times = new Map<string, number>();
+    [...inForce]
+      .filter(([index]) => index >= Number(version))
+      .sort(([a], [b]) => b - a)
+      .forEach(([, each]) => each.forEach((at, name) => times.set(name, at)));
+    return times;
+  };
+
+  const first = await change();
+  await waitFor(() => inForceAt(first.version).size === size, {
+    limitMs: 60_000,
+    what: 'the first version on all nodes of the baseline',
+  });
+
+  return {
+    change,
+    churn: (endpoints) => {
+      for (let count = 0; count < endpoints; count += 1) {
+        nodes[churned % nodes.length]?.send({ churn: true });
+        churned += 1;
+      }
+    },
+    inForceAt,
+    sample: async () => {
+      traffic = undefined;
+      source.send({ traffic: true });
+      const { receivedBytes, sentBytes } = await waitFor(() => traffic, { what: 'the traffic' });
+      const bytes = receivedBytes + sentBytes;
+      return {
+        at: Date.now(),
+        sourceProcessorMs: processorMs(source.pid ?? 0),
+        nodeMb: nodes.map(({ pid }) => residentMb(pid ?? 0)),
+        sourceBytes: bytes,
+        allBytes: bytes,
+      };
+    },
+    restartHalf: () => {
+      nodes.forEach((child, index) => {
+        if (index % 2 === 0) {
+          child.kill('SIGKILL');
+          startOne(index);
+        }
+      });
+    },
+    stop: () => {
+      [source, ...nodes].forEach((child) => child.kill('SIGKILL'));
+      rmSync(folder, { recursive: true, force: true });
+    },
+  };
+};
--- /dev/null
+++ b/bench/support/feedLoad.ts
@@ -0,0 +1,192 @@
+/**
+ * A fleet of real control instances and nodes with churn: endpoints that the benchmark announces
+ * for the nodes, and changes of the configuration. A node logs when a version is in force; the
+ * times of all processes come from one clock, since they run on one machine.
+ */
+import { createServer, type AddressInfo } from 'node:net';
+import {
+  startDeployment,
+  type ControlInstance,
+  type Deployment,
+  type MeshNode,
+} from '../../__tests__/support/deployment.js';
+import { createChangeClient, reportOf, targetsOf } from '../../__tests__/support/fleetView.js';
+import type { ManagedProcess } from '../../__tests__/support/managedProcess.js';
+import { waitFor } from '../../__tests__/support/waitFor.js';
+import { processorMs, residentMb, sumMetric } from './processFigures.js';
+
+export const services = ['alpha', 'beta', 'gamma', 'delta', 'epsilon', 'zeta'];
+export const dataCentres = ['a', 'b', 'c'];
+const renewPeriodMs = 1_000;
+
+/** One accepted change: its version, and when it was sent off. */
+export interface SentChange {
+  readonly version: string;
+  readonly sentAt: number;
+}
+
+export interface FeedLoad {
+  readonly deployment: Deployment;
+  /** Changes the configuration. */
+  change(): Promise<SentChange>;
+  /** Changes the slots of some endpoints, which all subscribers have to learn. */
+  churn(endpoints: number): void;
+  /** When each running node had a version in force, by node name; missing if it had not. */
+  inForceAt(version: string): Map<string, number>;
+  /** Figures of all processes; `sources` are the control instances that count. */
+  sample(sources?: readonly ControlInstance[]): Promise<FleetSample>;
+  stop(): Promise<void>;
+}
+
+export interface FleetSample {
+  readonly at: number;
+  readonly sourceProcessorMs: number;
+  readonly nodeProcessorMs: readonly number[];
+  readonly nodeMb: readonly number[];
+  readonly sourceBytes: number;
+  /** Bytes of all control traffic; each connection is counted at its server. */
+  readonly allBytes: number;
+}
+
+const announceOnce = (node: MeshNode, index: number, address: string, slots: number) =>
+  fetch(`http://${node.admin}/upstream`, {
+    method: 'PUT',
+    body: JSON.stringify({
+      service: services[index % services.length],
+      address,
+      slots,
+      connections: 100,
+      state: 'ready',
+    }),
+  });
+
+const inForcePattern = /"message":"feed: version in force"/;
+
+const readInForce = (process: ManagedProcess, version: string): number | undefined => {
+  const line = process
+    .output()
+    .find((each) => inForcePattern.test(each) && each.includes(`"version":"${version}"`));
+  const record = line === undefined ? undefined : (JSON.parse(line) as { timestamp: string });
+  return record && Date.parse(record.timestamp);
+};
+
+/** The first time that the node had this version or a newer one in force. */
+const firstInForce = (process: ManagedProcess, version: string): number | undefined => {
+  const exact = readInForce(process, version);
+  if (exact !== undefined) {
+    return exact;
+  }
+  const index = Number(version.split('.')[1]);
+  const later = process
+    .output()
+    .filter((line) => inForcePattern.test(line))
+    .map((line) => JSON.parse(line) as { timestamp: string; version: string })
+    .filter((record) => Number(record.version.split('.')[1]) > index)
+    .map(({ timestamp }) => Date.parse(timestamp));
+  return later.length > 0 ? Math.min(...later) : undefined;
+};
+
+/** Starts three data centres with a control instance each and `size` nodes in all. */
+export const startFeedLoad = async (
+  size: number,
+  print: (line: string) => void,
+  options: { readonly faultProxies?: boolean } = {},
+): Promise<FeedLoad> => {
+  const upstream = createServer((socket) => socket.on('error', () => undefined));
+  await new Promise<void>((resolve) => {
+    upstream.listen(0, '127.0.0.1', resolve);
+  });
+  const address = `127.0.0.1:${(upstream.address() as AddressInfo).port}`;
+  const deployment = await startDeployment({
+    name: 'bench',
+    dataCentres: dataCentres.map((name) => ({ name, callerNodes: size / dataCentres.length })),
+    targets: targetsOf(services),
+    ...options,
+  });
+  const { nodes, controls } = deployment;
+  const slots = nodes.map(() => 10);
+  const announce = () =>
+    nodes.forEach((node, index) => {
+      if (node.process.isRunning()) {
+        announceOnce(node, index, address, slots[index] ?? 10).catch(() => undefined);
+      }
+    });
+  const renewal = setInterval(announce, renewPeriodMs);
+  announce();
+  print(`${size} nodes are up`);
+  const changes = createChangeClient(deployment);
+  let changeCount = 0;
+  let churned = 0;
+
+  const pidsOf = (processes: readonly { process: ManagedProcess }[]): number[] =>
+    processes
+      .filter(({ process }) => process.isRunning())
+      .map(({ process }) => process.pid())
+      .filter((pid) => pid !== undefined);
+
+  const trafficOf = async ({ admin }: { admin: string }): Promise<number> =>
+    sumMetric(await (await fetch(`http://${admin}/metrics`)).text(), 'auburnsill_peer_bytes');
+
+  const sum = (values: readonly number[]) => values.reduce((total, value) => total + value, 0);
+
+  await waitFor(
+    async () => {
+      const reports = await Promise.all(nodes.map(reportOf));
+      const known = (report: (typeof reports)[number]) =>
+        sum(Object.values(report.endpoints).map(({ ready }) => ready));
+      return reports.every((report) => known(report) === size);
+    },
+    { limitMs: 60_000, everyMs: 500, what: `${size} endpoints on all nodes` },
+  );
+
+  return {
+    deployment,
+    change: async () => {
+      changeCount += 1;
+      const sentAt = Date.now();
+      const version = await changes.apply(targetsOf(services, 1 + (changeCount % 99)));
+      return { version, sentAt };
+    },
+    churn: (endpoints) => {
+      for (let count = 0; count < endpoints; count += 1) {
+        const index = churned % nodes.length;
+        churned += 1;
+        const node = nodes[index];
+        slots[index] = 10 + (((slots[index] ?? 10) + 1) % 10);
+        if (node?.process.isRunning()) {
+          announceOnce(node, index, address, slots[index] ?? 10).catch(() => undefined);
+        }
+      }
+    },
+    inForceAt: (version) =>
+      new Map(
+        nodes
+          .map(({ name, process }): [string, number | undefined] => [
+            name,
+            firstInForce(process, version),
+          ])
+          .filter((entry): entry is [string, number] => entry[1] !== undefined),
+      ),
+    sample: async (sources = controls) => {
+      const controlBytes = await Promise.all(sources.map(trafficOf));
+      const nodeBytes = await Promise.all(
+        nodes.map((node) => trafficOf(node).catch(() => Number.NaN)),
+      );
+      return {
+        at: Date.now(),
+        // The busiest control instance counts as the source.
+        sourceProcessorMs: Math.max(...pidsOf(sources).map(processorMs)),
+        nodeProcessorMs: pidsOf(nodes).map(processorMs),
+        nodeMb: pidsOf(nodes).map(residentMb),
+        sourceBytes: Math.max(...controlBytes),
+        allBytes: sum(controlBytes) + sum(nodeBytes),
+      };
+    },
+    stop: async () => {
+      clearInterval(renewal);
+      changes.close();
+      upstream.close();
+      await deployment.stop();
+    },
+  };
+};
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -9,7 +9,7 @@
 import { createAdminServer, type CheckState } from '../plugins/adminServer.js';
 import { createConsensusTransport, type Receiver } from '../plugins/consensusTransport.js';
 import { createControlFeed } from '../plugins/controlFeed.js';
-import { createFeedMetrics } from '../plugins/feedMetrics.js';
+import { createFeedMetrics, observePeerTraffic } from '../plugins/feedMetrics.js';
 import { createControlMetrics, type ObservedGroup } from '../plugins/controlMetrics.js';
 import type { ControlSettings } from '../plugins/controlSettings.js';
 import { createConvergence } from '../plugins/convergence.js';
@@ -282,6 +282,7 @@
       routes: createRoutes(started),
       interceptors: [access.serverInterceptor],
     });
+    observePeerTraffic(metrics.registry, server.traffic);
     await server.listen();
     followMembership(started.configuration, started.ledger, timer, log.part('ledger'));
     convergence.start();
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -6,7 +6,7 @@
 import { parseArgs } from 'node:util';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import { createAccess } from '../plugins/access.js';
-import { createFeedMetrics } from '../plugins/feedMetrics.js';
+import { createFeedMetrics, observePeerTraffic } from '../plugins/feedMetrics.js';
 import { createLedgerClient } from '../plugins/ledgerClient.js';
 import { createMetrics } from '../plugins/metrics.js';
 import { createNodeFeed } from '../plugins/nodeFeed.js';
@@ -66,6 +66,7 @@
     routes: feed.routes,
     interceptors: [access.serverInterceptor],
   });
+  observePeerTraffic(metrics.registry, peer.traffic);
   const ledger = createLedgerClient({ addresses: controlOrder(settings), access, timer });
   const runtime = createNodeRuntime({
     node,
--- a/src/plugins/feedMetrics.ts
+++ b/src/plugins/feedMetrics.ts
@@ -3,13 +3,14 @@
  * headers of HTTP/2.
  */
 import { toBinary } from '@bufbuild/protobuf';
-import { Counter, type Registry } from 'prom-client';
+import { Counter, Gauge, type Registry } from 'prom-client';
 import {
   FeedMessageSchema,
   ReportRequestSchema,
   type FeedMessage,
   type ReportRequest,
 } from '../gen/auburnsill/v1/feed_pb.js';
+import type { Traffic } from './rpc.js';
 
 export interface FeedMetrics {
   sent(message: FeedMessage | ReportRequest): void;
@@ -32,6 +33,21 @@
     ? toBinary(ReportRequestSchema, message).length
     : toBinary(FeedMessageSchema, message).length;
 
+/** Exports the bytes of a process's peer address, as on the wire above TCP. */
+export const observePeerTraffic = (registry: Registry, traffic: () => Traffic): void => {
+  const gauge = new Gauge({
+    name: 'auburnsill_peer_bytes',
+    help: 'Bytes of the connections to the peer address since the start.',
+    labelNames: ['direction'],
+    registers: [registry],
+    collect: () => {
+      const { receivedBytes, sentBytes } = traffic();
+      gauge.set({ direction: 'received' }, receivedBytes);
+      gauge.set({ direction: 'sent' }, sentBytes);
+    },
+  });
+};
+
 /** Creates the metrics of the feed in a registry. */
 export const createFeedMetrics = (registry: Registry): FeedMetrics => {
   const registers = [registry];
--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -4,7 +4,7 @@
  * gone silent.
  */
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
-import { isIP } from 'node:net';
+import { isIP, type Socket } from 'node:net';
 import type { ConnectRouter, Interceptor, Transport } from '@connectrpc/connect';
 import {
   connectNodeAdapter,
@@ -38,6 +38,13 @@
   listen(): Promise<Address>;
   /** Refuses new sessions, lets open RPCs end until `graceMs` has passed, then closes. */
   close(graceMs: number): Promise<void>;
+  /** Bytes of all connections since the start, as on the wire above TCP. */
+  traffic(): Traffic;
+}
+
+export interface Traffic {
+  readonly receivedBytes: number;
+  readonly sentBytes: number;
 }
 
 export interface RpcServerOptions {
@@ -70,6 +77,19 @@
     writeMaxBytes: maxMessageBytes,
   });
   const server = createServer(handler);
+  const sockets = new Set<Socket>();
+  let closedTraffic: Traffic = { receivedBytes: 0, sentBytes: 0 };
+  const addTraffic = (sum: Traffic, { bytesRead, bytesWritten }: Socket): Traffic => ({
+    receivedBytes: sum.receivedBytes + bytesRead,
+    sentBytes: sum.sentBytes + bytesWritten,
+  });
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.on('close', () => {
+      sockets.delete(socket);
+      closedTraffic = addTraffic(closedTraffic, socket);
+    });
+  });
   server.on('session', (session) => {
     if (sessions.size >= maxSessions) {
       session.destroy();
@@ -83,6 +103,7 @@
 
   return {
     listen: () => listenOn(server, address),
+    traffic: () => [...sockets].reduce(addTraffic, closedTraffic),
     close: (graceMs) =>
       new Promise((resolve) => {
         const deadline = setTimeout(() => {
