Test a node against parents that lag, loop, corrupt and cut updates short

Nine tests over real connections with a parent that the test steers. Statuses of a control instance that went silent no longer count for nodes that reported elsewhere, so that a change is not reported as missing on nodes that moved. Reasons of lost parents are a bounded set of metric labels.

--- a/__tests__/feedCore.test.ts
+++ b/__tests__/feedCore.test.ts
@@ -10,7 +10,7 @@
 import { createParentChoice, maxBackoffMs } from '../src/core/parentChoice.js';
 import { createParentHealth } from '../src/core/parentHealth.js';
 import { createRegistry, massHoldMs, settleMs } from '../src/core/registry.js';
-import { maxLaggards, mergeReports } from '../src/core/reports.js';
+import { maxLaggards, mergeAgedReports, mergeReports } from '../src/core/reports.js';
 import { createSubtree } from '../src/core/subtree.js';
 import { createUpwardReport } from '../src/core/upwardReport.js';
 import type { Endpoint } from '../src/types/public.js';
@@ -298,6 +298,37 @@
   });
 });
 
+describe('statuses of other control instances', () => {
+  const status = (dataCentre: string, index: number, nodes: number) => ({
+    counts: [{ version: { term: 1, index }, dataCentre, nodes }],
+    laggards: [],
+  });
+  const total = (merged: { counts: readonly { nodes: number }[] }) =>
+    merged.counts.reduce((sum, { nodes }) => sum + nodes, 0);
+
+  it('do not count nodes twice that moved away from a lost one', () => {
+    const merged = mergeAgedReports(
+      [
+        { status: status('dc-a', 2, 5), ageMs: 0 },
+        { status: status('dc-a', 1, 5), ageMs: leaseMs + 1 },
+      ],
+      leaseMs,
+    );
+    assert.equal(total(merged), 5);
+  });
+
+  it('keep the nodes of a data centre that is cut off', () => {
+    const merged = mergeAgedReports(
+      [
+        { status: status('dc-a', 2, 5), ageMs: 0 },
+        { status: status('dc-b', 1, 4), ageMs: leaseMs + 1 },
+      ],
+      leaseMs,
+    );
+    assert.equal(total(merged), 9);
+  });
+});
+
 describe('registry', () => {
   const isWithdrawn = () => false;
   const settled = (...endpoints: Endpoint[]) => {
--- /dev/null
+++ b/__tests__/feedParents.test.ts
@@ -0,0 +1,203 @@
+import assert from 'node:assert/strict';
+import { after, describe, it } from 'node:test';
+import { digestConfiguration, encodeConfiguration } from '../src/core/configuration.js';
+import { diffConfigurations, encodeDelta } from '../src/core/delta.js';
+import type { NodeFeed } from '../src/plugins/nodeFeed.js';
+import type { Configuration } from '../src/types/public.js';
+import { startFakeParent } from './support/fakeParent.js';
+import {
+  configurationOf,
+  createManualSource,
+  endpointOf,
+  freePort,
+  startControl,
+  startNode,
+  until,
+  type RunningFeed,
+} from './support/feedFleet.js';
+
+const versionOf = (index: number) => ({ term: 1n, index: BigInt(index) });
+
+const fullUpdate = (configuration: Configuration, index: number) => ({
+  case: 'configuration' as const,
+  value: {
+    version: versionOf(index),
+    resultDigest: digestConfiguration(configuration),
+    body: encodeConfiguration(configuration),
+  },
+});
+
+const deltaUpdate = (base: Configuration, next: Configuration, index: number) => {
+  const delta = diffConfigurations(base, next);
+  return {
+    case: 'configuration' as const,
+    value: {
+      version: versionOf(index),
+      baseVersion: versionOf(index - 1),
+      baseDigest: delta.baseDigest,
+      resultDigest: delta.resultDigest,
+      body: encodeDelta(delta),
+    },
+  };
+};
+
+const heldIndex = ({ feed }: RunningFeed<NodeFeed>): number =>
+  feed.holding.queries.current()?.version.index ?? 0;
+
+const empty = configurationOf([]);
+const first = configurationOf(['lookup'], 1);
+const second = configurationOf(['lookup'], 2);
+const third = configurationOf(['lookup'], 3);
+
+describe('a node and its parent', { concurrency: true }, () => {
+  const stops: (() => Promise<void>)[] = [];
+  after(() => Promise.all(stops.map((stop) => stop())));
+
+  const attach = async (name: string) => {
+    const parent = await startFakeParent();
+    parent.beat({ head: { term: 1, index: 1 }, path: ['fake'] });
+    const node = await startNode({ name }, [{ address: parent.address, dataCentre: 'dc-a' }]);
+    stops.push(node.stop, parent.stop);
+    await until(() => parent.streams() === 1, 'a subscription');
+    return { parent, node };
+  };
+
+  it('asks for a full update after a delta with another base, and applies nothing of it', async () => {
+    const { parent, node } = await attach('wrong-base');
+    parent.send(fullUpdate(empty, 1));
+    await until(() => heldIndex(node) === 1, 'the first version');
+    parent.send(deltaUpdate(first, second, 3));
+    await until(() => parent.changes.some((change) => change.fullConfiguration), 'the request');
+    assert.deepEqual(node.feed.holding.queries.current()?.configuration, empty);
+    parent.send(fullUpdate(empty, 3));
+    await until(() => heldIndex(node) === 3, 'the full version');
+  });
+
+  it('leaves a parent whose updates stay corrupt or cut short', async () => {
+    const { parent, node } = await attach('corrupt');
+    const good = fullUpdate(first, 1);
+    const cut = { ...good, value: { ...good.value, body: good.value.body.slice(0, 40) } };
+    const foreign = { ...good, value: { ...good.value, body: encodeConfiguration(second) } };
+    [cut, foreign, cut].forEach((message) => parent.send(message));
+    await until(() => parent.subscriptions.length > 1, 'another subscription');
+    assert.equal(node.feed.holding.queries.current(), undefined);
+  });
+
+  it('keeps its version when updates are repeated or arrive crossed', async () => {
+    const { parent, node } = await attach('crossed');
+    const seen: number[] = [];
+    node.feed.holding.onChange(({ version }) => seen.push(version.index));
+    [
+      fullUpdate(empty, 2),
+      fullUpdate(empty, 1),
+      fullUpdate(empty, 2),
+      fullUpdate(empty, 3),
+    ].forEach((message) => parent.send(message));
+    await until(() => heldIndex(node) === 3, 'the newest version');
+    assert.deepEqual(
+      seen,
+      [...seen].sort((a, b) => a - b),
+    );
+    assert.deepEqual(new Set(seen), new Set([2, 3]));
+  });
+
+  it('leaves a parent that goes back to an older version', async () => {
+    const { parent, node } = await attach('lagging');
+    parent.send(fullUpdate(empty, 5));
+    parent.beat({ head: { term: 1, index: 5 }, path: ['fake'] });
+    await until(() => heldIndex(node) === 5, 'the version');
+    parent.beat({ head: { term: 1, index: 4 }, path: ['fake'] });
+    await until(() => parent.subscriptions.length > 1, 'another subscription');
+    assert.equal(heldIndex(node), 5);
+  });
+
+  it('leaves a parent whose path contains the node itself', async () => {
+    const { parent } = await attach('looped');
+    parent.beat({ head: { term: 1, index: 1 }, path: ['other', 'looped', 'fake'] });
+    await until(() => parent.subscriptions.length > 1, 'another subscription');
+  });
+
+  it('is detached when confirmations of its own version are missing', async () => {
+    const { parent, node } = await attach('detached');
+    parent.send(fullUpdate(empty, 1));
+    await until(() => heldIndex(node) === 1, 'the version');
+    await until(() => !node.feed.holding.queries.isDetached(), 'a confirmation');
+    // Confirmations of a newer version that does not arrive say nothing about the held one.
+    parent.beat({ head: { term: 1, index: 2 }, path: ['fake'] });
+    await until(() => node.feed.holding.queries.isDetached(), 'the detached state');
+  });
+
+  it('takes a newer version from another data centre when its own instance is cut off', async () => {
+    const cutOff = await startFakeParent();
+    cutOff.beat({ head: { term: 1, index: 1 }, path: ['cut-off'], ageMs: 60_000 });
+    const source = createManualSource();
+    source.accept(first);
+    source.accept(third);
+    const other = await startControl({ name: 'control-other', dataCentre: 'dc-b' }, source);
+    const node = await startNode({ name: 'moving' }, [
+      { address: cutOff.address, dataCentre: 'dc-a' },
+      { address: other.address, dataCentre: 'dc-b' },
+    ]);
+    stops.push(node.stop, other.stop, cutOff.stop);
+    await until(() => heldIndex(node) === 2, 'the version of the other instance');
+    await until(() => !node.feed.holding.queries.isDetached(), 'a fresh confirmation');
+  });
+
+  it('attaches to another control instance when its own one is gone, and comes back', async () => {
+    const source = createManualSource();
+    source.accept(empty);
+    const own = await startControl({ name: 'control-own' }, source);
+    const other = await startControl({ name: 'control-far', dataCentre: 'dc-b' }, source);
+    const node = await startNode({ name: 'roaming' }, [
+      { address: own.address, dataCentre: 'dc-a' },
+      { address: other.address, dataCentre: 'dc-b' },
+    ]);
+    stops.push(node.stop, other.stop);
+    await until(() => heldIndex(node) === 1, 'the first version');
+    await own.stop();
+    source.accept(empty);
+    await until(() => heldIndex(node) === 2, 'the second version');
+    const back = await startControl({ name: 'control-own', address: own.address }, source);
+    stops.push(back.stop);
+    await until(
+      () => back.feed.fleet.counts().some(({ nodes }) => nodes === 1),
+      'the report to the own control instance',
+      60_000,
+    );
+  });
+
+  it('finds endpoints of other data centres, and the delay between them', async () => {
+    const source = createManualSource();
+    source.accept(first);
+    const places = ['dc-a', 'dc-b'].map((dataCentre) => ({
+      name: `control-${dataCentre}`,
+      dataCentre,
+    }));
+    const members: { name: string; address: string; dataCentre: string }[] = [];
+    for (const place of places) {
+      members.push({ ...place, address: `127.0.0.1:${await freePort()}` });
+    }
+    const controls = await Promise.all(
+      members.map((member) => startControl(member, source, members)),
+    );
+    const nodes = await Promise.all(
+      members.map(({ address, dataCentre }) =>
+        startNode({ name: `node-${dataCentre}`, dataCentre }, [{ address, dataCentre }]),
+      ),
+    );
+    stops.push(...nodes.map(({ stop }) => stop), ...controls.map(({ stop }) => stop));
+    nodes[0]?.feed.announcer.announce(endpointOf('far', 'lookup'));
+    await until(
+      () =>
+        nodes[1]?.feed.holding.queries.current()?.clusters.get('lookup')?.endpoints.length === 1,
+      'the endpoint of the other data centre',
+    );
+    const inventory = () => controls[1]?.feed.fleet.inventory();
+    await until(() => (inventory()?.delayMs('dc-a', 'dc-b') ?? 0) > 0, 'a measured delay');
+    await until(
+      () =>
+        controls[1]?.feed.fleet.counts().reduce((sum, { nodes: count }) => sum + count, 0) === 2,
+      'the nodes of both data centres',
+    );
+  });
+});
--- /dev/null
+++ b/__tests__/support/fakeParent.ts
@@ -0,0 +1,112 @@
+/**
+ * A parent of the fan-out tree that says what the test tells it to, over a real connection.
+ */
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import {
+  Feed,
+  FeedMessageSchema,
+  type ChangeSubscriptionRequest,
+  type SubscribeRequest,
+} from '../../src/gen/auburnsill/v1/feed_pb.js';
+import { createAccess } from '../../src/plugins/access.js';
+import { createRpcServer, parseAddress } from '../../src/plugins/rpc.js';
+import type { Version } from '../../src/types/public.js';
+import { clusterToken, freeAddress } from './feedFleet.js';
+
+type MessageInit = MessageInitShape<typeof FeedMessageSchema>['message'];
+
+export interface FakeParent {
+  readonly address: string;
+  /** Sends a message to all streams. */
+  send(message: MessageInit): void;
+  /** What heartbeats say, sent twice a second from now on. */
+  beat(beat: { head: Version; path: string[]; ageMs?: number; root?: string }): void;
+  streams(): number;
+  /** All subscriptions so far, probes left out. */
+  readonly subscriptions: SubscribeRequest[];
+  readonly changes: ChangeSubscriptionRequest[];
+  stop(): Promise<void>;
+}
+
+export const startFakeParent = async (): Promise<FakeParent> => {
+  const access = createAccess({ clusterToken });
+  const address = await freeAddress();
+  const subscriptions: SubscribeRequest[] = [];
+  const changes: ChangeSubscriptionRequest[] = [];
+  const queues = new Set<{ messages: MessageInit[]; wake: () => void }>();
+  let heartbeat: MessageInit | undefined;
+
+  const send = (message: MessageInit) =>
+    queues.forEach((queue) => {
+      queue.messages.push(message);
+      queue.wake();
+    });
+
+  const writeBeat = (message: MessageInit) => create(FeedMessageSchema, { message });
+
+  async function* subscribe(request: SubscribeRequest, { signal }: { signal: AbortSignal }) {
+    yield writeBeat({ case: 'welcome', value: { subscriptionId: 'fake', path: ['fake'] } });
+    if (request.probe) {
+      yield writeBeat(heartbeat ?? { case: 'heartbeat', value: {} });
+      return;
+    }
+    subscriptions.push(request);
+    const queue = { messages: [] as MessageInit[], wake: (): void => undefined };
+    queues.add(queue);
+    signal.addEventListener('abort', () => {
+      queues.delete(queue);
+      queue.wake();
+    });
+    while (!signal.aborted) {
+      const next = queue.messages.shift();
+      if (next) {
+        yield writeBeat(next);
+      } else {
+        await new Promise<void>((resolve) => {
+          queue.wake = resolve;
+        });
+      }
+    }
+  }
+
+  const server = createRpcServer({
+    address: parseAddress(address) ?? { host: '127.0.0.1', port: 0 },
+    routes: (router) => {
+      router.service(Feed, {
+        subscribe,
+        changeSubscription: (request) => {
+          changes.push(request);
+          return {};
+        },
+        report: () => ({}),
+      });
+    },
+    interceptors: [access.serverInterceptor],
+  });
+  await server.listen();
+  const beats = setInterval(() => heartbeat && send(heartbeat), 500);
+
+  return {
+    address,
+    send,
+    beat: ({ head, path, ageMs = 0, root = 'dc-a' }) => {
+      heartbeat = {
+        case: 'heartbeat',
+        value: {
+          confirmedAgeMs: BigInt(ageMs),
+          headVersion: { term: BigInt(head.term), index: BigInt(head.index) },
+          path,
+          rootDataCentre: root,
+        },
+      };
+      send(heartbeat);
+    },
+    streams: () => queues.size,
+    subscriptions,
+    changes,
+    stop: async () => {
+      clearInterval(beats);
+      await server.close(0);
+    },
+  };
+};
--- a/src/core/reports.ts
+++ b/src/core/reports.ts
@@ -51,3 +51,30 @@
     .sort((a, b) => compareVersions(a.version, b.version))
     .slice(0, maxLaggards),
 });
+
+/** A status with the time since it was reported. */
+export interface AgedStatus {
+  readonly status: SubtreeStatus;
+  readonly ageMs: number;
+}
+
+/**
+ * Merges the statuses of several control instances. The last status of one that has gone silent
+ * counts for data centres that no other one reports: nodes that moved to another control instance
+ * are not counted twice, and a data centre that is cut off does not vanish.
+ */
+export const mergeAgedReports = (aged: readonly AgedStatus[], freshMs: number): SubtreeStatus => {
+  const isFresh = ({ ageMs }: AgedStatus) => ageMs <= freshMs;
+  const fresh = aged.filter(isFresh).map(({ status }) => status);
+  const covered = new Set(
+    fresh.flatMap(({ counts }) => counts).map(({ dataCentre }) => dataCentre),
+  );
+  const isUncovered = ({ dataCentre }: { readonly dataCentre: string }) => !covered.has(dataCentre);
+  const stale = aged
+    .filter((each) => !isFresh(each))
+    .map(({ status }) => ({
+      counts: status.counts.filter(isUncovered),
+      laggards: status.laggards.filter(isUncovered),
+    }));
+  return mergeReports([...fresh, ...stale]);
+};
--- a/src/plugins/controlFeed.ts
+++ b/src/plugins/controlFeed.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationSource, FleetStatus } from '../types/internal.js';
 import { createConfigurationStore } from '../core/configurationStore.js';
 import { compareRecords } from '../core/clusterLog.js';
-import { mergeReports, type SubtreeStatus } from '../core/feed.js';
+import { leaseMs, mergeAgedReports, type SubtreeStatus } from '../core/feed.js';
 import { createRegistry } from '../core/registry.js';
 import { createSubtree } from '../core/subtree.js';
 import type { Log } from '../utils/log.js';
@@ -24,6 +24,9 @@
 const tickMs = 500;
 /** Endpoint changes that arrive within this time get one revision. */
 const batchMs = 100;
+/** Statuses of other control instances that are kept, and for how long. */
+const maxRemoteStatuses = 16;
+const remoteStatusKeepMs = 3_600_000;
 
 export interface ControlFeedOptions {
   readonly control: {
@@ -73,7 +76,7 @@
   // Endpoints that nodes get, of all data centres, and those whose leases are held here.
   const registry = createRegistry(incarnation.slice(0, 8), timer.now());
   const leased = createRegistry(incarnation.slice(0, 8), timer.now());
-  const remoteStatuses = new Map<string, SubtreeStatus>();
+  const remoteStatuses = new Map<string, { status: SubtreeStatus; at: number }>();
   const listeners = new Set<() => void>();
   const cancels: Cancel[] = [];
   let reconcileDue: Cancel | undefined;
@@ -119,7 +122,9 @@
   });
 
   const reportFromControl = (child: Subscriber, report: ReportRequest): boolean => {
-    remoteStatuses.set(child.name, readBranchReport(report).status);
+    if (remoteStatuses.has(child.name) || remoteStatuses.size < maxRemoteStatuses) {
+      remoteStatuses.set(child.name, { status: readBranchReport(report).status, at: timer.now() });
+    }
     exchange.learnDelays(report.delays);
     notifySoon();
     return true;
@@ -168,11 +173,25 @@
   const tick = () => {
     subtree.commands.tick(timer.now());
     exchange.tick();
+    forgetOldStatuses();
     takeHead();
     reconcile();
   };
 
-  const status = (): SubtreeStatus => mergeReports([ownStatus(), ...remoteStatuses.values()]);
+  const forgetOldStatuses = () => {
+    [...remoteStatuses]
+      .filter(([, { at }]) => timer.now() - at > remoteStatusKeepMs)
+      .forEach(([name]) => remoteStatuses.delete(name));
+  };
+
+  const status = (): SubtreeStatus => {
+    const own = { status: ownStatus(), ageMs: 0 };
+    const remote = [...remoteStatuses.values()].map((each) => ({
+      status: each.status,
+      ageMs: timer.now() - each.at,
+    }));
+    return mergeAgedReports([own, ...remote], leaseMs);
+  };
 
   const dataCentres = (): string[] => {
     const named = [control.dataCentre, ...cluster.members.map(({ dataCentre }) => dataCentre)];
--- a/src/plugins/feedMetrics.ts
+++ b/src/plugins/feedMetrics.ts
@@ -22,6 +22,17 @@
   refused(reason: string): void;
 }
 
+/** Reasons that become labels; texts of errors would make an unbounded number of series. */
+const knownReasons = new Set([
+  'silent',
+  'the parent ended the stream',
+  'cycle in the path',
+  'the parent lags',
+  'its updates fail their checks',
+  'found a better parent',
+  'stopping',
+]);
+
 const isReport = (message: FeedMessage | ReportRequest): message is ReportRequest =>
   message.$typeName === 'auburnsill.v1.ReportRequest';
 
@@ -91,7 +102,7 @@
     sent: (message) => record('sent', message),
     received: (message) => record('received', message),
     redirected: () => redirects.inc(),
-    parentLost: (reason) => losses.inc({ reason }),
+    parentLost: (reason) => losses.inc({ reason: knownReasons.has(reason) ? reason : 'other' }),
     refused: (reason) => refusals.inc({ reason }),
   };
 };
