--- a/__tests__/feedParents.test.ts
+++ b/__tests__/feedParents.test.ts
@@ -117,6 +117,12 @@
     await until(() => parent.subscriptions.length > 1, 'another subscription');
   });
 
+  it('leaves a parent whose stream is silent although it answers everything else', async () => {
+    const { parent } = await attach('silent');
+    parent.mute();
+    await until(() => parent.subscriptions.length > 1, 'another subscription');
+  });
+
   it('is detached when confirmations of its own version are missing', async () => {
     const { parent, node } = await attach('detached');
     parent.send(fullUpdate(empty, 1));
--- a/__tests__/support/fakeParent.ts
+++ b/__tests__/support/fakeParent.ts
@@ -21,6 +21,8 @@
   send(message: MessageInit): void;
   /** What heartbeats say, sent twice a second from now on. */
   beat(beat: { head: Version; path: string[]; ageMs?: number; root?: string }): void;
+  /** Sends no more heartbeats; reports and pings are still answered. */
+  mute(): void;
   streams(): number;
   /** All subscriptions so far, probes left out. */
   readonly subscriptions: SubscribeRequest[];
@@ -101,6 +103,9 @@
       };
       send(heartbeat);
     },
+    mute: () => {
+      heartbeat = undefined;
+    },
     streams: () => queues.size,
     subscriptions,
     changes,
--- a/src/core/feed.ts
+++ b/src/core/feed.ts
@@ -13,7 +13,6 @@
 export { createFreshness, neverConfirmedMs, type Freshness } from './freshness.js';
 export { createFloors, type Floors, type NodeVersion } from './floors.js';
 export {
-  mergeAgedReports,
   mergeReports,
   type SubtreeStatus,
   type VersionCount,
--- a/src/plugins/controlFeed.ts
+++ b/src/plugins/controlFeed.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationSource, FleetStatus } from '../types/internal.js';
 import { createConfigurationStore } from '../core/configurationStore.js';
 import { compareRecords } from '../core/clusterLog.js';
-import { leaseMs, mergeAgedReports, type SubtreeStatus } from '../core/feed.js';
+import { mergeReports, type SubtreeStatus } from '../core/feed.js';
 import { createRegistry } from '../core/registry.js';
 import { createSubtree } from '../core/subtree.js';
 import type { Log } from '../utils/log.js';
@@ -24,9 +24,13 @@
 const tickMs = 500;
 /** Endpoint changes that arrive within this time get one revision. */
 const batchMs = 100;
-/** Statuses of other control instances that are kept, and for how long. */
+
+/**
+ * A status that was not renewed for this time, three reports, is left out: the nodes of a lost
+ * control instance attach to others, which then count them.
+ */
+const remoteStatusKeepMs = 10_000;
 const maxRemoteStatuses = 16;
-const remoteStatusKeepMs = 3_600_000;
 
 export interface ControlFeedOptions {
   readonly control: {
@@ -76,11 +80,13 @@
   // Endpoints that nodes get, of all data centres, and those whose leases are held here.
   const registry = createRegistry(incarnation.slice(0, 8), timer.now());
   const leased = createRegistry(incarnation.slice(0, 8), timer.now());
-  const remoteStatuses = new Map<string, { status: SubtreeStatus; at: number }>();
+  const remoteStatuses = new Map<string, { status: SubtreeStatus; readonly atMs: number }>();
   const listeners = new Set<() => void>();
   const cancels: Cancel[] = [];
   let reconcileDue: Cancel | undefined;
   let notifyDue: Cancel | undefined;
+  /** Counts that the other control instances were told last. */
+  let sharedCounts = '';
 
   const notifySoon = () => {
     notifyDue ??= timer.after(batchMs, () => {
@@ -121,9 +127,21 @@
     changed: reconcileSoon,
   });
 
+  const shareStatus = () => {
+    const counts = JSON.stringify(ownStatus().counts);
+    if (counts !== sharedCounts) {
+      sharedCounts = counts;
+      exchange.reportSoon();
+    }
+    notifySoon();
+  };
+
   const reportFromControl = (child: Subscriber, report: ReportRequest): boolean => {
     if (remoteStatuses.has(child.name) || remoteStatuses.size < maxRemoteStatuses) {
-      remoteStatuses.set(child.name, { status: readBranchReport(report).status, at: timer.now() });
+      remoteStatuses.set(child.name, {
+        status: readBranchReport(report).status,
+        atMs: timer.now(),
+      });
     }
     exchange.learnDelays(report.delays);
     notifySoon();
@@ -137,7 +155,7 @@
       readNodeVersions(report.nodeVersions),
       timer.now(),
     );
-    notifySoon();
+    shareStatus();
     return known;
   };
 
@@ -154,7 +172,8 @@
       child.role === 'control' ? reportFromControl(child, report) : reportFromNode(child, report),
     detached: (child) => {
       subtree.commands.detach(child.name);
-      notifySoon();
+      remoteStatuses.delete(child.name);
+      shareStatus();
     },
     needsChanged: () => undefined,
   };
@@ -173,25 +192,18 @@
   const tick = () => {
     subtree.commands.tick(timer.now());
     exchange.tick();
-    forgetOldStatuses();
     takeHead();
     reconcile();
   };
 
-  const forgetOldStatuses = () => {
-    [...remoteStatuses]
-      .filter(([, { at }]) => timer.now() - at > remoteStatusKeepMs)
-      .forEach(([name]) => remoteStatuses.delete(name));
+  const statusOf = (name: string): SubtreeStatus => {
+    const remote = remoteStatuses.get(name);
+    const isFresh = remote !== undefined && timer.now() - remote.atMs <= remoteStatusKeepMs;
+    return isFresh ? remote.status : emptyStatus;
   };
 
-  const status = (): SubtreeStatus => {
-    const own = { status: ownStatus(), ageMs: 0 };
-    const remote = [...remoteStatuses.values()].map((each) => ({
-      status: each.status,
-      ageMs: timer.now() - each.at,
-    }));
-    return mergeAgedReports([own, ...remote], leaseMs);
-  };
+  const status = (): SubtreeStatus =>
+    mergeReports([ownStatus(), ...[...remoteStatuses.keys()].map(statusOf)]);
 
   const dataCentres = (): string[] => {
     const named = [control.dataCentre, ...cluster.members.map(({ dataCentre }) => dataCentre)];
@@ -202,6 +214,10 @@
     fleet: {
       counts: () => status().counts,
       laggards: () => status().laggards,
+      fedDataCentres: (name) => {
+        const { counts } = name === control.name ? ownStatus() : statusOf(name);
+        return [...new Set(counts.map(({ dataCentre }) => dataCentre))];
+      },
       inventory: () => ({
         clusters: registry.queries.clusters(),
         delayMs: exchange.delayMs,
