--- a/__tests__/support/fleetView.ts
+++ b/__tests__/support/fleetView.ts
@@ -79,7 +79,8 @@
       return undefined;
     }
     // Another change came first: this one is made on top of it.
-    if (response?.outcome === 'refused' && response.version?.index !== base?.index) {
+    const isConflict = response?.version !== undefined && response.version.index !== base?.index;
+    if (response?.outcome === 'refused' && isConflict) {
       base = response.version;
       return undefined;
     }
