Test the path of a call over real processes

Cause: the rolling restart ended a node with an unhandled rejection: polka passes no next to a single handler, so a refused PUT /upstream, and any malformed one, ended the process. Change: handlers of the admin address answer their own errors, and what a handler throws at once is answered by the server.

--- a/__tests__/callPath.test.ts
+++ b/__tests__/callPath.test.ts
@@ -21,4 +21,16 @@
     assert.equal(mesh.upstream.started(), 0);
     await mesh.stop();
   });
+
+  it('answers a malformed announcement and goes on', async () => {
+    const mesh = await startMesh();
+    const put = (body: string) =>
+      mesh.call(mesh.besideNode.admin, '/upstream', { method: 'PUT', body });
+    for (const body of ['', '{', '[]', '{"service":"s"}', 'x'.repeat(10_000)]) {
+      const answer = await put(body).catch(() => undefined);
+      assert.ok(!answer || answer.status === 400, answer?.body);
+    }
+    assert.equal((await mesh.call(mesh.caller, '/lookup/1')).status, 200);
+    await mesh.stop();
+  });
 });
--- a/src/plugins/adminServer.ts
+++ b/src/plugins/adminServer.ts
@@ -47,7 +47,8 @@
   sendJson(response, ok ? 200 : 503, { ok, reasons });
 };
 
-const sendError = (response: ServerResponse, error: unknown) => {
+/** Answers with an error. Handlers call it themselves: polka passes no `next` to a single one. */
+export const sendError = (response: ServerResponse, error: unknown) => {
   if (response.headersSent) {
     response.destroy();
     return;
@@ -70,7 +71,6 @@
   server.maxConnections = maxConnections;
   const router = polka({
     server,
-    onError: (error, _request, response) => sendError(response, error),
     onNoMatch: (_request, response) => sendJson(response, 404, { message: 'not found' }),
   });
   router.get('/healthz', (_request, response) => sendCheck(response, health()));
@@ -84,7 +84,13 @@
       .catch((error: unknown) => sendError(response, error));
   });
   routes?.(router);
-  server.on('request', router.handler);
+  server.on('request', (request, response) => {
+    try {
+      router.handler(request, response);
+    } catch (error) {
+      sendError(response, error);
+    }
+  });
 
   return {
     listen: () => listenHttp(server, address),
--- a/src/plugins/callListener.ts
+++ b/src/plugins/callListener.ts
@@ -12,6 +12,7 @@
 import polka, { type PolkaRequest } from 'polka';
 import type { FailureReason } from '../utils/failure.js';
 import { failureTable } from '../utils/failure.js';
+import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 import { refusalBody } from './callAnswers.js';
 import { requestIdHeader, refusalHeader, runHeader } from './callHeaders.js';
@@ -32,6 +33,7 @@
 export interface CallListenerOptions {
   readonly address: Address;
   readonly timer: Timer;
+  readonly log: Log;
   readonly maxHeaderBytes: number;
   /** Time for which idle connections stay open during a stop, in ms. */
   readonly idleStopMs: number;
@@ -88,12 +90,15 @@
     options.onCall(request, response);
   };
 
-  const router = polka({
-    server,
-    onNoMatch: onRequest,
-    onError: (_error, _request, response) => response.destroy(),
+  const router = polka({ server, onNoMatch: onRequest });
+  server.on('request', (request, response) => {
+    try {
+      router.handler(request, response);
+    } catch (error) {
+      options.log.error('call failed', { message: String(error) });
+      response.destroy();
+    }
   });
-  server.on('request', router.handler);
 
   server.on('connection', (socket: Socket) => {
     sockets.add(socket);
--- a/src/plugins/callServer.ts
+++ b/src/plugins/callServer.ts
@@ -12,6 +12,7 @@
 import type { Held, Holding } from '../types/internal.js';
 import type { Policy } from '../types/public.js';
 import { Failure, type FailureReason } from '../utils/failure.js';
+import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
@@ -46,6 +47,7 @@
   readonly address: Address;
   readonly dataCentre: string;
   readonly timer: Timer;
+  readonly log: Log;
   readonly holding: Holding;
   readonly upstream: LocalUpstream;
   readonly runner: CallRunner;
@@ -239,6 +241,7 @@
   const listener = createCallListener({
     address: options.address,
     timer,
+    log: options.log,
     maxHeaderBytes,
     idleStopMs,
     onCall: handle,
--- a/src/plugins/forwardServer.ts
+++ b/src/plugins/forwardServer.ts
@@ -24,6 +24,7 @@
 import { streamBody } from './requestBody.js';
 import type { Address } from './rpc.js';
 import { Failure } from '../utils/failure.js';
+import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 
 /** Room for the headers that nodes add to those of a caller. */
@@ -37,6 +38,7 @@
   readonly address: Address;
   readonly access: Access;
   readonly timer: Timer;
+  readonly log: Log;
   readonly upstream: LocalUpstream;
 }
 
@@ -143,6 +145,7 @@
   const listener = createCallListener({
     address: options.address,
     timer,
+    log: options.log,
     maxHeaderBytes,
     idleStopMs,
     onCall: handle,
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -94,6 +94,7 @@
     address: options.listen.calls,
     dataCentre: node.dataCentre,
     timer,
+    log: log.part('calls'),
     holding,
     upstream,
     runner,
@@ -101,7 +102,13 @@
     burn,
     metrics: callMetrics,
   });
-  const forward = createForwardServer({ address: options.listen.forward, access, timer, upstream });
+  const forward = createForwardServer({
+    address: options.listen.forward,
+    access,
+    timer,
+    log: log.part('forward'),
+    upstream,
+  });
   let forwardAddress = options.advertisedForward ?? '';
   let isStarted = false;
   let isStopping = false;
--- a/src/plugins/upstreamAnnouncement.ts
+++ b/src/plugins/upstreamAnnouncement.ts
@@ -13,7 +13,7 @@
 import { checkValue } from '../utils/settings.js';
 import { formatFinding } from '../utils/findings.js';
 import type { Timer } from '../utils/timer.js';
-import { sendJson } from './adminServer.js';
+import { sendError, sendJson } from './adminServer.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { parseAddress } from './rpc.js';
 
@@ -173,8 +173,8 @@
 
   return {
     routes: (router) => {
-      router.put('/upstream', (request, response, next) => {
-        take(request, response).catch(next);
+      router.put('/upstream', (request, response) => {
+        take(request, response).catch((error: unknown) => sendError(response, error));
       });
     },
     start: () => {
