Bound the time of callers that go silent

A caller that announced a body and never sent it kept its call open for good, and one that took no more of its answer kept a slot of the upstream. The deadline now covers the body of a request, and a peer that takes no byte of its answer for 30 s is cut off.

--- a/__tests__/refusalTruth.test.ts
+++ b/__tests__/refusalTruth.test.ts
@@ -167,6 +167,16 @@
     await held;
   });
 
+  it('refuses a call whose body does not arrive before its deadline', async () => {
+    const target = await start();
+    const answer = await sendRaw(
+      target.caller,
+      'POST /plain HTTP/1.1\r\nhost: a\r\nx-request-deadline-ms: 100\r\ncontent-length: 10\r\n\r\nabc',
+    );
+    assert.match(answer, /^HTTP\/1\.1 504 [^]*"reason":"deadline_past"[^]*"run":"not_run"/);
+    assert.equal(target.upstream.started(), 0);
+  });
+
   it('answers malformed requests clearly and does not run them', async () => {
     const target = await start({ targets: lookupTargets });
     const head = 'POST /plain HTTP/1.1\r\nhost: a\r\n';
--- a/src/plugins/callListener.ts
+++ b/src/plugins/callListener.ts
@@ -23,6 +23,8 @@
 /** Longer than callers usually keep idle connections, so that the caller's side closes first. */
 const keepAliveMs = 65_000;
 const maxConnections = 10_000;
+/** A peer that takes no byte of its answer for this long has gone silent. */
+const defaultPeerSilenceMs = 30_000;
 const stopCheckMs = 20;
 /** Callers get this long to see that the node is not ready before new connections are refused. */
 const acceptWhileDrainingMs = 500;
@@ -37,6 +39,8 @@
   readonly maxHeaderBytes: number;
   /** Time for which idle connections stay open during a stop, in ms. */
   readonly idleStopMs: number;
+  /** Time after which a peer that does not take its answer is cut off, in ms. */
+  readonly peerSilenceMs?: number;
   readonly onCall: (request: PolkaRequest, response: ServerResponse) => void;
 }
 
@@ -105,6 +109,14 @@
     socket.once('close', () => sockets.delete(socket));
   });
 
+  server.setTimeout(options.peerSilenceMs ?? defaultPeerSilenceMs, (socket) => {
+    const response = running.get(socket);
+    // A call that waits for its answer is bounded by its deadline instead.
+    if (!response || response.writableLength > 0) {
+      socket.destroy();
+    }
+  });
+
   const refuseSocket = (socket: Socket, code: string, detail: string) => {
     const status = brokenStatus[code] ?? failureTable.bad_request.status;
     const body = refusalBody({ reason: 'bad_request', run: 'not_run', detail, retried: false }, '');
--- a/src/plugins/callServer.ts
+++ b/src/plugins/callServer.ts
@@ -13,12 +13,13 @@
 import type { Policy } from '../types/public.js';
 import { Failure, type FailureReason } from '../utils/failure.js';
 import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+import type { Cancel, Timer } from '../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
 import {
   configStaleHeader,
   configVersionHeader,
+  hasBody,
   passRequestHeaders,
   readCallHeaders,
   readRequestId,
@@ -191,8 +192,17 @@
     return cluster ? { ...held, clusters: new Map([...held.clusters, [service, cluster]]) } : held;
   };
 
+  /** Refuses the call if its body is not there before the deadline. */
+  const limitBody = (call: Call): Cancel =>
+    hasBody(call.request)
+      ? timer.after(call.deadlineAt - timer.now(), () =>
+          refuse(call, reportOf(new Failure('deadline_past', 'the body did not arrive in time'))),
+        )
+      : () => undefined;
+
   const run = async (call: Call): Promise<void> => {
-    const body = await readBody(call.request);
+    const cancelLimit = limitBody(call);
+    const body = await readBody(call.request).finally(cancelLimit);
     const held = await withCluster(call);
     if (call.isOver) {
       return;
