--- a/src/plugins/callListener.ts
+++ b/src/plugins/callListener.ts
@@ -12,6 +12,7 @@
 import polka, { type PolkaRequest } from 'polka';
 import type { FailureReason } from '../utils/failure.js';
 import { failureTable } from '../utils/failure.js';
+import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 import { refusalBody } from './callAnswers.js';
 import { requestIdHeader, refusalHeader, runHeader } from './callHeaders.js';
@@ -22,6 +23,8 @@
 /** Longer than callers usually keep idle connections, so that the caller's side closes first. */
 const keepAliveMs = 65_000;
 const maxConnections = 10_000;
+/** A peer that takes no byte of its answer for this long has gone silent. */
+const defaultPeerSilenceMs = 30_000;
 const stopCheckMs = 20;
 /** Callers get this long to see that the node is not ready before new connections are refused. */
 const acceptWhileDrainingMs = 500;
@@ -32,9 +35,12 @@
 export interface CallListenerOptions {
   readonly address: Address;
   readonly timer: Timer;
+  readonly log: Log;
   readonly maxHeaderBytes: number;
   /** Time for which idle connections stay open during a stop, in ms. */
   readonly idleStopMs: number;
+  /** Time after which a peer that does not take its answer is cut off, in ms. */
+  readonly peerSilenceMs?: number;
   readonly onCall: (request: PolkaRequest, response: ServerResponse) => void;
 }
 
@@ -88,18 +94,29 @@
     options.onCall(request, response);
   };
 
-  const router = polka({
-    server,
-    onNoMatch: onRequest,
-    onError: (_error, _request, response) => response.destroy(),
+  const router = polka({ server, onNoMatch: onRequest });
+  server.on('request', (request, response) => {
+    try {
+      router.handler(request, response);
+    } catch (error) {
+      options.log.error('call failed', { message: String(error) });
+      response.destroy();
+    }
   });
-  server.on('request', router.handler);
 
   server.on('connection', (socket: Socket) => {
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
 
+  server.setTimeout(options.peerSilenceMs ?? defaultPeerSilenceMs, (socket) => {
+    const response = running.get(socket);
+    // A call that waits for its answer is bounded by its deadline instead.
+    if (!response || response.writableLength > 0) {
+      socket.destroy();
+    }
+  });
+
   const refuseSocket = (socket: Socket, code: string, detail: string) => {
     const status = brokenStatus[code] ?? failureTable.bad_request.status;
     const body = refusalBody({ reason: 'bad_request', run: 'not_run', detail, retried: false }, '');
