--- a/__tests__/support/patientCaller.ts
+++ b/__tests__/support/patientCaller.ts
@@ -28,7 +28,10 @@
   close(): Promise<void>;
 }
 
-const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+/** A listener that closes resets connections that it has not accepted yet: nothing was sent. */
+const wasNotSent = ({ code, syscall }: NodeJS.ErrnoException): boolean =>
+  syscall === 'connect' || code === 'UND_ERR_CONNECT_TIMEOUT';
+
 const retryPauseMs = 50;
 
 export const createPatientCaller = ({ nodes, limitMs = 30_000 }: CallerOptions): PatientCaller => {
@@ -66,11 +69,11 @@
       }
       refuse(String(body.reason));
     } catch (error) {
-      const { code } = error as NodeJS.ErrnoException;
-      if (!unsentCodes.has(code ?? '')) {
+      const cause = error as NodeJS.ErrnoException;
+      if (!wasNotSent(cause)) {
         throw new Error(`${method} ${path} through ${address}: ${String(error)}`, { cause: error });
       }
-      refuse(code ?? '');
+      refuse(`connect ${cause.code}`);
     }
     return false;
   };
