--- a/__tests__/feedParents.test.ts
+++ b/__tests__/feedParents.test.ts
@@ -3,7 +3,7 @@
 import { digestConfiguration, encodeConfiguration } from '../src/core/configuration.js';
 import { diffConfigurations, encodeDelta } from '../src/core/delta.js';
 import type { NodeFeed } from '../src/plugins/nodeFeed.js';
-import type { Configuration } from '../src/types/public.js';
+import type { Configuration, Version } from '../src/types/public.js';
 import { startFakeParent } from './support/fakeParent.js';
 import {
   configurationOf,
@@ -53,8 +53,8 @@
   const stops: (() => Promise<void>)[] = [];
   after(() => Promise.all(stops.map((stop) => stop())));
 
-  const attach = async (name: string) => {
-    const parent = await startFakeParent();
+  const attach = async (name: string, floor?: Version) => {
+    const parent = await startFakeParent(floor);
     parent.beat({ head: { term: 1, index: 1 }, path: ['fake'] });
     const node = await startNode({ name }, [{ address: parent.address, dataCentre: 'dc-a' }]);
     stops.push(node.stop, parent.stop);
@@ -101,6 +101,16 @@
     assert.deepEqual(new Set(seen), new Set([2, 3]));
   });
 
+  it('serves nothing below the version that it had in force before its restart', async () => {
+    const { parent, node } = await attach('restarted', { term: 1, index: 5 });
+    const seen: number[] = [];
+    node.feed.holding.onChange(({ version }) => seen.push(version.index));
+    parent.send(fullUpdate(empty, 4));
+    parent.send(fullUpdate(empty, 5));
+    await until(() => heldIndex(node) === 5, 'the version at the floor');
+    assert.deepEqual(new Set(seen), new Set([5]));
+  });
+
   it('leaves a parent that goes back to an older version', async () => {
     const { parent, node } = await attach('lagging');
     parent.send(fullUpdate(empty, 5));
--- a/__tests__/support/deployment.ts
+++ b/__tests__/support/deployment.ts
@@ -14,7 +14,7 @@
   rmSync,
   writeFileSync,
 } from 'node:fs';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Server } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join, resolve as resolvePath } from 'node:path';
 import { stringify as formatToml } from 'smol-toml';
@@ -144,21 +144,38 @@
   process.pid % 256,
 ].join('.');
 
-const reserved = new Set<string>();
-
-/** Address with a port that the system chooses. The system may offer a closed port again. */
-const reserveAddress = (): Promise<string> =>
-  new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once('error', reject);
-    server.listen(0, loopbackHost, () => {
-      const { port } = server.address() as AddressInfo;
-      const address = `${loopbackHost}:${port}`;
-      const isTaken = reserved.has(address);
-      reserved.add(address);
-      server.close(() => resolve(isTaken ? reserveAddress() : address));
+interface Reservations {
+  /** Reserves a port that the system chooses. */
+  reserve(): Promise<string>;
+  /** Frees the ports for processes that start now. */
+  release(): Promise<void>;
+}
+
+/**
+ * Reserves ports by listening on them until their processes start: the system gives a port that is
+ * freed early to a fault proxy or to a connection that goes out.
+ */
+const createReservations = (): Reservations => {
+  const servers: Server[] = [];
+  const close = (server: Server): Promise<void> =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
     });
-  });
+  return {
+    reserve: () =>
+      new Promise((resolve, reject) => {
+        const server = createServer();
+        server.once('error', reject);
+        server.listen(0, loopbackHost, () => {
+          servers.push(server);
+          resolve(`${loopbackHost}:${(server.address() as AddressInfo).port}`);
+        });
+      }),
+    release: async () => {
+      await Promise.all(servers.splice(0, servers.length).map(close));
+    },
+  };
+};
 
 const readTable = (file: string): string[][] =>
   readFileSync(file, 'utf8')
@@ -212,6 +229,8 @@
   const clusterToken = randomBytes(24).toString('hex');
   const operatorToken = randomBytes(24).toString('hex');
   const operatorTokenFile = join(folder, 'operator.token');
+  const ofControls = createReservations();
+  const ofNodes = createReservations();
   const proxies = new Map<string, FaultProxy>();
   const processes: ManagedProcess[] = [];
   const controls: ControlInstance[] = [];
@@ -257,8 +276,8 @@
 
   const planControl = async (dataCentre: DataCentreOptions) => {
     const name = `control-${dataCentre.name}`;
-    const listenPeer = await reserveAddress();
-    const admin = await reserveAddress();
+    const listenPeer = await ofControls.reserve();
+    const admin = await ofControls.reserve();
     const address = await advertise(name, 'peer', listenPeer);
     const region = dataCentre.region ?? 'region';
     return { name, listenPeer, admin, address, region, dataCentre: dataCentre.name };
@@ -344,10 +363,10 @@
     dataCentre: DataCentreOptions,
     upstream?: UpstreamOptions,
   ) => {
-    const calls = await reserveAddress();
-    const listenForward = await reserveAddress();
-    const listenPeer = await reserveAddress();
-    const admin = await reserveAddress();
+    const calls = await ofNodes.reserve();
+    const listenForward = await ofNodes.reserve();
+    const listenPeer = await ofNodes.reserve();
+    const admin = await ofNodes.reserve();
     const forward = await advertise(name, 'forward', listenForward);
     const peer = await advertise(name, 'peer', listenPeer);
     const settingsFile = writeSettings(name, {
@@ -486,6 +505,7 @@
     (await fetch(`http://${admin}/healthz`)).ok;
 
   const startControls = async () => {
+    await ofControls.release();
     controls[0]?.process.start(['--bootstrap']);
     controls.slice(1).forEach((control) => control.process.start());
     await Promise.all(
@@ -497,6 +517,7 @@
   };
 
   const startNodes = async () => {
+    await ofNodes.release();
     nodes.forEach((node) => node.process.start());
     await Promise.all(
       nodes.map(({ admin, name }) =>
--- a/__tests__/support/fakeParent.ts
+++ b/__tests__/support/fakeParent.ts
@@ -30,7 +30,8 @@
   stop(): Promise<void>;
 }
 
-export const startFakeParent = async (): Promise<FakeParent> => {
+/** Starts a parent that tells its children this floor. */
+export const startFakeParent = async (floor?: Version): Promise<FakeParent> => {
   const access = createAccess({ clusterToken });
   const address = await freeAddress();
   const subscriptions: SubscribeRequest[] = [];
@@ -47,7 +48,14 @@
   const writeBeat = (message: MessageInit) => create(FeedMessageSchema, { message });
 
   async function* subscribe(request: SubscribeRequest, { signal }: { signal: AbortSignal }) {
-    yield writeBeat({ case: 'welcome', value: { subscriptionId: 'fake', path: ['fake'] } });
+    yield writeBeat({
+      case: 'welcome',
+      value: {
+        subscriptionId: 'fake',
+        path: ['fake'],
+        floor: floor && { term: BigInt(floor.term), index: BigInt(floor.index) },
+      },
+    });
     if (request.probe) {
       yield writeBeat(heartbeat ?? { case: 'heartbeat', value: {} });
       return;
