--- a/scripts/quickstart.js
+++ b/scripts/quickstart.js
@@ -130,6 +130,14 @@
   }
 };
 
+const leftBehind = (deployment) => [
+  ...deployment
+    .processes()
+    .filter((managed) => managed.isRunning())
+    .map(({ name }) => `${name} still runs`),
+  ...(existsSync(deployment.folder) ? [`${deployment.folder} still exists`] : []),
+];
+
 const demonstrate = async (deployment, stopSignal) => {
   const targets = readFileSync(join(root, 'examples/wegendienst/targets.toml'), 'utf8');
   console.log(`files are in ${deployment.folder}`);
@@ -203,8 +211,11 @@
   const result = await demonstrate(running.deployment, stop.signal);
   await running.deployment.stop(result?.ok === false);
   if (result) {
-    console.log(JSON.stringify(result));
-    process.exit(result.ok ? 0 : 1);
+    const left = leftBehind(running.deployment);
+    const ok = result.ok && left.length === 0;
+    const problems = [...(result.problems ?? []), ...left];
+    console.log(JSON.stringify({ ...result, ok, ...(ok ? {} : { problems }) }));
+    process.exit(ok ? 0 : 1);
   }
 } catch (error) {
   await running.deployment?.stop(true);
