--- a/src/plugins/controlFeed.ts
+++ b/src/plugins/controlFeed.ts
@@ -30,6 +30,7 @@
  * control instance attach to others, which then count them.
  */
 const remoteStatusKeepMs = 10_000;
+const maxRemoteStatuses = 16;
 
 export interface ControlFeedOptions {
   readonly control: {
@@ -136,10 +137,12 @@
   };
 
   const reportFromControl = (child: Subscriber, report: ReportRequest): boolean => {
-    remoteStatuses.set(child.name, {
-      status: readBranchReport(report).status,
-      atMs: timer.now(),
-    });
+    if (remoteStatuses.has(child.name) || remoteStatuses.size < maxRemoteStatuses) {
+      remoteStatuses.set(child.name, {
+        status: readBranchReport(report).status,
+        atMs: timer.now(),
+      });
+    }
     exchange.learnDelays(report.delays);
     notifySoon();
     return true;
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -4,7 +4,7 @@
  */
 import { createBurn, burnReport } from '../core/burn.js';
 import { createEvidence } from '../core/evidence.js';
-import { explainPolicy } from '../core/policy.js';
+import { explainPolicy, siblingsOf } from '../core/policy.js';
 import { createRetryBudget } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
 import type { Cluster } from '../types/public.js';
@@ -100,6 +100,7 @@
     address: options.listen.calls,
     dataCentre: node.dataCentre,
     timer,
+    log: log.part('calls'),
     holding,
     upstream,
     runner,
@@ -107,7 +108,13 @@
     burn,
     metrics: callMetrics,
   });
-  const forward = createForwardServer({ address: options.listen.forward, access, timer, upstream });
+  const forward = createForwardServer({
+    address: options.listen.forward,
+    access,
+    timer,
+    log: log.part('forward'),
+    upstream,
+  });
   let forwardAddress = options.advertisedForward ?? '';
   let isStarted = false;
   let isStopping = false;
@@ -160,7 +167,11 @@
       .filter(({ name }) => className === undefined || name === className)
       .map((trafficClass) => ({
         class: trafficClass.name,
-        lines: explainPolicy(trafficClass, held?.clusters.get(trafficClass.service)),
+        lines: explainPolicy(
+          trafficClass,
+          held?.clusters.get(trafficClass.service),
+          held && siblingsOf(held.configuration, trafficClass),
+        ),
       }));
   };
 
