--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -270,6 +270,19 @@
     assert.deepEqual([lastIndex, snapshotIndex], [3, 3]);
   });
 
+  it('answers heartbeats while a snapshot is being written', () => {
+    const driver = drive();
+    driver.ask('b', { ...append(2, first, [command(2, 2)]), commitIndex: 2 });
+    driver.sync();
+    const written = driver.step({ type: 'compact', index: 2, data: new Uint8Array(9) });
+    assert.ok(written.some((effect) => effect.type === 'persist' && effect.snapshot));
+    const asked = driver.ask('b', append(2, command(2, 2), []));
+    const reply = asked.find((effect) => effect.type === 'reply');
+    const snapshot = written.find((effect) => effect.type === 'persist');
+    assert.ok(reply?.type === 'reply' && snapshot?.type === 'persist');
+    assert.ok(reply.afterSequence < snapshot.sequence);
+  });
+
   it('answers and votes only once what it rests on is synced', () => {
     const driver = drive();
     const appended = driver.ask('b', append(2, first, [command(2, 2)]));
--- a/src/core/consensus.ts
+++ b/src/core/consensus.ts
@@ -97,6 +97,7 @@
   confirmedAt: -Infinity,
   sequence: 0,
   syncedSequence: 0,
+  hardStateSequence: 0,
   preVoting: false,
   votes: new Set(),
   voteSequence: 0,
@@ -275,6 +276,18 @@
   heartbeat(replica);
 };
 
+/**
+ * The write that an answer rests on. A heartbeat is answered while a long write, such as that of a
+ * snapshot, is in progress; otherwise members that write at the same time would depose the leader.
+ */
+const neededSequence = (replica: Replica, answer: AnswerMessage): number => {
+  const { hardStateSequence, sequence, log } = replica;
+  const isSynced =
+    answer.type === 'appendAnswer' &&
+    (!answer.success || answer.matchIndex <= log.queries.syncedIndex());
+  return isSynced ? hardStateSequence : sequence;
+};
+
 type EventHandlers = {
   [Type in ReplicaEvent['type']]: (
     replica: Replica,
@@ -296,7 +309,7 @@
       type: 'reply',
       token,
       message: answer,
-      afterSequence: replica.sequence,
+      afterSequence: neededSequence(replica, answer),
     });
   },
   answer: (replica, { from, message }) => takeAnswer(replica, from, message),
--- a/src/core/consensusEffects.ts
+++ b/src/core/consensusEffects.ts
@@ -14,8 +14,11 @@
   return sequence;
 };
 
-export const persistHardState = (replica: Replica): number =>
-  persist(replica, { hardState: { term: replica.term, votedFor: replica.votedFor } });
+export const persistHardState = (replica: Replica): number => {
+  const hardState = { term: replica.term, votedFor: replica.votedFor };
+  replica.hardStateSequence = persist(replica, { hardState });
+  return replica.hardStateSequence;
+};
 
 export const send = (
   replica: Replica,
--- a/src/core/consensusTypes.ts
+++ b/src/core/consensusTypes.ts
@@ -236,6 +236,8 @@
   /** Last persist sequence that was handed out, and that is synced. */
   sequence: number;
   syncedSequence: number;
+  /** Persist sequence that holds the term and the vote. */
+  hardStateSequence: number;
   /** Election in progress. */
   preVoting: boolean;
   votes: Set<string>;
--- a/src/plugins/replicaGroup.ts
+++ b/src/plugins/replicaGroup.ts
@@ -372,9 +372,16 @@
     if (replica.queries.status().role === 'leader' && hasOthers()) {
       await handOver();
     }
+    // The next leader commits what this one appended; the outcomes are worth a short wait.
+    const until = timer.now() + times.electionTimeoutMs;
+    while (waiters.size > 0 && timer.now() < until) {
+      await timer.sleep(times.tickMs);
+    }
     isStopped = true;
     cancelTick?.();
     expireWaiters();
+    reads.forEach(({ reject }) => reject(new Failure('not_leader', 'the instance is stopping')));
+    reads.clear();
     while (isWriting) {
       await timer.sleep(1);
     }
