--- /dev/null
+++ b/__tests__/founding.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { decodeMembers } from '../src/core/consensusLog.js';
+import { foundGroup, isEmptyLog, type FoundingOptions } from '../src/plugins/founding.js';
+import { openGroupLog } from '../src/plugins/groupLog.js';
+import { createSilentLog } from '../src/utils/log.js';
+import { createManualTimer } from '../src/utils/timer.js';
+import { createMemoryFiles } from './support/memoryFiles.js';
+
+const member = (name: string) => ({ name, address: name, dataCentre: 'dc', region: 'r' });
+
+const prepare = async (terms: Record<string, number | undefined>) => {
+  const storage = await openGroupLog({ files: createMemoryFiles(), folder: 'f', isKnown: false });
+  const timer = createManualTimer();
+  const probed: string[] = [];
+  const options: FoundingOptions = {
+    self: { ...member('a'), incarnation: 'a-0', kind: 'voter' },
+    others: [member('b'), member('c')],
+    storage,
+    probe: async (address) => {
+      probed.push(address);
+      const term = terms[address];
+      if (term === undefined) {
+        throw new Error('unreachable');
+      }
+      const from = { name: address, incarnation: `${address}-0` };
+      return { from, message: { type: 'voteAnswer', term, granted: false, preVote: true } };
+    },
+    timer,
+    log: createSilentLog(),
+    isStopped: () => false,
+  };
+  return { options, timer, probed };
+};
+
+const turn = () =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+describe('founding of a cluster', () => {
+  it('writes the first membership with the founder as the only voter', async () => {
+    const { options } = await prepare({ b: 0, c: 0 });
+    const { entries, hardState } = await foundGroup(options);
+    const members = decodeMembers(entries[0]!.payload);
+    assert.deepEqual(
+      members.map(({ name, incarnation, kind }) => [name, incarnation, kind]),
+      [
+        ['a', 'a-0', 'voter'],
+        ['b', 'b-0', 'learner'],
+        ['c', 'c-0', 'learner'],
+      ],
+    );
+    assert.equal(hardState.term, 1);
+  });
+
+  it('writes nothing if another member belongs to a cluster, as after a lost disk', async () => {
+    const { options } = await prepare({ b: 0, c: 7 });
+    assert.ok(isEmptyLog(await foundGroup(options)));
+  });
+
+  it('waits for a member that does not answer, which may belong to a cluster', async () => {
+    const terms: Record<string, number | undefined> = { b: 0 };
+    const { options, timer, probed } = await prepare(terms);
+    let isFounded = false;
+    const founding = foundGroup(options).then((loaded) => {
+      isFounded = true;
+      return loaded;
+    });
+    for (let attempt = 0; attempt < 20; attempt += 1) {
+      await turn();
+      timer.advance(1_000);
+    }
+    assert.equal(isFounded, false);
+    assert.ok(probed.filter((name) => name === 'c').length > 5);
+    terms.c = 3;
+    while (!isFounded) {
+      await turn();
+      timer.advance(1_000);
+    }
+    assert.ok(isEmptyLog(await founding));
+  });
+});
--- a/__tests__/replicaGroup.test.ts
+++ b/__tests__/replicaGroup.test.ts
@@ -165,6 +165,22 @@
     });
   });
 
+  it('refuses a change whose entry was overwritten by a later leader', async () => {
+    await withGroups(async ({ isolated, leader }) => {
+      const first = await leader();
+      isolated.add(first.name);
+      const refusal = assert.rejects(
+        propose(first, 'lost'),
+        (error) => failsWith('not_leader')(error) || failsWith('outcome_unknown')(error),
+      );
+      await propose(await leader(), 'kept');
+      isolated.clear();
+      await refusal;
+      await waitFor(() => first.applied.includes('kept'), { what: 'the newer entry' });
+      assert.deepEqual(first.applied, ['kept']);
+    });
+  });
+
   it('hands its leadership over when it stops, before the election timeout', async () => {
     await withGroups(async ({ instances, leader }) => {
       const first = await leader();
