--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -39,7 +39,7 @@
     upstream: createLocalUpstream(timer),
     remote,
     evidence,
-    budget,
+    budgetOf: () => budget,
     onRetry: () => undefined,
   });
   const cluster = createCluster(endpointIds.map((id) => createEndpoint(id)));
--- a/__tests__/retry.test.ts
+++ b/__tests__/retry.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import {
   createRetryBudget,
+  createRetryBudgets,
   decideHedge,
   decideRetry,
   isRetriedBelow,
@@ -65,6 +66,13 @@
     assert.ok(retries >= 1_000 && retries <= 1_010, `${retries}`);
   });
 
+  it('keeps the retries of one class from being used up by another', () => {
+    const budgetOf = createRetryBudgets({ share });
+    while (budgetOf('bulk').commands.spend(0));
+    assert.equal(budgetOf('bulk').queries.available(0), false);
+    assert.equal(budgetOf('fast').queries.available(0), true);
+  });
+
   it('never repeats a call that may have run unless it is idempotent', () => {
     const reasons = Object.keys(failureTable) as FailureReason[];
     check(
--- a/src/core/retry.ts
+++ b/src/core/retry.ts
@@ -91,7 +91,7 @@
   'unknown_class',
 ]);
 
-/** Creates the retry budget of one node: a token for each `1 / share` first attempts. */
+/** Creates a retry budget: a token for each `1 / share` first attempts. */
 export const createRetryBudget = ({ share }: { share: number }): RetryBudget => {
   let tokens = initialTokens;
   const balance = (): number => Math.floor(tokens + 1e-9);
@@ -110,6 +110,21 @@
   };
 };
 
+/**
+ * Creates the retry budgets of one node, one for each class: a class whose calls are shed must not
+ * use up the retries of the others. Their sum stays within the share of all calls.
+ */
+export const createRetryBudgets = (options: {
+  share: number;
+}): ((className: string) => RetryBudget) => {
+  const budgets = new Map<string, RetryBudget>();
+  return (className) => {
+    const budget = budgets.get(className) ?? createRetryBudget(options);
+    budgets.set(className, budget);
+    return budget;
+  };
+};
+
 type RetryRule = (question: RetryQuestion) => boolean;
 
 /** Reasons against a retry, in the order in which they are reported. */
--- a/src/plugins/callRun.ts
+++ b/src/plugins/callRun.ts
@@ -39,7 +39,8 @@
   readonly upstream: LocalUpstream;
   readonly remote: RemoteNodes;
   readonly evidence: Evidence;
-  readonly budget: RetryBudget;
+  /** Retry budget of a class. */
+  readonly budgetOf: (className: string) => RetryBudget;
   readonly onRetry: (className: string) => void;
 }
 
@@ -111,7 +112,7 @@
 
 /** Creates the runner of a node's calls. */
 export const createCallRunner = (options: CallRunnerOptions): CallRunner => {
-  const { home, timer, random, upstream, remote, evidence, budget } = options;
+  const { home, timer, random, upstream, remote, evidence } = options;
   const attemptPrefix = randomUUID();
   let attemptCount = 0;
 
@@ -122,6 +123,7 @@
 
   const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
     const { policy } = plan;
+    const budget = options.budgetOf(policy.className);
     const active = new Set<Attempt>();
     const excluded = new Set<string>();
     let winner: Attempt | undefined;
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -5,7 +5,7 @@
 import { createBurn, burnReport } from '../core/burn.js';
 import { createEvidence } from '../core/evidence.js';
 import { explainPolicy, siblingsOf } from '../core/policy.js';
-import { createRetryBudget } from '../core/retry.js';
+import { createRetryBudgets } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
 import type { Cluster } from '../types/public.js';
 import type { Announcer, Holding, LedgerClient } from '../types/internal.js';
@@ -69,7 +69,7 @@
 export const createNodeRuntime = (options: NodeRuntimeOptions): NodeRuntime => {
   const { node, access, holding, metrics, timer, log, random } = options;
   const evidence = createEvidence({ random });
-  const budget = createRetryBudget({ share: retryShare });
+  const budgetOf = createRetryBudgets({ share: retryShare });
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
   const upstream = createLocalUpstream(timer);
@@ -87,7 +87,7 @@
     upstream,
     remote: createNodeLines(remote, timer),
     evidence,
-    budget,
+    budgetOf,
     onRetry: callMetrics.recordRetry,
   });
   const atMostOnce = createAtMostOnce({
