Keep slots free of long calls for more important classes

Cause: calls that run for 1 s took all slots, and calls with a wait limit of 180 ms found none. Change: a class whose calls do not free a slot within a quarter of the wait limit of a more important, active class leaves free what that class usually needs (mean and two standard deviations of its calls, at most its share). A class without a call in flight may take any slot, so it does not starve. With short work the rule does not apply and all slots are used.

--- a/__tests__/admission.test.ts
+++ b/__tests__/admission.test.ts
@@ -233,6 +233,43 @@
     assert.ok(Math.abs(counts[1]! - 100) <= 5, `${counts}`);
   });
 
+  it('keeps slots free of long calls for a class that must be answered fast', () => {
+    const admission = createAdmission({ slots: 4 });
+    const { request, finish, tick } = admission.commands;
+    const fast = { className: 'fast', priority: 80, maxWaitMs: 100 };
+    const bulk = { className: 'bulk', priority: 10, maxWaitMs: 60_000 };
+    request(createCall('long', bulk), 0);
+    finish('long', 2_000, ended(2_000));
+    for (let now = 2_000; now < 2_010; now += 1) {
+      request(createCall(`f${now}`, fast), now);
+    }
+    for (let now = 2_000; now < 2_010; now += 1) {
+      finish(`f${now}`, 2_010, ended(10));
+    }
+    const ids = ['b0', 'b1', 'b2', 'b3', 'b4'];
+    ids.forEach((id) => request(createCall(id, bulk), 2_010));
+    assert.equal(admission.queries.inFlight(), 1, 'the share of the fast class is kept');
+    assert.deepEqual(idsOf(request(createCall('f1', fast), 2_020), 'admitted'), ['f1']);
+    finish('f1', 2_030, ended(10));
+    assert.equal(admission.queries.inFlight(), 1);
+    assert.ok(admission.queries.nextTickAt()! <= 3_030, 'the kept slots are looked at again');
+    const admitted = idsOf(tick(10_000), 'admitted');
+    assert.deepEqual(admitted, ['b1', 'b2', 'b3'], 'the fast class calls no more');
+  });
+
+  it('lets short calls use all slots, whatever waits beside them', () => {
+    const admission = createAdmission({ slots: 4 });
+    const { request, finish } = admission.commands;
+    const fast = { className: 'fast', priority: 80, maxWaitMs: 100 };
+    const bulk = { className: 'bulk', priority: 10, maxWaitMs: 60_000 };
+    request(createCall('short', bulk), 0);
+    request(createCall('f0', fast), 0);
+    finish('short', 20, ended(20));
+    finish('f0', 20, ended(20));
+    ['b0', 'b1', 'b2', 'b3'].forEach((id) => request(createCall(id, bulk), 20));
+    assert.equal(admission.queries.inFlight(), 4);
+  });
+
   it('refuses waiting and new calls when the upstream leaves', () => {
     const { commands, queries } = createAdmission({ slots: 1 });
     commands.request(createCall('a'), 0);
--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -16,6 +16,7 @@
 const workMs = 40;
 /** Calls a second that the endpoints can work on: slots / work. */
 const capacity = (endpoints * slots * 1_000) / workMs;
+const longWorkMs = 1_000;
 const targetMs = 400;
 const waitMs = 2_000;
 const fastRate = capacity / 2;
@@ -51,11 +52,12 @@
   usefulWithinMs: targetMs,
 });
 
-const bulk = (ratePerSecond: number): CallPattern => ({
+/** Calls of the class that may wait, at a rate that needs the same slots whatever their work is. */
+const bulk = (ratePerSecond: number, bulkWorkMs: number): CallPattern => ({
   name: 'bulk',
   method: 'GET',
-  path: '/bulk',
-  ratePerSecond,
+  path: `/bulk?work=${bulkWorkMs}`,
+  ratePerSecond: (ratePerSecond * workMs) / bulkWorkMs,
 });
 
 const sleep = (ms: number) =>
@@ -78,10 +80,15 @@
   return Number.POSITIVE_INFINITY;
 };
 
-const runBurst = async (addresses: readonly string[], factor: number, timeoutMs: number) => {
+const runBurst = async (
+  addresses: readonly string[],
+  factor: number,
+  timeoutMs: number,
+  bulkWorkMs = workMs,
+) => {
   const base = runLoad({
     targets: addresses,
-    patterns: [fast(fastRate), bulk(quietBulkRate)],
+    patterns: [fast(fastRate), bulk(quietBulkRate, bulkWorkMs)],
     warmUpMs: burstStartMs,
     measureMs: totalMs - burstStartMs,
     timeoutMs,
@@ -91,7 +98,7 @@
   const burst = await runLoad({
     targets: addresses,
     connections: 4_096,
-    patterns: [bulk(burstRate)],
+    patterns: [bulk(burstRate, bulkWorkMs)],
     warmUpMs: 2_000,
     measureMs: burstMs - 2_000,
     timeoutMs,
@@ -111,13 +118,17 @@
     burstSeconds.reduce((sum, count) => sum + count, 0) / Math.max(1, burstSeconds.length);
   return {
     factor,
+    bulkWorkMs,
     usefulPerSecond: Math.round(fastUseful + baseBulk + burstBulk),
     fastUsefulPerSecond: Math.round(fastUseful),
     fastUsefulShare: Number((fastUseful / fastRate).toFixed(3)),
     fastP99Ms: Math.round(fastResult?.latencyMs.p99 ?? 0),
     bulkP99Ms: Math.round(burst.patterns[0]?.latencyMs.p99 ?? 0),
+    fastShed: fastResult?.reasons ?? {},
     bulkShed: burst.patterns[0]?.reasons ?? {},
-    recoverySeconds: recoverySeconds(patterns, burstStartMs + burstMs + 1_000),
+    // With long work too few calls of the waiting class end in a second to compare.
+    recoverySeconds:
+      bulkWorkMs === workMs ? recoverySeconds(patterns, burstStartMs + burstMs + 1_000) : undefined,
     generatorLagMs: Math.round(Math.max(maxStartLagMs, burst.maxStartLagMs)),
   };
 };
@@ -126,7 +137,7 @@
 const measurePeak = async (addresses: readonly string[], timeoutMs: number) => {
   const { patterns } = await runLoad({
     targets: addresses,
-    patterns: [fast(fastRate), bulk(capacity * 0.5)],
+    patterns: [fast(fastRate), bulk(capacity * 0.5, workMs)],
     warmUpMs: 4_000,
     measureMs: 6_000,
     timeoutMs,
@@ -136,7 +147,11 @@
 
 const measure = async (addresses: readonly string[], timeoutMs: number) => ({
   peakPerSecond: await measurePeak(addresses, timeoutMs),
-  bursts: [await runBurst(addresses, 2, timeoutMs), await runBurst(addresses, 5, timeoutMs)],
+  bursts: [
+    await runBurst(addresses, 2, timeoutMs),
+    await runBurst(addresses, 5, timeoutMs),
+    await runBurst(addresses, 5, timeoutMs, longWorkMs),
+  ],
 });
 
 const upstreamAddresses = ({ nodes }: Deployment): string[] =>
@@ -157,6 +172,10 @@
   });
   try {
     const caller = deployment.nodes.filter(({ upstream }) => !upstream).map(({ calls }) => calls);
+    if (options['long-only']) {
+      const long = await runBurst(caller, 5, waitMs + 30_000, longWorkMs);
+      return { bench: 'overload', capacityPerSecond: capacity, targetMs, long };
+    }
     print(`capacity ${capacity}/s, fast ${fastRate}/s, target ${targetMs} ms`);
     const auburnsill = await measure(caller, waitMs + 30_000);
     print(`through nodes: ${JSON.stringify(auburnsill, null, 1)}`);
--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -7,6 +7,7 @@
 import { createAdaptiveLimit } from './adaptiveLimit.js';
 import { createClassLine, type ClassLine } from './classLine.js';
 import type { EndpointLoad } from './evidence.js';
+import { headroomFor, type ClassUse } from './headroom.js';
 
 export interface AdmissionCall {
   /** Unique among the calls that run or wait. */
@@ -75,16 +76,13 @@
   };
 }
 
-interface ClassState {
+type MutableUse = { -readonly [Key in keyof ClassUse]: ClassUse[Key] };
+
+interface ClassState extends MutableUse {
   readonly className: string;
   readonly line: ClassLine;
-  weight: number;
-  inFlight: number;
   /** Slot time used per weight while calls wait: the class with the lowest is next. */
   usedShare: number;
-  /** Usual slot time of a call in ms, as an exponentially weighted average. */
-  usualMs: number | undefined;
-  usedAt: number;
 }
 
 interface RunningCall {
@@ -96,6 +94,8 @@
 
 const defaultMaxWaiting = 1_000;
 const usualWeight = 0.1;
+/** Weight of the calls in flight or waiting at one arrival in their average. */
+const wantedWeight = 0.02;
 /** Slot time charged to a class before its first call has ended, in ms. */
 const unknownSlotMs = 10;
 /** Least slot time charged, so that classes with very short calls still take turns. */
@@ -104,6 +104,8 @@
 const refusalDecay = 0.95;
 /** Classes without calls are forgotten after this time, in ms. */
 const idleClassMs = 60_000;
+/** Slots that were kept free for a class which no longer calls are given out after this, in ms. */
+const recheckMs = 1_000;
 
 /** Creates the admission of one endpoint. */
 export const createAdmission = ({
@@ -117,6 +119,8 @@
   const waitingClass = new Map<string, ClassState>();
   let isLeaving = false;
   let earliestEnd = Infinity;
+  /** When calls that leave free slots to other classes are looked at again. */
+  let recheckAt = Infinity;
   /** `usedShare` of the class that was served last: where a class that starts to wait joins. */
   let servedShare = 0;
 
@@ -140,7 +144,9 @@
       weight: 1,
       inFlight: 0,
       usedShare: servedShare,
+      usualInFlight: 0,
       usualMs: undefined,
+      maxWaitMs: 0,
       usedAt: now,
     };
   };
@@ -148,7 +154,13 @@
   const stateOf = (call: AdmissionCall, now: number): ClassState => {
     const state = states.get(call.className) ?? createState(call.className, now);
     states.set(call.className, state);
-    return Object.assign(state, { weight: Math.max(1, call.priority), usedAt: now });
+    const wanted = state.inFlight + state.line.queries.size();
+    return Object.assign(state, {
+      weight: Math.max(1, call.priority),
+      maxWaitMs: call.maxWaitMs,
+      usualInFlight: state.usualInFlight + wantedWeight * (wanted - state.usualInFlight),
+      usedAt: now,
+    });
   };
 
   const refuse = (id: string, reason: AdmissionRefusal): AdmissionEffect => {
@@ -192,13 +204,20 @@
     return effects;
   };
 
-  const nextClass = (): ClassState | undefined =>
-    backlogged().sort((a, b) => a.usedShare - b.usedShare || b.weight - a.weight)[0];
+  const canStart = (state: ClassState, now: number): boolean => {
+    const free = limit() - running.size;
+    return free > 0 && free > headroomFor(state, [...states.values()], limit(), now);
+  };
+
+  const nextClass = (now: number): ClassState | undefined =>
+    backlogged()
+      .sort((a, b) => a.usedShare - b.usedShare || b.weight - a.weight)
+      .find((state) => canStart(state, now));
 
   const fill = (now: number): AdmissionEffect[] => {
     const effects = expire(now);
-    let state = nextClass();
-    while (state && running.size < limit()) {
+    let state = nextClass(now);
+    while (state) {
       const waiting = state.line.commands.shift();
       if (waiting) {
         const { call } = waiting;
@@ -209,8 +228,9 @@
             : admit(state, call.id, Math.max(minSlotMs, state.usualMs ?? unknownSlotMs), now),
         );
       }
-      state = nextClass();
+      state = nextClass(now);
     }
+    recheckAt = waitingClass.size > 0 && running.size < limit() ? now + recheckMs : Infinity;
     return effects;
   };
 
@@ -290,7 +310,8 @@
     if (cannotMeet(state, call, now)) {
       return [...freed, refuseForDeadline(state, call.id)];
     }
-    if (running.size < limit() && waitingClass.size === 0) {
+    // Whatever waits now cannot start, since it leaves the free slots to more important classes.
+    if (state.line.queries.size() === 0 && canStart(state, now)) {
       return [...freed, admit(state, call.id, 0, now)];
     }
     if (call.maxWaitMs <= 0 || isWaitTooLong(state, call)) {
@@ -364,7 +385,7 @@
           inFlight,
           waiting: line.queries.size(),
         })),
-      nextTickAt: () => (waitingClass.size === 0 ? undefined : earliestEnd),
+      nextTickAt: () => (waitingClass.size === 0 ? undefined : Math.min(earliestEnd, recheckAt)),
     },
   };
 };
