Let operators drain an endpoint

Cause: the command line had drain and the control instances refused it. Change: a drain is an entry of the log that changes the configuration in force. It has a version, travels as a delta, outlives restarts and changes of the targets, and has one effect for a change id. Proxies route around a drained endpoint; the node beside it refuses later calls with leaving. Draining the last endpoint in use of a service is refused. Weighed: a command to the node, or a mark in the registry; both are lost with a restart.

--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -1,8 +1,10 @@
 /**
  * `auburnsill drain`: takes an endpoint out of use, or back.
  */
+import { randomUUID } from 'node:crypto';
 import { Command, Option } from 'clipanion';
 import { OperatorCommand } from '../operatorCommand.js';
+import { versionText } from '../text.js';
 import { exitCodes } from '../exitCodes.js';
 
 export class DrainCommand extends OperatorCommand {
@@ -12,24 +14,38 @@
     category: 'Commands',
     description: 'Take an endpoint out of use; calls in flight end normally',
     examples: [
-      ['Drain an endpoint', '$0 drain 127.0.0.1:9001'],
-      ['Put it back to use', '$0 drain 127.0.0.1:9001 --undo'],
+      ['Drain an endpoint', '$0 drain routedienst-1'],
+      ['Put it back to use', '$0 drain routedienst-1 --undo'],
     ],
   });
 
   endpoint = Option.String({ name: 'ENDPOINT' });
 
+  changeId = Option.String('--change-id', randomUUID(), {
+    description: 'Id under which the outcome is kept; a resend with it has no second effect',
+  });
+
   undo = Option.Boolean('--undo', false, { description: 'Put the endpoint back to use' });
 
   protected run(): Promise<number> {
     return this.withClient(async (client) => {
-      const { outcome, message } = await client.ask(
-        ({ commands }) => commands.drain({ endpointId: this.endpoint, undo: this.undo }),
+      const { outcome, message, version } = await client.ask(
+        ({ commands }) =>
+          commands.drain({ endpointId: this.endpoint, undo: this.undo, changeId: this.changeId }),
         { repeatable: true },
       );
-      const isDone = ['accepted', 'ok', 'done'].includes(outcome);
+      const isDone = ['accepted', 'unchanged'].includes(outcome);
       this.print([outcome, message].filter((text) => text !== '').join(': '));
-      this.printResult({ ok: isDone, outcome, message });
+      this.printResult({
+        ok: isDone,
+        outcome,
+        message,
+        version: versionText(version),
+        change_id: this.changeId,
+      });
+      if (outcome === 'unknown') {
+        return exitCodes.unknown;
+      }
       return isDone ? exitCodes.ok : exitCodes.refused;
     });
   }
--- a/src/core/acceptance.ts
+++ b/src/core/acceptance.ts
@@ -13,6 +13,9 @@
 /** Configurations that are kept as bases of deltas: more than a fifth of a day's changes. */
 export const maxConfigurationsKept = 256;
 
+/** Endpoints that are out of use at a time: a quarter of the 1,000 of the design size. */
+export const maxDrains = 256;
+
 /** A change as an operator proposes it. */
 export interface Change {
   readonly changeId: string;
@@ -26,11 +29,26 @@
   readonly proposedAtMs: number;
 }
 
+/** Takes an endpoint out of use, or back. It applies to whatever configuration is in force. */
+export interface DrainChange {
+  readonly changeId: string;
+  readonly endpointId: string;
+  readonly undo: boolean;
+  readonly operator: string;
+  /** Time of day at the leader, in ms. */
+  readonly proposedAtMs: number;
+}
+
 export type ChangeResult =
   | { readonly outcome: 'accepted' | 'unchanged'; readonly version: Version }
   | { readonly outcome: 'refused'; readonly reason: RefusalCause; readonly version: Version };
 
-export type RefusalCause = 'version_conflict' | 'change_id_reused' | 'malformed_message';
+export type RefusalCause =
+  | 'version_conflict'
+  | 'change_id_reused'
+  | 'malformed_message'
+  | 'no_configuration'
+  | 'change_too_large';
 
 /** Outcome of a change, as kept under its id. */
 export interface ChangeRecord {
@@ -73,6 +91,14 @@
   readonly configuration: Configuration;
 }
 
+type Decided = Pick<ChangeRecord, 'changeId' | 'fingerprint' | 'operator' | 'note'> & {
+  readonly proposedAtMs: number;
+};
+
+type Entry =
+  | { readonly type: 'targets'; readonly command: Command }
+  | { readonly type: 'drain'; readonly command: DrainChange };
+
 interface Snapshot {
   readonly records: readonly ChangeRecord[];
   readonly configurations: readonly (Omit<StoredConfiguration, 'digest' | 'configuration'> & {
@@ -89,11 +115,18 @@
   return encodeText(JSON.stringify({ ...change, configuration: canonical }));
 };
 
-const decodeChange = (payload: Uint8Array): Command => {
-  const { configuration, ...change } = JSON.parse(decodeText(payload)) as Change & {
-    configuration: string;
-  };
-  return { ...change, configuration: decodeConfiguration(encodeText(configuration)) };
+export const encodeDrain = (drain: DrainChange): Uint8Array =>
+  encodeText(JSON.stringify({ drain }));
+
+const decodeEntry = (payload: Uint8Array): Entry => {
+  const content = JSON.parse(decodeText(payload)) as
+    { readonly drain: DrainChange } | (Change & { configuration: string });
+  if ('drain' in content) {
+    return { type: 'drain', command: content.drain };
+  }
+  const { configuration, ...change } = content;
+  const command = { ...change, configuration: decodeConfiguration(encodeText(configuration)) };
+  return { type: 'targets', command };
 };
 
 /**
@@ -103,6 +136,38 @@
 const fingerprintOf = ({ targets }: Change): string =>
   createHash('sha256').update(targets).digest('hex');
 
+const fingerprintOfDrain = ({ endpointId, undo }: DrainChange): string =>
+  createHash('sha256')
+    .update(JSON.stringify(['drain', endpointId, undo]))
+    .digest('hex');
+
+const decidedTargets = (change: Change): Decided => ({
+  changeId: change.changeId,
+  fingerprint: fingerprintOf(change),
+  operator: change.operator,
+  note: change.note,
+  proposedAtMs: change.proposedAtMs,
+});
+
+const decidedDrain = (drain: DrainChange): Decided => ({
+  changeId: drain.changeId,
+  fingerprint: fingerprintOfDrain(drain),
+  operator: drain.operator,
+  note: `drain ${drain.endpointId}${drain.undo ? ' --undo' : ''}`,
+  proposedAtMs: drain.proposedAtMs,
+});
+
+const changeDrains = (
+  configuration: Configuration,
+  { endpointId, undo }: DrainChange,
+): Configuration => {
+  const others = Object.values(configuration.drains ?? {}).filter(
+    ({ name }) => name !== endpointId,
+  );
+  const drained = undo ? others : [...others, { name: endpointId }];
+  return { ...configuration, drains: Object.fromEntries(drained.map((each) => [each.name, each])) };
+};
+
 /** Creates the state machine of the group `configuration`. */
 export const createAcceptance = (): Acceptance => {
   let records = new Map<string, ChangeRecord>();
@@ -111,12 +176,12 @@
   const head = () => configurations.at(-1);
   const headVersion = () => head()?.version ?? noVersion;
 
-  const replayOf = (change: Change): AppliedChange | undefined => {
+  const replayOf = (change: Decided): AppliedChange | undefined => {
     const record = records.get(change.changeId);
     if (!record) {
       return undefined;
     }
-    if (record.fingerprint === fingerprintOf(change)) {
+    if (record.fingerprint === change.fingerprint) {
       return { result: record.result, replayed: true };
     }
     const result: ChangeResult = {
@@ -132,23 +197,22 @@
       ? undefined
       : { outcome: 'refused', reason: 'version_conflict', version: headVersion() };
 
-  const keepRecord = (change: Change, result: ChangeResult) => {
-    records.set(change.changeId, {
-      changeId: change.changeId,
-      fingerprint: fingerprintOf(change),
-      operator: change.operator,
-      note: change.note,
-      decidedAtMs: change.proposedAtMs,
-      result,
-    });
+  const keepRecord = ({ proposedAtMs, ...change }: Decided, result: ChangeResult) => {
+    records.set(change.changeId, { ...change, decidedAtMs: proposedAtMs, result });
     if (records.size > maxChangesKept) {
       const oldest = records.keys().next().value!;
       records.delete(oldest);
     }
   };
 
-  const accept = (command: Command, version: Version): ChangeResult => {
-    const { configuration, targets, proposedAtMs } = command;
+  const accept = (
+    {
+      configuration,
+      targets,
+      proposedAtMs,
+    }: Pick<Command, 'configuration' | 'targets' | 'proposedAtMs'>,
+    version: Version,
+  ): ChangeResult => {
     const digest = digestConfiguration(configuration);
     const current = head();
     if (current && Buffer.compare(current.digest, digest) === 0 && current.targets === targets) {
@@ -160,17 +224,42 @@
     return { outcome: 'accepted', version };
   };
 
-  const apply = ({ term, index, payload }: CommittedEntry): AppliedChange => {
-    const command = decodeChange(payload);
-    const replay = replayOf(command);
+  const decideTargets = (command: Command, version: Version): ChangeResult => {
+    const { drains } = head()?.configuration ?? {};
+    const configuration = { ...command.configuration, drains };
+    return conflictOf(command) ?? accept({ ...command, configuration }, version);
+  };
+
+  const decideDrain = (drain: DrainChange, version: Version): ChangeResult => {
+    const current = head();
+    if (!current) {
+      return { outcome: 'refused', reason: 'no_configuration', version: noVersion };
+    }
+    const configuration = changeDrains(current.configuration, drain);
+    if (Object.keys(configuration.drains ?? {}).length > maxDrains) {
+      return { outcome: 'refused', reason: 'change_too_large', version: current.version };
+    }
+    return accept({ ...current, ...drain, configuration }, version);
+  };
+
+  const decide = (decided: Decided, judge: () => ChangeResult): AppliedChange => {
+    const replay = replayOf(decided);
     if (replay) {
       return replay;
     }
-    const result = conflictOf(command) ?? accept(command, { term, index });
-    keepRecord(command, result);
+    const result = judge();
+    keepRecord(decided, result);
     return { result, replayed: false };
   };
 
+  const apply = ({ term, index, payload }: CommittedEntry): AppliedChange => {
+    const entry = decodeEntry(payload);
+    const version = { term, index };
+    return entry.type === 'drain'
+      ? decide(decidedDrain(entry.command), () => decideDrain(entry.command, version))
+      : decide(decidedTargets(entry.command), () => decideTargets(entry.command, version));
+  };
+
   const snapshot = (): Uint8Array => {
     const content: Snapshot = {
       records: [...records.values()],
@@ -205,7 +294,7 @@
       record: (changeId) => records.get(changeId),
       history: (limit) => [...records.values()].slice(-limit).reverse(),
       judge: (change) => {
-        const replay = replayOf(change);
+        const replay = replayOf(decidedTargets(change));
         const conflict = conflictOf(change);
         return replay ?? (conflict && { result: conflict, replayed: false });
       },
--- a/src/core/configurationCodec.ts
+++ b/src/core/configurationCodec.ts
@@ -39,6 +39,10 @@
       .record(name, z.strictObject({ name, expected: z.boolean() }))
       .refine(isNamedByKey, 'a service is not named by its key'),
     classes: z.record(name, classSchema).refine(isNamedByKey, 'a class is not named by its key'),
+    drains: z
+      .record(name, z.strictObject({ name }))
+      .refine(isNamedByKey, 'a drain is not named by its key')
+      .optional(),
   })
   .refine(
     ({ services, classes }) =>
@@ -51,9 +55,13 @@
     ? Object.fromEntries(Object.entries(value).sort(([a], [b]) => Number(a > b) - Number(a < b)))
     : value;
 
+/** Without drains the key is absent, so that there is one form for each configuration. */
+const normalise = ({ drains = {}, ...targets }: Configuration): Configuration =>
+  Object.keys(drains).length === 0 ? targets : { ...targets, drains };
+
 /** Encodes a configuration in its canonical form. */
 export const encodeConfiguration = (configuration: Configuration): Uint8Array =>
-  new TextEncoder().encode(JSON.stringify(configuration, sortKeys));
+  new TextEncoder().encode(JSON.stringify(normalise(configuration), sortKeys));
 
 const parseJson = (bytes: Uint8Array): unknown => {
   try {
--- a/src/core/configurationDiff.ts
+++ b/src/core/configurationDiff.ts
@@ -13,6 +13,7 @@
     );
   add('service', configuration.services);
   add('class', configuration.classes);
+  add('drain', configuration.drains ?? {});
   return lines;
 };
 
--- a/src/core/delta.ts
+++ b/src/core/delta.ts
@@ -23,6 +23,7 @@
   readonly resultDigest: Uint8Array;
   readonly services: RecordsDelta;
   readonly classes: RecordsDelta;
+  readonly drains: RecordsDelta;
 }
 
 const recordsDeltaSchema = z.strictObject({
@@ -30,7 +31,11 @@
   removed: z.array(z.string()),
 });
 
-const bodySchema = z.strictObject({ services: recordsDeltaSchema, classes: recordsDeltaSchema });
+const bodySchema = z.strictObject({
+  services: recordsDeltaSchema,
+  classes: recordsDeltaSchema,
+  drains: recordsDeltaSchema,
+});
 
 export const equalBytes = (a: Uint8Array, b: Uint8Array): boolean =>
   a.length === b.length && a.every((byte, index) => byte === b[index]);
@@ -64,6 +69,7 @@
     resultDigest: digestConfiguration(next),
     services: diffRecords(from.services, to.services),
     classes: diffRecords(from.classes, to.classes),
+    drains: diffRecords(from.drains ?? {}, to.drains ?? {}),
   };
 };
 
@@ -81,8 +87,9 @@
   const merged = {
     services: applyRecords(base.services, delta.services),
     classes: applyRecords(base.classes, delta.classes),
+    drains: applyRecords(base.drains ?? {}, delta.drains),
   };
-  const result = decodeConfiguration(new TextEncoder().encode(JSON.stringify(merged)));
+  const result = decodeConfiguration(encodeConfiguration(merged as Configuration));
   if (!equalBytes(digestConfiguration(result), delta.resultDigest)) {
     throw new Failure('bad_update', 'the result of the delta has another digest');
   }
@@ -90,8 +97,8 @@
 };
 
 /** Encodes the body of a delta; the digests travel beside it. */
-export const encodeDelta = ({ services, classes }: ConfigurationDelta): Uint8Array =>
-  new TextEncoder().encode(JSON.stringify({ services, classes }));
+export const encodeDelta = ({ services, classes, drains }: ConfigurationDelta): Uint8Array =>
+  new TextEncoder().encode(JSON.stringify({ services, classes, drains }));
 
 /** Decodes the body of a delta. Throws a Failure with `bad_update` for anything else. */
 export const decodeDelta = (
--- a/src/core/holding.ts
+++ b/src/core/holding.ts
@@ -65,8 +65,16 @@
   const clusters = new Map<string, Cluster>();
   const usedAt = new Map<string, number>();
 
-  const selectClusters = (services: ReadonlySet<string>): Map<string, Cluster> =>
-    new Map([...clusters].filter(([service]) => services.has(service) && usedAt.has(service)));
+  const selectClusters = (configuration: Configuration): Map<string, Cluster> => {
+    const services = routedServices(configuration);
+    const isSelected = ([service]: [string, Cluster]) =>
+      services.has(service) && usedAt.has(service);
+    return new Map(
+      [...clusters]
+        .filter(isSelected)
+        .map(([service, cluster]) => [service, markDrained(cluster, configuration)]),
+    );
+  };
 
   const newestStaged = (): Version => staged?.version ?? held?.version ?? noVersion;
 
@@ -95,6 +103,13 @@
   const isReady = ({ awaited, since }: Staged, now: number): boolean =>
     now - since >= clusterWaitMs || [...awaited].every((service) => clusters.has(service));
 
+  const markDrained = (cluster: Cluster, { drains = {} }: Configuration): Cluster => ({
+    ...cluster,
+    endpoints: cluster.endpoints.map((endpoint) =>
+      Object.hasOwn(drains, endpoint.id) ? { ...endpoint, state: 'leaving' } : endpoint,
+    ),
+  });
+
   const swap = (next: Pick<Held, 'version' | 'digest' | 'configuration' | 'policies'>): Held => {
     clustersChanged = false;
     held = Object.freeze({
@@ -102,7 +117,7 @@
       digest: next.digest,
       configuration: next.configuration,
       policies: next.policies,
-      clusters: selectClusters(routedServices(next.configuration)),
+      clusters: selectClusters(next.configuration),
     });
     return held;
   };
--- a/src/plugins/localUpstream.ts
+++ b/src/plugins/localUpstream.ts
@@ -40,6 +40,8 @@
     leave(): void;
     /** Takes calls again after `leave`. */
     resume(): void;
+    /** Refuses later calls with `leaving` while an operator has drained the endpoint. */
+    setDrained(drained: boolean): void;
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
     stop(): Promise<void>;
   };
@@ -75,6 +77,7 @@
   let pool: Pool | undefined;
   let admission: Admission | undefined;
   let isLeaving = false;
+  let isDrained = false;
   let isUnreachable = false;
   let cancelTick: Cancel | undefined;
   let tickAt = Infinity;
@@ -183,9 +186,9 @@
       listener.onFailure(refusedReport(refusal));
     };
 
-    if (!admission || !pool) {
+    if (!admission || !pool || isDrained) {
       isOver = true;
-      listener.onFailure(refusedReport('no_upstream'));
+      listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream'));
     } else {
       entries.set(attemptId, { decide });
       carryOut(
@@ -248,6 +251,9 @@
       describe,
       leave,
       resume,
+      setDrained: (drained) => {
+        isDrained = drained;
+      },
       send,
       stop: async () => {
         cancelTick?.();
@@ -259,6 +265,7 @@
       isLeaving: () => isLeaving,
       hasFreeSlot: (service) =>
         !isLeaving &&
+        !isDrained &&
         description?.service === service &&
         admission !== undefined &&
         admission.queries.waiting() === 0 &&
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -8,7 +8,7 @@
 import { createRetryBudget } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
 import type { Cluster } from '../types/public.js';
-import type { Announcer, Holding, LedgerClient } from '../types/internal.js';
+import type { Announcer, Held, Holding, LedgerClient } from '../types/internal.js';
 import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 import type { Access } from './access.js';
@@ -201,7 +201,12 @@
     });
   };
 
+  const takeDrains = (held: Held) => {
+    upstream.commands.setDrained(Object.hasOwn(held.configuration.drains ?? {}, node.name));
+  };
+
   const start = async (): Promise<BoundAddresses> => {
+    holding.onChange(takeDrains);
     const boundAdmin = await admin.listen();
     const boundForward = await forward.listen();
     forwardAddress = forwardAddress || formatAddress(boundForward);
--- a/src/plugins/operatorCommands.ts
+++ b/src/plugins/operatorCommands.ts
@@ -5,6 +5,8 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import {
   encodeChange,
+  encodeDrain,
+  maxDrains,
   type Acceptance,
   type AppliedChange,
   type Change,
@@ -18,10 +20,12 @@
   OperatorCommands,
   type ApplyRequest,
   type ChangeMembersRequest,
+  type DrainRequest,
 } from '../gen/auburnsill/v1/operator_pb.js';
 import type { FleetStatus, Member, ReplicaGroup } from '../types/internal.js';
 import type { Configuration, Finding, RunState, Version } from '../types/public.js';
 import { Failure, failureTable } from '../utils/failure.js';
+import { formatFinding } from '../utils/findings.js';
 import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 import { operatorOf } from './access.js';
@@ -70,6 +74,8 @@
   version_conflict: conflictDetail,
   change_id_reused: () => '',
   malformed_message: () => '',
+  no_configuration: () => '',
+  change_too_large: () => `${maxDrains} endpoints at most are drained at a time`,
 };
 
 const answerOf = ({ result, replayed }: { result: ChangeResult; replayed: boolean }): Answer => {
@@ -83,7 +89,11 @@
   return { outcome: result.outcome, run, version: result.version, replayed };
 };
 
-const checkRequest = ({ changeId, note, fileName }: ApplyRequest): Finding[] => {
+const checkRequest = ({
+  changeId,
+  note,
+  fileName,
+}: Pick<ApplyRequest, 'changeId' | 'note' | 'fileName'>): Finding[] => {
   const findings: Finding[] = [];
   if (!/^[\x21-\x7e]+$/.test(changeId) || changeId.length > maxChangeIdLength) {
     const allowed = `1 to ${maxChangeIdLength} printable characters without space`;
@@ -231,6 +241,61 @@
     }
   };
 
+  /** Draining the last endpoint in use would take the service out of use. */
+  const refusalOfDrain = ({ endpointId, undo }: DrainRequest): string | undefined => {
+    const clusters = [...fleet.inventory().clusters.values()];
+    const cluster = clusters.find(({ endpoints }) => endpoints.some(({ id }) => id === endpointId));
+    if (undo) {
+      return undefined;
+    }
+    if (!cluster) {
+      return `no endpoint ${JSON.stringify(endpointId)} is announced`;
+    }
+    const drains = acceptance.queries.head()?.configuration.drains ?? {};
+    const isLeft = cluster.endpoints.some(
+      ({ id, state }) => id !== endpointId && state === 'ready' && !Object.hasOwn(drains, id),
+    );
+    return isLeft ? undefined : `${cluster.service} would have no endpoint in use`;
+  };
+
+  const proposeDrain = async (request: DrainRequest, operator: string) => {
+    const { changeId, endpointId, undo } = request;
+    const proposedAtMs = timer.wallClock();
+    const payload = encodeDrain({ changeId, endpointId, undo, operator, proposedAtMs });
+    const { result } = await group.commands.propose(payload);
+    const answer = answerOf(result);
+    const message = (answer.findings ?? []).map((finding) => finding.message).join('; ');
+    return {
+      outcome: answer.outcome,
+      message,
+      version: answer.version && toWireVersion(answer.version),
+    };
+  };
+
+  const drain = async (request: DrainRequest, operator: string) => {
+    const invalid = checkRequest({ ...request, note: '', fileName: request.endpointId });
+    if (invalid.length > 0) {
+      return { outcome: 'refused', message: invalid.map(formatFinding).join('; ') };
+    }
+    try {
+      await group.queries.confirmRead();
+      const replayed = acceptance.queries.record(request.changeId) !== undefined;
+      const refusal = replayed ? undefined : refusalOfDrain(request);
+      return refusal === undefined
+        ? await proposeDrain(request, operator)
+        : { outcome: 'refused', message: refusal };
+    } catch (error) {
+      if (isNotLeader(error)) {
+        return { outcome: 'not_leader', message: '' };
+      }
+      if (error instanceof Failure) {
+        const outcome = error.run === 'not_run' ? 'refused' : 'unknown';
+        return { outcome, message: error.message };
+      }
+      throw error;
+    }
+  };
+
   return (router: ConnectRouter): void => {
     router.service(OperatorCommands, {
       apply: async (request, { requestHeader }) => {
@@ -255,7 +320,19 @@
           replayed: answer.replayed ?? false,
         };
       },
-      drain: () => ({ outcome: 'refused', message: 'draining by operators is not supported yet' }),
+      drain: async (request, { requestHeader }) => {
+        const operator = operatorOf(requestHeader);
+        const answer = await drain(request, operator);
+        const { changeId, endpointId, undo } = request;
+        log.info('drain decided', {
+          changeId,
+          operator,
+          endpointId,
+          undo,
+          outcome: answer.outcome,
+        });
+        return { ...answer, leaderAddress: leaderAddress() };
+      },
       changeMembers: async (request) => ({
         ...(await changeMembers(request)),
         leaderAddress: leaderAddress(),
--- a/src/types/public.ts
+++ b/src/types/public.ts
@@ -61,10 +61,18 @@
   readonly expected: boolean;
 }
 
+/** An endpoint that an operator has taken out of use. */
+export interface Drain {
+  /** Id of the endpoint. */
+  readonly name: string;
+}
+
 /** The complete set of targets, in force as one unit. */
 export interface Configuration {
   readonly services: Readonly<Record<string, Service>>;
   readonly classes: Readonly<Record<string, TrafficClass>>;
+  /** Endpoints that are out of use, by id. Set by drains, not by targets. */
+  readonly drains?: Readonly<Record<string, Drain>>;
 }
 
 /** State that an upstream announces for its endpoint. */
