--- a/src/plugins/callServer.ts
+++ b/src/plugins/callServer.ts
@@ -5,19 +5,21 @@
 import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
-import type { Burn, CallOutcome } from '../core/burn.js';
+import { outcomeOfRefusal, type Burn, type CallOutcome } from '../core/burn.js';
 import { matchClass } from '../core/classMatching.js';
 import { formatVersion } from '../core/version.js';
 import type { AttemptFailureReport } from '../types/calls.js';
 import type { Held, Holding } from '../types/internal.js';
 import type { Policy } from '../types/public.js';
 import { Failure, type FailureReason } from '../utils/failure.js';
-import type { Timer } from '../utils/timer.js';
+import type { Log } from '../utils/log.js';
+import type { Cancel, Timer } from '../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
 import {
   configStaleHeader,
   configVersionHeader,
+  hasBody,
   passRequestHeaders,
   readCallHeaders,
   readRequestId,
@@ -46,6 +48,7 @@
   readonly address: Address;
   readonly dataCentre: string;
   readonly timer: Timer;
+  readonly log: Log;
   readonly holding: Holding;
   readonly upstream: LocalUpstream;
   readonly runner: CallRunner;
@@ -95,7 +98,9 @@
     if (call.isOver) {
       return;
     }
-    finish(call, failure.reason === 'overloaded' ? 'shed' : 'failed', failure.reason);
+    const elapsedMs = timer.now() - call.startedAt;
+    const outcome = outcomeOfRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
+    finish(call, outcome, failure.reason);
     // The rest of the body is not read: the connection cannot carry another request.
     call.response.shouldKeepAlive &&= call.request.complete;
     writeRefusal(call.response, failure, call.requestId, versionHeaders(call));
@@ -189,8 +194,17 @@
     return cluster ? { ...held, clusters: new Map([...held.clusters, [service, cluster]]) } : held;
   };
 
+  /** Refuses the call if its body is not there before the deadline. */
+  const limitBody = (call: Call): Cancel =>
+    hasBody(call.request)
+      ? timer.after(call.deadlineAt - timer.now(), () =>
+          refuse(call, reportOf(new Failure('deadline_past', 'the body did not arrive in time'))),
+        )
+      : () => undefined;
+
   const run = async (call: Call): Promise<void> => {
-    const body = await readBody(call.request);
+    const cancelLimit = limitBody(call);
+    const body = await readBody(call.request).finally(cancelLimit);
     const held = await withCluster(call);
     if (call.isOver) {
       return;
@@ -239,6 +253,7 @@
   const listener = createCallListener({
     address: options.address,
     timer,
+    log: options.log,
     maxHeaderBytes,
     idleStopMs,
     onCall: handle,
