--- a/__tests__/feedTree.test.ts
+++ b/__tests__/feedTree.test.ts
@@ -2,7 +2,10 @@
 import { after, describe, it } from 'node:test';
 import type { Version } from '../src/types/public.js';
 import type { NodeFeed } from '../src/plugins/nodeFeed.js';
+import { probeFeed } from '../src/plugins/feedClient.js';
 import {
+  access,
+  clusterName,
   configurationOf,
   createManualSource,
   endpointOf,
@@ -11,6 +14,7 @@
   until,
   type RunningFeed,
 } from './support/feedFleet.js';
+import { waitFor } from './support/waitFor.js';
 
 const inForce = (node: RunningFeed<NodeFeed>): Version | undefined =>
   node.feed.holding.queries.current()?.version;
@@ -50,6 +54,15 @@
     assert.equal(control.feed.fleet.inventory().clusters.get('lookup')?.endpoints.length, 1);
     const next = source.accept(configurationOf(['lookup'], 60));
     await until(() => allAt(nodes, next), 'the second version on all nodes');
+    const floorAtSibling = async () => {
+      const subscriber = { cluster: clusterName, name: 'node-1', role: 'node' };
+      const address = nodes[1]?.address ?? '';
+      const found = await probeFeed({ address, access, request: { subscriber } });
+      return Number(found?.welcome?.floor?.index ?? 0);
+    };
+    await waitFor(async () => (await floorAtSibling()) === next.index, {
+      what: 'the floor of a node at its sibling',
+    });
     nodes[0]?.feed.announcer.withdraw('endpoint-1');
     await until(
       () =>
--- a/__tests__/support/feedFleet.ts
+++ b/__tests__/support/feedFleet.ts
@@ -114,7 +114,7 @@
   };
 };
 
-const access = createAccess({ clusterToken });
+export const access = createAccess({ clusterToken });
 const log = process.env.TEST_LOG ? createLog('test', 'debug') : createSilentLog();
 
 const serve = async (
