Replace the connections to a node after one of them was silent

Cause: with eight idle connections gone silent, a call that can be repeated took 3.0 s for a target of 2 s: the second copy and the retry met silent connections of the same pool. Change: after a timeout, and for a second copy, later calls to that node get fresh connections, at most once a second; calls in flight finish on the old ones. A second copy that finds no endpoint no longer ends the call whose first attempt still runs.

--- a/__tests__/wholeAnswers.test.ts
+++ b/__tests__/wholeAnswers.test.ts
@@ -123,6 +123,14 @@
     await assertOwnAnswers(mesh);
   });
 
+  it('resets the caller when an answer in chunks breaks off', async () => {
+    mesh.upstream.onRequest(({ socket }) => {
+      const head = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+      socket.write(`${head}4\r\nhalf\r\n`, () => socket.end());
+    });
+    await assert.rejects(callOnce('chunked'));
+  });
+
   it('refuses an answer whose end is not marked, since a cut would look whole', async () => {
     mesh.upstream.onRequest(({ socket }) => socket.end('HTTP/1.1 200 OK\r\n\r\nhalf an ans'));
     const answer = await callOnce('unmarked');
--- a/src/plugins/callRun.ts
+++ b/src/plugins/callRun.ts
@@ -243,7 +243,7 @@
       onFailure: (failure) => onFailure(attempt, failure),
     });
 
-    const requestOf = (attemptId: string): AttemptRequest => ({
+    const requestOf = (attemptId: string, isHedge: boolean): AttemptRequest => ({
       attemptId,
       requestId: plan.requestId,
       className: policy.className,
@@ -256,6 +256,7 @@
       body: plan.body,
       deadlineAt: plan.deadlineAt,
       headTimeoutMs: policy.attemptTimeoutMs,
+      needsFreshConnection: isHedge,
     });
 
     const chooseRemote = (cluster: Cluster): Endpoint | undefined => {
@@ -275,6 +276,10 @@
       const isLocal = upstream.queries.hasFreeSlot(policy.service) && !excluded.has(home.name);
       const cluster = isLocal ? undefined : plan.held.clusters.get(policy.service);
       const endpoint = cluster && chooseRemote(cluster);
+      const isHedge = active.size > 0;
+      if (!isLocal && !endpoint && isHedge) {
+        return;
+      }
       if (!isLocal && !endpoint) {
         refuse(earlier ?? reportOf(new Failure('no_upstream', policy.service)));
         return;
@@ -289,9 +294,10 @@
       active.add(attempt);
       evidence.commands.recordStart(attempt.endpointId, now);
       const isOwn = !endpoint || endpoint.node === home.name;
+      const request = requestOf(id, isHedge);
       attempt.running = isOwn
-        ? upstream.commands.send(requestOf(id), listenTo(attempt))
-        : remote.send(endpoint, requestOf(id), listenTo(attempt));
+        ? upstream.commands.send(request, listenTo(attempt))
+        : remote.send(endpoint, request, listenTo(attempt));
     };
 
     const startHedge = () => {
--- a/src/plugins/remoteNode.ts
+++ b/src/plugins/remoteNode.ts
@@ -108,6 +108,9 @@
   const send: RemoteNodes['send'] = (endpoint, request, listener) => {
     let refusal: AttemptFailureReport | undefined;
     const now = timer.now();
+    if (request.needsFreshConnection) {
+      pools.renew(endpoint.forwardAddress, now);
+    }
     const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
     return startExchange({
       dispatcher: pools.to(endpoint.forwardAddress, now),
@@ -139,7 +142,13 @@
             listener.onEnd();
           }
         },
-        onFailure: (failure) => listener.onFailure(refusal ?? failure),
+        onFailure: (failure) => {
+          // Other connections to that node may have gone silent with this one.
+          if (!refusal && failure.reason === 'deadline_exceeded') {
+            pools.renew(endpoint.forwardAddress, timer.now());
+          }
+          listener.onFailure(refusal ?? failure);
+        },
       },
     });
   };
--- a/src/plugins/upstreamPool.ts
+++ b/src/plugins/upstreamPool.ts
@@ -15,6 +15,8 @@
 const maxNodeHeadBytes = 32 * 1_024;
 /** Pools to nodes that were not used for this time are closed, in ms. */
 const unusedPoolMs = 60_000;
+/** A node that is only slow must not have its connections replaced at each timeout. */
+const minRenewalMs = 1_000;
 
 const createPool = (address: string, connections: number, idleMs: number, maxHeadBytes: number) =>
   new Pool(`http://${address}`, {
@@ -33,6 +35,8 @@
 export interface NodePools {
   /** Pool to the forward address of a node. */
   to(forwardAddress: string, now: number): Pool;
+  /** Gives later calls fresh connections; calls in flight finish on the old ones. */
+  renew(forwardAddress: string, now: number): void;
   /** Closes the pools that were not used for a while. */
   closeUnused(now: number): void;
   destroy(): Promise<void>;
@@ -40,7 +44,7 @@
 
 /** Creates the pools to other nodes, by forward address. */
 export const createNodePools = (): NodePools => {
-  const pools = new Map<string, { pool: Pool; usedAt: number }>();
+  const pools = new Map<string, { pool: Pool; createdAt: number; usedAt: number }>();
 
   const to: NodePools['to'] = (forwardAddress, now) => {
     const known = pools.get(forwardAddress);
@@ -49,10 +53,18 @@
       return known.pool;
     }
     const pool = createPool(forwardAddress, nodeConnections, nodeIdleMs, maxNodeHeadBytes);
-    pools.set(forwardAddress, { pool, usedAt: now });
+    pools.set(forwardAddress, { pool, createdAt: now, usedAt: now });
     return pool;
   };
 
+  const renew: NodePools['renew'] = (forwardAddress, now) => {
+    const known = pools.get(forwardAddress);
+    if (known && now - known.createdAt >= minRenewalMs) {
+      pools.delete(forwardAddress);
+      known.pool.close().catch(() => undefined);
+    }
+  };
+
   const closeUnused = (now: number) => {
     [...pools]
       .filter(([, { usedAt }]) => now - usedAt > unusedPoolMs)
@@ -64,6 +76,7 @@
 
   return {
     to,
+    renew,
     closeUnused,
     destroy: async () => {
       await Promise.all([...pools.values()].map(({ pool }) => pool.destroy()));
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -28,6 +28,8 @@
   readonly deadlineAt: number;
   /** Time until the head of the answer has to be there, in ms. */
   readonly headTimeoutMs: number;
+  /** An earlier attempt met silence, maybe that of its connection. */
+  readonly needsFreshConnection?: boolean;
 }
 
 export interface AnswerHead {
