Admit no more calls than there are connections to the upstream

Cause: with more slots than connections, admitted calls waited in the pool's own queue, out of turn and without the class's wait limit: the second call on one connection got 504 after 2,000 ms. Change: the admission's slots are bounded by the connections. An upstream that left and returns is taken again only after its earlier calls have ended, since their slots still count.

--- a/__tests__/callPath.test.ts
+++ b/__tests__/callPath.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { startMesh } from './support/callMesh.js';
+import { waitFor } from './support/waitFor.js';
 
 describe('path of a call', () => {
   it('carries a call from one node to the node beside the upstream and back', async () => {
@@ -22,6 +23,19 @@
     await mesh.stop();
   });
 
+  it('admits no more calls than there are connections to the upstream', async () => {
+    const mesh = await startMesh({ slots: 10, connections: 1 });
+    mesh.upstream.onRequest(() => undefined);
+    const post = () => mesh.call(mesh.caller, '/plain', { method: 'POST', body: 'x' });
+    const held = post();
+    await waitFor(() => mesh.upstream.started() === 1);
+    const answer = await post();
+    assert.equal(JSON.parse(answer.body).reason, 'overloaded', answer.body);
+    assert.equal(mesh.upstream.started(), 1);
+    await held;
+    await mesh.stop();
+  });
+
   it('answers a malformed announcement and goes on', async () => {
     const mesh = await startMesh();
     const put = (body: string) =>
--- a/src/plugins/localUpstream.ts
+++ b/src/plugins/localUpstream.ts
@@ -62,6 +62,10 @@
   decide(refusal: AdmissionRefusal | undefined): void;
 }
 
+/** A call needs a connection of its own: more calls would wait out of turn for one. */
+const slotsOf = ({ slots, connections }: UpstreamDescription): number =>
+  Math.min(slots, connections);
+
 const refusedReport = (reason: FailureReason): AttemptFailureReport => ({
   reason,
   run: 'not_run',
@@ -228,8 +232,8 @@
     }
     description = next;
     isUnreachable = false;
-    admission ??= createAdmission({ slots: next.slots });
-    carryOut(admission.commands.setLimit(next.slots, timer.now()));
+    admission ??= createAdmission({ slots: slotsOf(next) });
+    carryOut(admission.commands.setLimit(slotsOf(next), timer.now()));
   };
 
   const leave = () => {
@@ -240,7 +244,7 @@
   const resume = () => {
     // The admission of calls in flight stays until they are over; `leave` is final for it.
     isLeaving = false;
-    admission = description && createAdmission({ slots: description.slots });
+    admission = description && createAdmission({ slots: slotsOf(description) });
   };
 
   return {
--- a/src/plugins/upstreamAnnouncement.ts
+++ b/src/plugins/upstreamAnnouncement.ts
@@ -135,10 +135,13 @@
       throw new Failure('leaving', 'the node is stopping');
     }
     const { service, address, slots, connections } = announcement;
-    renewedAt = timer.now();
     if (upstream.queries.isLeaving()) {
+      if (upstream.queries.inFlight() > 0) {
+        throw new Failure('leaving', 'calls from before have to end first');
+      }
       upstream.commands.resume();
     }
+    renewedAt = timer.now();
     const fields = JSON.stringify([service, address, slots, connections]);
     if (fields === announced) {
       return;
