--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -4,11 +4,11 @@
  */
 import { createBurn, burnReport } from '../core/burn.js';
 import { createEvidence } from '../core/evidence.js';
-import { explainPolicy } from '../core/policy.js';
+import { explainPolicy, siblingsOf } from '../core/policy.js';
 import { createRetryBudget } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
 import type { Cluster } from '../types/public.js';
-import type { Announcer, Holding, LedgerClient } from '../types/internal.js';
+import type { Announcer, Held, Holding, LedgerClient } from '../types/internal.js';
 import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 import type { Access } from './access.js';
@@ -167,7 +167,11 @@
       .filter(({ name }) => className === undefined || name === className)
       .map((trafficClass) => ({
         class: trafficClass.name,
-        lines: explainPolicy(trafficClass, held?.clusters.get(trafficClass.service)),
+        lines: explainPolicy(
+          trafficClass,
+          held?.clusters.get(trafficClass.service),
+          held && siblingsOf(held.configuration, trafficClass),
+        ),
       }));
   };
 
@@ -197,7 +201,12 @@
     });
   };
 
+  const takeDrains = (held: Held) => {
+    upstream.commands.setDrained(Object.hasOwn(held.configuration.drains ?? {}, node.name));
+  };
+
   const start = async (): Promise<BoundAddresses> => {
+    holding.onChange(takeDrains);
     const boundAdmin = await admin.listen();
     const boundForward = await forward.listen();
     forwardAddress = forwardAddress || formatAddress(boundForward);
