--- a/__tests__/control.process.test.ts
+++ b/__tests__/control.process.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import type { ApplyResponse } from '../src/gen/auburnsill/v1/operator_pb.js';
 import { createControlClient, findLeader, targetsOf } from './support/controlClient.js';
 import { withDeployment } from './support/deployment.js';
 import { waitFor } from './support/waitFor.js';
@@ -52,4 +53,37 @@
       clients.forEach(({ close }) => close());
     });
   });
+
+  it('keep hundreds of changes when all of them are killed at once', async () => {
+    await withDeployment({ dataCentres: threeDataCentres }, async (deployment) => {
+      const clients = deployment.controls.map((control) =>
+        createControlClient(deployment, control),
+      );
+      const leader = await findLeader(clients);
+      const count = 300;
+      const startedAt = performance.now();
+      let baseVersion: ApplyResponse['version'];
+      for (let at = 1; at <= count; at += 1) {
+        const answer = await leader.commands.apply({
+          changeId: `c${at}`,
+          targets: targetsOf(at),
+          baseVersion,
+        });
+        assert.equal(answer.outcome, 'accepted', JSON.stringify(answer.findings));
+        baseVersion = answer.version;
+      }
+      const elapsedMs = performance.now() - startedAt;
+      console.log(`${count} changes in turn, ${(elapsedMs / count).toFixed(1)} ms each`);
+      await Promise.all(deployment.controls.map(({ process }) => process.end('SIGKILL')));
+      deployment.controls.forEach(({ process }) => process.start());
+      const next = await findLeader(clients);
+      const { items } = await next.queries.history({ limit: 1_000 });
+      assert.deepEqual(
+        items.map(({ changeId }) => changeId),
+        Array.from({ length: count }, (_, at) => `c${count - at}`),
+      );
+      assert.deepEqual((await next.queries.get({})).version, baseVersion);
+      clients.forEach(({ close }) => close());
+    });
+  });
 });
