Let a refusal reach a peer that is still sending its body

Cause: a refusal closed the connection with unread bytes, which resets it: a node that forwarded 20 MiB to a node that was stopping got EPIPE instead of the refusal, and said may_have_run for a call that was not run. Figures: the same call now gets not_run, seen by the new test, which failed before.

--- a/__tests__/refusalTruth.test.ts
+++ b/__tests__/refusalTruth.test.ts
@@ -167,6 +167,26 @@
     await held;
   });
 
+  it('reaches a caller that is still sending a large body', async () => {
+    const target = await start();
+    await target.announce('leaving');
+    const body = Buffer.alloc(20 * 1024 * 1024);
+    const reasons: string[] = [];
+    for (const path of ['/none', '/plain', '/none', '/plain']) {
+      const answer = await makeCall(target.caller, path, { method: 'POST', body });
+      reasons.push(JSON.parse(answer.body).reason);
+    }
+    assert.deepEqual(reasons, ['unknown_class', 'no_upstream', 'unknown_class', 'no_upstream']);
+    // The node beside the upstream refuses while the body is on its way to it.
+    target.stopRenewal();
+    await target.announce('ready');
+    target.besideNode.runtime.stop(5_000).catch(() => undefined);
+    target.holdCluster();
+    const late = await makeCall(target.caller, '/plain', { method: 'POST', body });
+    assert.equal(JSON.parse(late.body).run, 'not_run', late.body);
+    assert.equal(target.upstream.started(), 0);
+  });
+
   it('refuses a call whose body does not arrive before its deadline', async () => {
     const target = await start();
     const answer = await sendRaw(
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -243,6 +243,7 @@
     throw new Error(JSON.stringify(findings));
   }
   const clusters = new Map<string, Cluster>();
+  let lastCluster: Cluster | undefined;
   const policies = derivePolicies(configuration);
   const held: Held = {
     version: { term: 1, index: 1 },
@@ -265,10 +266,11 @@
     const announcer: Announcer = {
       announce: (endpoint: Endpoint) => {
         const forwardAddress = throughProxy ?? endpoint.forwardAddress;
-        clusters.set(endpoint.service, {
+        lastCluster = {
           service: endpoint.service,
           endpoints: [{ ...endpoint, forwardAddress }],
-        });
+        };
+        clusters.set(endpoint.service, lastCluster);
       },
       withdraw: (endpointId) => {
         clusters.forEach(({ service, endpoints }) =>
@@ -331,6 +333,12 @@
     upstream,
     ledger: fakeLedger,
     announce,
+    /** Puts withdrawn endpoints back, as a node holds them that did not hear of it yet. */
+    holdCluster: () => {
+      if (lastCluster) {
+        clusters.set(lastCluster.service, lastCluster);
+      }
+    },
     stopRenewal: () => clearInterval(renewal),
     call: makeCall,
     stop: async () => {
--- a/src/plugins/callAnswers.ts
+++ b/src/plugins/callAnswers.ts
@@ -7,6 +7,7 @@
 import { retriedHeader } from '../core/retry.js';
 import type { AnswerHead, AttemptFailureReport } from '../types/calls.js';
 import { Failure, failureTable } from '../utils/failure.js';
+import type { Timer } from '../utils/timer.js';
 import {
   passAnswerHeaders,
   refusalHeader,
@@ -15,6 +16,9 @@
   runHeader,
 } from './callHeaders.js';
 
+/** Time for which a refused peer may go on sending its body, in ms. */
+const lingerMs = 1_000;
+
 /** Turns an error into the report that its refusal is written from. */
 export const reportOf = (error: unknown): AttemptFailureReport => {
   if (error instanceof Failure) {
@@ -40,11 +44,33 @@
   );
 };
 
+/**
+ * Ends a refusal. While the peer still sends its body, the connection stays open for a moment: one
+ * that is closed with unread bytes is reset, and the refusal is lost with it.
+ */
+const endRefusal = (response: ServerResponse, body: Buffer, timer: Timer) => {
+  const { req: request } = response;
+  if (request.complete) {
+    response.end(body);
+    return;
+  }
+  response.write(body);
+  request.resume();
+  const cancel = timer.after(lingerMs, () => response.end());
+  const end = () => {
+    cancel();
+    response.end();
+  };
+  request.once('end', end);
+  request.once('close', end);
+};
+
 /** Writes a refusal, or resets the connection if an answer was begun. */
 export const writeRefusal = (
   response: ServerResponse,
   failure: AttemptFailureReport,
   requestId: string,
+  timer: Timer,
   extraHeaders: readonly string[] = [],
 ) => {
   if (response.headersSent) {
@@ -71,8 +97,10 @@
   if (failure.retryAfterSeconds !== undefined) {
     headers.push('retry-after', String(failure.retryAfterSeconds));
   }
+  // The rest of a body is not read: the connection cannot carry another request.
+  response.shouldKeepAlive &&= response.req.complete;
   response.writeHead(failureTable[failure.reason].status, headers);
-  response.end(body);
+  endRefusal(response, body, timer);
 };
 
 /** Writes the head of an answer with the headers of this system added. */
