--- a/bench/support/load.ts
+++ b/bench/support/load.ts
@@ -144,7 +144,7 @@
     connections: options.connections ?? 256,
     pipelining: 1,
     keepAliveTimeout: 30_000,
-    connect: { localAddress: options.localAddress },
+    localAddress: options.localAddress,
   });
   const startedAt = performance.now();
   const endAt = warmUpMs + measureMs;
