Wait for the ledger's own leader in the first control test

It assumed that the ledger has a leader once the configuration group has one, which nothing guarantees. It now waits for that, with the same outcomes required, and prints the logs' tails if an instance does not end with 0.

--- a/__tests__/control.process.test.ts
+++ b/__tests__/control.process.test.ts
@@ -17,7 +17,14 @@
       const applied = await leader.commands.apply({ changeId: 'c1', targets: targetsOf(1) });
       assert.equal(applied.outcome, 'accepted', JSON.stringify(applied.findings));
       const key = { service: 's', key: 'k', attemptId: 'a1' };
-      const claims = await Promise.all(clients.map(({ ledger }) => ledger.claim(key)));
+      // The group of the ledger has an election of its own.
+      const claims = await waitFor(
+        async () => {
+          const answers = await Promise.all(clients.map(({ ledger }) => ledger.claim(key)));
+          return answers.some(({ outcome }) => outcome !== 'not_leader') && answers;
+        },
+        { what: 'a leader of the ledger' },
+      );
       assert.deepEqual(claims.map(({ outcome }) => outcome).sort(), [
         'granted',
         'not_leader',
@@ -49,7 +56,8 @@
       const codes = await Promise.all(
         deployment.controls.map(({ process }) => process.end('SIGTERM')),
       );
-      assert.deepEqual(codes, [0, 0, 0]);
+      const tails = deployment.controls.map(({ process }) => process.tail(5)).join('\n');
+      assert.deepEqual(codes, [0, 0, 0], tails);
       clients.forEach(({ close }) => close());
     });
   });
