Test two faults at once over real processes

Cause: cuts, lost leaders, lost nodes and silent connections were tested one at a time. Change: a leader lost during a cut, half of all nodes lost during a cut, connections silent for good while the leader is lost. The change client of the tests asks the next control instance when one is gone; with the first address dead it never found the leader (seen as a test failure of 60 s).

--- a/__tests__/distribution.process.test.ts
+++ b/__tests__/distribution.process.test.ts
@@ -4,52 +4,14 @@
 import { withDeployment, type Deployment, type MeshNode } from './support/deployment.js';
 import {
   createChangeClient,
-  indexOf,
   reportOf,
   targetsOf,
+  waitForFresh,
   waitForVersion,
+  watchVersions,
 } from './support/fleetView.js';
 import { waitFor } from './support/waitFor.js';
 
-/** Polls all nodes and records every step back to an older version. */
-const watchVersions = (nodes: readonly MeshNode[]) => {
-  const highest = new Map<string, number>();
-  const stepsBack: string[] = [];
-  let stopped = false;
-  const look = async (node: MeshNode) => {
-    const { version } = await reportOf(node);
-    const before = highest.get(node.name) ?? 0;
-    // A node that has just started holds nothing yet and serves nothing.
-    if (version !== undefined && indexOf(version) < before) {
-      stepsBack.push(`${node.name} from ${before} to ${version}`);
-    }
-    highest.set(node.name, Math.max(before, indexOf(version)));
-  };
-  const watch = async () => {
-    while (!stopped) {
-      await Promise.all(nodes.map((node) => look(node).catch(() => undefined)));
-      await new Promise((resolve) => {
-        setTimeout(resolve, 100);
-      });
-    }
-  };
-  const running = watch();
-  return {
-    stop: async () => {
-      stopped = true;
-      await running;
-      assert.deepEqual(stepsBack, [], 'a proxy went back to an older version');
-    },
-  };
-};
-
-const waitForFresh = (nodes: readonly MeshNode[], limitMs = 30_000) =>
-  waitFor(async () => (await Promise.all(nodes.map(reportOf))).every(({ detached }) => !detached), {
-    limitMs,
-    everyMs: 50,
-    what: `confirmations younger than the lease on ${nodes.length} nodes`,
-  });
-
 const addPeers = ({ settingsFile }: MeshNode, peers: readonly string[]) => {
   const text = readFileSync(settingsFile, 'utf8');
   const line = `peers = [${peers.map((peer) => JSON.stringify(peer)).join(', ')}]`;
--- a/__tests__/support/fleetView.ts
+++ b/__tests__/support/fleetView.ts
@@ -2,6 +2,7 @@
  * A deployment as operators and the test see it: changes by RPC, and what each node reports about
  * itself.
  */
+import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
 import { randomUUID } from 'node:crypto';
 import { createClient } from '@connectrpc/connect';
@@ -73,7 +74,11 @@
       fileName: 'test.toml',
       allowDetached: [...allowDetached],
     };
-    const response = await leader?.client.apply(request);
+    const response = await leader?.client.apply(request).catch((error: unknown) => {
+      // A control instance that is gone gives no hint: the next one is asked.
+      leader = links[(links.indexOf(leader!) + 1) % links.length];
+      throw error;
+    });
     if (response?.outcome === 'not_leader') {
       leader = links.find(({ peer }) => peer === response.leaderAddress) ?? leader;
       return undefined;
@@ -115,3 +120,43 @@
     },
     { limitMs, everyMs: 50, what: `version ${version} on ${nodes.length} nodes` },
   );
+
+/** Polls all nodes and records every step back to an older version. */
+export const watchVersions = (nodes: readonly MeshNode[]) => {
+  const highest = new Map<string, number>();
+  const stepsBack: string[] = [];
+  let stopped = false;
+  const look = async (node: MeshNode) => {
+    const { version } = await reportOf(node);
+    const before = highest.get(node.name) ?? 0;
+    // A node that has just started holds nothing yet and serves nothing.
+    if (version !== undefined && indexOf(version) < before) {
+      stepsBack.push(`${node.name} from ${before} to ${version}`);
+    }
+    highest.set(node.name, Math.max(before, indexOf(version)));
+  };
+  const watch = async () => {
+    while (!stopped) {
+      await Promise.all(nodes.map((node) => look(node).catch(() => undefined)));
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+    }
+  };
+  const running = watch();
+  return {
+    stop: async () => {
+      stopped = true;
+      await running;
+      assert.deepEqual(stepsBack, [], 'a proxy went back to an older version');
+    },
+  };
+};
+
+/** Waits until every node has a confirmation younger than its lease. */
+export const waitForFresh = (nodes: readonly MeshNode[], limitMs = 30_000) =>
+  waitFor(async () => (await Promise.all(nodes.map(reportOf))).every(({ detached }) => !detached), {
+    limitMs,
+    everyMs: 50,
+    what: `confirmations younger than the lease on ${nodes.length} nodes`,
+  });
--- /dev/null
+++ b/__tests__/twoFaults.process.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import { join } from 'node:path';
+import { writeFileSync } from 'node:fs';
+import { describe, it } from 'node:test';
+import { withDeployment, type Deployment } from './support/deployment.js';
+import {
+  createChangeClient,
+  targetsOf,
+  waitForFresh,
+  waitForVersion,
+  watchVersions,
+} from './support/fleetView.js';
+
+const dataCentres = ['a', 'b', 'c'].map((name) => ({
+  name,
+  upstreams: [{ service: 'lookup', count: 1 }],
+  callerNodes: 2,
+}));
+
+const exitRefused = 4;
+const exitUnknown = 5;
+const exitUnreachable = 6;
+
+const setUp = async (deployment: Deployment) => {
+  const changes = createChangeClient(deployment);
+  await waitForVersion(deployment.nodes, await changes.apply(targetsOf(['lookup'])));
+  return changes;
+};
+
+const leaderName = async (deployment: Deployment): Promise<string> => {
+  const { members } = JSON.parse((await deployment.cli(['status', '--json'])).stdout);
+  return members.find(({ role }: { role: string }) => role === 'leader').name;
+};
+
+const others = (deployment: Deployment, inside: readonly string[]): string[] =>
+  deployment
+    .processes()
+    .map(({ name }) => name)
+    .filter((name) => !inside.includes(name));
+
+/** A change by the command line, so that its exit code is what an operator is told. */
+const tryChange = async (deployment: Deployment, changeId: string, importance: number) => {
+  const file = join(deployment.folder, `${changeId}.toml`);
+  writeFileSync(file, targetsOf(['lookup'], importance));
+  return deployment.cli(['apply', file, '--change-id', changeId, '--allow-detached', 'c']);
+};
+
+describe('two faults at once', () => {
+  it('a lost leader during a cut: what is told not run is not in force after the repair', async () => {
+    await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const watch = watchVersions(deployment.nodes);
+      const inside = deployment.namesIn('c');
+      deployment.partition(inside, others(deployment, inside));
+      await changes.apply(targetsOf(['lookup'], 60), ['c']);
+      const lost = deployment.control(await leaderName(deployment));
+      await lost.process.end('SIGKILL');
+
+      const { exitCode, stdout, stderr } = await tryChange(deployment, 'no-quorum', 70);
+      const told = `${exitCode} ${stdout}${stderr}`;
+      assert.ok([exitRefused, exitUnknown, exitUnreachable].includes(exitCode ?? 0), told);
+
+      lost.process.start();
+      deployment.heal();
+      const version = await changes.apply(targetsOf(['lookup'], 80));
+      await waitForVersion(deployment.nodes, version);
+      await waitForFresh(deployment.nodes);
+      const history = JSON.parse((await deployment.cli(['history', '--json'])).stdout);
+      const outcomes = new Map<string, string>(
+        history.items.map((item: { change_id: string; outcome: string }) => [
+          item.change_id,
+          item.outcome,
+        ]),
+      );
+      if (exitCode !== exitUnknown) {
+        assert.notEqual(outcomes.get('no-quorum'), 'accepted', told);
+      }
+      await watch.stop();
+      changes.close();
+    });
+  });
+
+  it('half of all nodes lost during a cut: no proxy goes back, all are whole after it', async () => {
+    await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const watch = watchVersions(deployment.nodes);
+      const inside = deployment.namesIn('c');
+      deployment.partition(inside, others(deployment, inside));
+      const during = await changes.apply(targetsOf(['lookup'], 60), ['c']);
+      const dying = deployment.nodes.filter((_, index) => index % 2 === 0);
+      await Promise.all(dying.map(({ process }) => process.end('SIGKILL')));
+      dying.forEach(({ process }) => process.start());
+      const connected = deployment.nodes.filter(({ dataCentre }) => dataCentre !== 'c');
+      await waitForVersion(connected, during);
+
+      deployment.heal();
+      const version = await changes.apply(targetsOf(['lookup'], 70));
+      await waitForVersion(deployment.nodes, version);
+      await waitForFresh(deployment.nodes);
+      await watch.stop();
+      changes.close();
+    });
+  });
+
+  it('connections silent for good while the leader is lost: the next change reaches all', async () => {
+    await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
+      const changes = await setUp(deployment);
+      const watch = watchVersions(deployment.nodes);
+      const lost = deployment.control(await leaderName(deployment));
+      deployment.controls.forEach(({ name }) => deployment.proxy(name, 'peer').silenceOpen());
+      await lost.process.end('SIGKILL');
+      changes.close();
+
+      const next = createChangeClient(deployment);
+      const version = await next.apply(targetsOf(['lookup'], 60));
+      await waitForVersion(deployment.nodes, version);
+      lost.process.start();
+      const last = await next.apply(targetsOf(['lookup'], 70));
+      await waitForVersion(deployment.nodes, last);
+      await waitForFresh(deployment.nodes);
+      await watch.stop();
+      next.close();
+    });
+  });
+});
