Ignore redirects to what is not an address, and bound the path of a parent

Cause: a redirect, or a peer named by a parent, went into the URL of a connection unchecked; text that is no address threw out of the loop that keeps a node attached and ended the process. A child could spread such a text by its own peer address. Change: addresses are checked where messages are read, on both sides; a parent with a path above 12 is left like one in a cycle.

--- a/__tests__/feedParents.test.ts
+++ b/__tests__/feedParents.test.ts
@@ -121,6 +121,23 @@
     assert.equal(heldIndex(node), 5);
   });
 
+  it('ignores a redirect to something that is not an address', async () => {
+    const { parent, node } = await attach('redirected');
+    const addresses = ['not an address', 'http://127.0.0.1:1', '', '127.0.0.1:99999'];
+    parent.send({ case: 'redirect', value: { addresses, retryAfterMs: 0 } });
+    parent.end();
+    await until(() => parent.subscriptions.length > 1, 'another subscription');
+    parent.send(fullUpdate(empty, 1));
+    await until(() => heldIndex(node) === 1, 'a version');
+  });
+
+  it('leaves a parent whose path is longer than any tree', async () => {
+    const { parent } = await attach('far-down');
+    const path = Array.from({ length: 100 }, (_, index) => `node-${index}`);
+    parent.beat({ head: { term: 1, index: 1 }, path });
+    await until(() => parent.subscriptions.length > 1, 'another subscription');
+  });
+
   it('leaves a parent whose path contains the node itself', async () => {
     const { parent } = await attach('looped');
     parent.beat({ head: { term: 1, index: 1 }, path: ['other', 'looped', 'fake'] });
--- a/__tests__/support/fakeParent.ts
+++ b/__tests__/support/fakeParent.ts
@@ -23,6 +23,8 @@
   beat(beat: { head: Version; path: string[]; ageMs?: number; root?: string }): void;
   /** Sends no more heartbeats; reports and pings are still answered. */
   mute(): void;
+  /** Ends all streams. */
+  end(): void;
   streams(): number;
   /** All subscriptions so far, probes left out. */
   readonly subscriptions: SubscribeRequest[];
@@ -36,7 +38,7 @@
   const address = await freeAddress();
   const subscriptions: SubscribeRequest[] = [];
   const changes: ChangeSubscriptionRequest[] = [];
-  const queues = new Set<{ messages: MessageInit[]; wake: () => void }>();
+  const queues = new Set<{ messages: MessageInit[]; ended: boolean; wake: () => void }>();
   let heartbeat: MessageInit | undefined;
 
   const send = (message: MessageInit) =>
@@ -61,7 +63,7 @@
       return;
     }
     subscriptions.push(request);
-    const queue = { messages: [] as MessageInit[], wake: (): void => undefined };
+    const queue = { messages: [] as MessageInit[], ended: false, wake: (): void => undefined };
     queues.add(queue);
     signal.addEventListener('abort', () => {
       queues.delete(queue);
@@ -71,6 +73,8 @@
       const next = queue.messages.shift();
       if (next) {
         yield writeBeat(next);
+      } else if (queue.ended) {
+        break;
       } else {
         await new Promise<void>((resolve) => {
           queue.wake = resolve;
@@ -114,6 +118,11 @@
     mute: () => {
       heartbeat = undefined;
     },
+    end: () =>
+      queues.forEach((queue) => {
+        queue.ended = true;
+        queue.wake();
+      }),
     streams: () => queues.size,
     subscriptions,
     changes,
--- a/src/core/childAdmission.ts
+++ b/src/core/childAdmission.ts
@@ -8,7 +8,7 @@
 const maxControlChildren = 16;
 const admissionsPerSecond = 8;
 /** Longer paths are refused: 16^6 nodes need 6 levels, so that more point at a fault. */
-const maxPathLength = 12;
+export const maxPathLength = 12;
 const redirectTargets = 3;
 /** Wait after a refusal without a target. */
 const refusedRetryMs = 500;
--- a/src/core/parentHealth.ts
+++ b/src/core/parentHealth.ts
@@ -4,6 +4,7 @@
  * another data centre, is kept while better ones are looked for.
  */
 import type { Version } from '../types/public.js';
+import { maxPathLength } from './childAdmission.js';
 import { confirmationLeaseMs } from './freshness.js';
 import { isNewer } from './version.js';
 
@@ -70,7 +71,7 @@
       },
       judge: (beat, newest, now) => {
         lastBeat = beat;
-        if (beat.path.includes(name)) {
+        if (beat.path.includes(name) || beat.path.length > maxPathLength) {
           return 'cycle';
         }
         unrootedSince = beat.rootDataCentre === '' ? (unrootedSince ?? now) : undefined;
--- a/src/plugins/feedClient.ts
+++ b/src/plugins/feedClient.ts
@@ -21,6 +21,7 @@
 import type { Timer } from '../utils/timer.js';
 import type { Access } from './access.js';
 import type { FeedMetrics } from './feedMetrics.js';
+import { readAddresses } from './feedMessages.js';
 import { heartbeatMs } from './feedServer.js';
 import { createRpcTransport } from './rpc.js';
 
@@ -153,7 +154,8 @@
       handlers.welcome(value);
       reportSoon();
     } else if (kind === 'redirect') {
-      const { addresses, retryAfterMs } = value;
+      const { retryAfterMs } = value;
+      const addresses = readAddresses(value.addresses);
       redirect = { outcome: 'redirected', addresses, retryAfterMs };
     } else if (kind === 'configuration') {
       handlers.configuration(value);
--- a/src/plugins/feedMessages.ts
+++ b/src/plugins/feedMessages.ts
@@ -24,6 +24,7 @@
 import type { ConfigurationChange } from '../core/configurationStore.js';
 import { noVersion } from '../core/version.js';
 import { Failure } from '../utils/failure.js';
+import { parseAddress } from './rpc.js';
 
 const maxTextLength = 256;
 const maxListLength = 20_000;
@@ -149,6 +150,10 @@
   message: MessageInitShape<typeof FeedMessageSchema>['message'],
 ): FeedMessage => create(FeedMessageSchema, { message });
 
+/** Reads addresses of other processes; what is not an address is left out. */
+export const readAddresses = (addresses: readonly string[]): string[] =>
+  checkList(addresses, 'addresses').filter((address) => parseAddress(address) !== undefined);
+
 const readCount = (message: VersionCountMessage): VersionCount => ({
   version: readVersion(message.version),
   dataCentre: checkText(message.dataCentre, 'count.data_centre'),
--- a/src/plugins/feedServer.ts
+++ b/src/plugins/feedServer.ts
@@ -29,6 +29,7 @@
 import type { Cancel, Timer } from '../utils/timer.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import {
+  readAddresses,
   readCursor,
   readVersion,
   writeCluster,
@@ -279,7 +280,8 @@
     admission.commands.admitChild(
       {
         name: subscriber.name,
-        address: subscriber.peerAddress,
+        // A child without a valid address is fed, and is no target of redirects.
+        address: readAddresses([subscriber.peerAddress])[0] ?? '',
         role: subscriber.role === 'control' ? 'control' : 'node',
       },
       {
--- a/src/plugins/nodeFeed.ts
+++ b/src/plugins/nodeFeed.ts
@@ -35,6 +35,7 @@
 import type { FeedMetrics } from './feedMetrics.js';
 import { createFeedServer, type Publication } from './feedServer.js';
 import {
+  readAddresses,
   readBranchReport,
   readCluster,
   readConfiguration,
@@ -222,7 +223,7 @@
 
   const onWelcome = (message: Welcome) => {
     raiseFloor(message);
-    choice.commands.learnPeers(message.peers);
+    choice.commands.learnPeers(readAddresses(message.peers));
     refusals = 0;
     upward.commands.reset();
     syncSubscriptions();
@@ -282,7 +283,7 @@
         readNodeVersions(response.siblingVersions).forEach((each) =>
           subtree.floors.commands.record(each, timer.now()),
         );
-        choice.commands.learnPeers(response.peers);
+        choice.commands.learnPeers(readAddresses(response.peers));
       },
     };
   };
