--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/nodeRuntime.ts
@@ -4,7 +4,7 @@
  */
 import { createBurn, burnReport } from '../core/burn.js';
 import { createEvidence } from '../core/evidence.js';
-import { explainPolicy, siblingsOf } from '../core/policy.js';
+import { explainPolicy, retryShare, siblingsOf } from '../core/policy.js';
 import { createRetryBudgets } from '../core/retry.js';
 import { formatVersion } from '../core/version.js';
 import type { Cluster } from '../types/public.js';
@@ -26,7 +26,6 @@
 import { createUpstreamAnnouncement } from './upstreamAnnouncement.js';
 import { createNodePools } from './upstreamPool.js';
 
-const retryShare = 0.1;
 const housekeepingMs = 1_000;
 
 export interface NodeRuntimeOptions {
