--- a/__tests__/support/deployment.ts
+++ b/__tests__/support/deployment.ts
@@ -177,6 +177,14 @@
   };
 };
 
+/** Addresses for a process that a test adds to a deployment, and starts at once. */
+export const reserveAddresses = async (count: number): Promise<string[]> => {
+  const reservations = createReservations();
+  const addresses = await Promise.all(Array.from({ length: count }, reservations.reserve));
+  await reservations.release();
+  return addresses;
+};
+
 const readTable = (file: string): string[][] =>
   readFileSync(file, 'utf8')
     .split('\n')
--- a/src/cli/commands/addMember.ts
+++ b/src/cli/commands/addMember.ts
@@ -10,22 +10,24 @@
 
   static override usage = Command.Usage({
     category: 'Commands',
-    description: 'Add a control instance, or one that lost its disk',
+    description: 'Add a control instance to those that hold the log',
     details: `
-      The instance has to run and to have caught up as a learner: see its incarnation and log index
-      in \`members\`.
+      The instance has to run. A member that lost its disk is taken back by itself and needs no
+      command.
     `,
     examples: [
       [
         'Add an instance',
-        '$0 members add control-aalst --incarnation 4f1c --address 127.0.0.1:7011 --data-centre depot-aalst --region oost-vlaanderen',
+        '$0 members add control-aalst --address 127.0.0.1:7011 --data-centre depot-aalst --region oost-vlaanderen',
       ],
     ],
   });
 
   member = Option.String({ name: 'NAME' });
 
-  incarnation = Option.String('--incarnation', { required: true });
+  incarnation = Option.String('--incarnation', '', {
+    description: 'Id of its data folder; default: the instance is asked',
+  });
 
   address = Option.String('--address', { required: true });
 
--- a/src/core/branches.ts
+++ b/src/core/branches.ts
@@ -2,11 +2,12 @@
  * The subtrees below a process, one branch for each child, as its reports describe them. A branch
  * has one lease, renewed by each report with the right digest of the branch's endpoints.
  */
-import type { Endpoint } from '../types/public.js';
+import type { Endpoint, Version } from '../types/public.js';
 import { compareRecords, digestEndpoints } from './clusterLog.js';
 import { equalBytes } from './delta.js';
 import type { SubtreeStatus } from './reports.js';
 import type { Withdrawal } from './tombstones.js';
+import { compareVersions } from './version.js';
 
 /** Lease of a branch: endpoints that are not renewed within it are gone. */
 export const leaseMs = 10_000;
@@ -45,7 +46,8 @@
   readonly queries: {
     /** The newest record of each endpoint of all branches. */
     endpoints(): Map<string, Endpoint>;
-    statuses(): SubtreeStatus[];
+    /** Statuses of all branches. Those with an older version than `head` name who is behind. */
+    statuses(head: Version): SubtreeStatus[];
     /** Nodes in a branch. */
     sizeOf(child: string): number;
   };
@@ -78,6 +80,20 @@
   }
 };
 
+/**
+ * A child that stopped before it heard of a new version reports nothing about it: it is named by
+ * its parent, which knows the version that the child reported last.
+ */
+const nameLaggard = (child: string, status: SubtreeStatus, head: Version): SubtreeStatus => {
+  const behind = status.counts.find(({ version }) => compareVersions(version, head) < 0);
+  if (!behind || status.laggards.length > 0) {
+    return status;
+  }
+  const { version, dataCentre } = behind;
+  const reason = 'has not reported the newer version';
+  return { ...status, laggards: [{ name: child, dataCentre, version, reason }] };
+};
+
 export const createBranches = (): Branches => {
   const branches = new Map<string, Branch>();
 
@@ -143,7 +159,8 @@
     },
     queries: {
       endpoints,
-      statuses: () => [...branches.values()].map(({ status }) => status),
+      statuses: (head) =>
+        [...branches].map(([child, { status }]) => nameLaggard(child, status, head)),
       sizeOf: (child) =>
         (branches.get(child)?.status.counts ?? []).reduce((sum, { nodes }) => sum + nodes, 0),
     },
--- a/src/core/subtree.ts
+++ b/src/core/subtree.ts
@@ -2,7 +2,7 @@
  * A process and everything below it in the fan-out tree: own endpoints, the branches of the
  * children, withdrawals and versions in force. This is what a process reports to its parent.
  */
-import type { Endpoint } from '../types/public.js';
+import type { Endpoint, Version } from '../types/public.js';
 import { compareRecords } from './clusterLog.js';
 import { createBranches, type BranchReport } from './branches.js';
 import { createFloors, type Floors, type NodeVersion } from './floors.js';
@@ -32,7 +32,8 @@
   };
   readonly queries: {
     state(): ReportedState;
-    status(own: SubtreeStatus): SubtreeStatus;
+    /** Status of the subtree; processes with an older version than `head` are named in it. */
+    status(own: SubtreeStatus, head: Version): SubtreeStatus;
     isWithdrawn(endpoint: Endpoint): boolean;
     sizeOf(child: string): number;
   };
@@ -143,7 +144,7 @@
           nodeVersions: reported.queries.list(),
         };
       },
-      status: (ownStatus) => mergeReports([ownStatus, ...branches.queries.statuses()]),
+      status: (ownStatus, head) => mergeReports([ownStatus, ...branches.queries.statuses(head)]),
       isWithdrawn: tombstones.queries.covers,
       sizeOf: branches.queries.sizeOf,
     },
--- a/src/plugins/controlFeed.ts
+++ b/src/plugins/controlFeed.ts
@@ -13,6 +13,7 @@
 import { mergeReports, type SubtreeStatus } from '../core/feed.js';
 import { createRegistry } from '../core/registry.js';
 import { createSubtree } from '../core/subtree.js';
+import { noVersion } from '../core/version.js';
 import type { Log } from '../utils/log.js';
 import type { Cancel, Timer } from '../utils/timer.js';
 import type { Access } from './access.js';
@@ -117,7 +118,8 @@
     reconcileDue ??= timer.after(batchMs, reconcile);
   };
 
-  const ownStatus = (): SubtreeStatus => subtree.queries.status(emptyStatus);
+  const ownStatus = (): SubtreeStatus =>
+    subtree.queries.status(emptyStatus, options.source.head()?.version ?? noVersion);
 
   const exchange = createControlExchange({
     ...options,
--- a/src/plugins/nodeFeed.ts
+++ b/src/plugins/nodeFeed.ts
@@ -257,7 +257,7 @@
   const buildReport = () => {
     const reported = subtree.queries.state();
     const difference = upward.queries.difference(reported);
-    const status = subtree.queries.status(ownStatus());
+    const status = subtree.queries.status(ownStatus(), headVersion);
     return {
       report: {
         name: node.name,
