--- a/src/plugins/callRun.ts
+++ b/src/plugins/callRun.ts
@@ -39,7 +39,8 @@
   readonly upstream: LocalUpstream;
   readonly remote: RemoteNodes;
   readonly evidence: Evidence;
-  readonly budget: RetryBudget;
+  /** Retry budget of a class. */
+  readonly budgetOf: (className: string) => RetryBudget;
   readonly onRetry: (className: string) => void;
 }
 
@@ -111,7 +112,7 @@
 
 /** Creates the runner of a node's calls. */
 export const createCallRunner = (options: CallRunnerOptions): CallRunner => {
-  const { home, timer, random, upstream, remote, evidence, budget } = options;
+  const { home, timer, random, upstream, remote, evidence } = options;
   const attemptPrefix = randomUUID();
   let attemptCount = 0;
 
@@ -122,6 +123,7 @@
 
   const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
     const { policy } = plan;
+    const budget = options.budgetOf(policy.className);
     const active = new Set<Attempt>();
     const excluded = new Set<string>();
     let winner: Attempt | undefined;
@@ -258,7 +260,7 @@
       onFailure: (failure) => onFailure(attempt, failure),
     });
 
-    const requestOf = (attemptId: string): AttemptRequest => ({
+    const requestOf = (attemptId: string, isHedge: boolean): AttemptRequest => ({
       attemptId,
       requestId: plan.requestId,
       className: policy.className,
@@ -271,6 +273,7 @@
       body: plan.body,
       deadlineAt: plan.deadlineAt,
       headTimeoutMs: policy.attemptTimeoutMs,
+      needsFreshConnection: isHedge,
     });
 
     const chooseRemote = (cluster: Cluster): Endpoint | undefined => {
@@ -293,6 +296,10 @@
         !evidence.queries.isEjected(home.name, now);
       const cluster = isLocal ? undefined : plan.held.clusters.get(policy.service);
       const endpoint = cluster && chooseRemote(cluster);
+      const isHedge = active.size > 0;
+      if (!isLocal && !endpoint && isHedge) {
+        return;
+      }
       if (!isLocal && !endpoint) {
         refuse(earlier ?? reportOf(new Failure('no_upstream', policy.service)));
         return;
@@ -308,9 +315,10 @@
       active.add(attempt);
       evidence.commands.recordStart(attempt.endpointId, now);
       const isOwn = !endpoint || endpoint.node === home.name;
+      const request = requestOf(id, isHedge);
       attempt.running = isOwn
-        ? upstream.commands.send(requestOf(id), listenTo(attempt))
-        : remote.send(endpoint, requestOf(id), listenTo(attempt));
+        ? upstream.commands.send(request, listenTo(attempt))
+        : remote.send(endpoint, request, listenTo(attempt));
     };
 
     const startHedge = () => {
--- a/src/plugins/localUpstream.ts
+++ b/src/plugins/localUpstream.ts
@@ -40,6 +40,8 @@
     leave(): void;
     /** Takes calls again after `leave`. */
     resume(): void;
+    /** Refuses later calls with `leaving` while an operator has drained the endpoint. */
+    setDrained(drained: boolean): void;
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
     stop(): Promise<void>;
   };
@@ -62,6 +64,10 @@
   decide(refusal: AdmissionRefusal | undefined): void;
 }
 
+/** A call needs a connection of its own: more calls would wait out of turn for one. */
+const slotsOf = ({ slots, connections }: UpstreamDescription): number =>
+  Math.min(slots, connections);
+
 const refusedReport = (reason: FailureReason): AttemptFailureReport => ({
   reason,
   run: 'not_run',
@@ -75,6 +81,7 @@
   let pool: Pool | undefined;
   let admission: Admission | undefined;
   let isLeaving = false;
+  let isDrained = false;
   let isUnreachable = false;
   let cancelTick: Cancel | undefined;
   let tickAt = Infinity;
@@ -183,9 +190,9 @@
       listener.onFailure(refusedReport(refusal));
     };
 
-    if (!admission || !pool) {
+    if (!admission || !pool || isDrained) {
       isOver = true;
-      listener.onFailure(refusedReport('no_upstream'));
+      listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream'));
     } else {
       entries.set(attemptId, { decide });
       carryOut(
@@ -228,8 +235,8 @@
     }
     description = next;
     isUnreachable = false;
-    admission ??= createAdmission({ slots: next.slots });
-    carryOut(admission.commands.setLimit(next.slots, timer.now()));
+    admission ??= createAdmission({ slots: slotsOf(next) });
+    carryOut(admission.commands.setLimit(slotsOf(next), timer.now()));
   };
 
   const leave = () => {
@@ -240,7 +247,7 @@
   const resume = () => {
     // The admission of calls in flight stays until they are over; `leave` is final for it.
     isLeaving = false;
-    admission = description && createAdmission({ slots: description.slots });
+    admission = description && createAdmission({ slots: slotsOf(description) });
   };
 
   return {
@@ -248,6 +255,9 @@
       describe,
       leave,
       resume,
+      setDrained: (drained) => {
+        isDrained = drained;
+      },
       send,
       stop: async () => {
         cancelTick?.();
@@ -259,6 +269,7 @@
       isLeaving: () => isLeaving,
       hasFreeSlot: (service) =>
         !isLeaving &&
+        !isDrained &&
         description?.service === service &&
         admission !== undefined &&
         admission.queries.waiting() === 0 &&
