Test that an upload waits for its upstream

Guards against a body that sits whole in a node. 11 MiB of 48 are taken while the upstream stands still; with the bound on kept bodies taken out, 48 MiB are, and the test fails.

--- /dev/null
+++ b/__tests__/uploads.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import { connect, type Socket } from 'node:net';
+import { it } from 'node:test';
+import { startMesh } from './support/callMesh.js';
+import { waitFor } from './support/waitFor.js';
+
+const mebibyte = 1024 * 1024;
+const bodyBytes = 48 * mebibyte;
+/** Buffers of the kernel on three connections, and of the streams between them. */
+const heldLimitBytes = 24 * mebibyte;
+
+const targets = `
+[class.upload]
+service = "s"
+match = [{ method = "POST", path = "/plain" }]
+answer_within = "30s"
+`;
+
+it('stops reading a large body while the upstream does not take it, then passes on all', async () => {
+  const mesh = await startMesh({ targets });
+  let stalled: Socket | undefined;
+  let received = 0;
+  mesh.upstream.onBytes((socket, total) => {
+    received = total;
+    if (!stalled) {
+      stalled = socket;
+      socket.pause();
+    }
+  });
+  const [host, port] = mesh.caller.split(':');
+  const caller = connect(Number(port), host);
+  let answer = '';
+  caller.on('data', (part) => {
+    answer += part.toString('latin1');
+  });
+  const head = `POST /plain HTTP/1.1\r\nhost: a\r\ncontent-length: ${bodyBytes}\r\n\r\n`;
+  caller.write(head);
+  const piece = Buffer.alloc(64 * 1024, 'u');
+  let sent = 0;
+  const sendMore = () => {
+    while (sent < bodyBytes) {
+      sent += piece.length;
+      if (!caller.write(piece)) {
+        caller.once('drain', sendMore);
+        return;
+      }
+    }
+  };
+  sendMore();
+  await waitFor(() => stalled, { what: 'the upload reaches the upstream' });
+  let unchanged = 0;
+  let last = 0;
+  await waitFor(() => {
+    unchanged = sent === last ? unchanged + 1 : 0;
+    last = sent;
+    return unchanged >= 10;
+  });
+  const taken = sent;
+  stalled?.resume();
+  await waitFor(() => received > bodyBytes && answer.includes('200 OK'), { limitMs: 30_000 });
+  console.log(`${Math.round(taken / mebibyte)} MiB taken while the upstream stood still`);
+  assert.ok(taken < heldLimitBytes, String(taken));
+  caller.destroy();
+  await mesh.stop();
+});
