--- a/__tests__/control.process.test.ts
+++ b/__tests__/control.process.test.ts
@@ -21,7 +21,7 @@
       const claims = await waitFor(
         async () => {
           const answers = await Promise.all(clients.map(({ ledger }) => ledger.claim(key)));
-          return answers.some(({ outcome }) => outcome !== 'not_leader') && answers;
+          return answers.some(({ outcome }) => outcome !== 'not_leader') ? answers : undefined;
         },
         { what: 'a leader of the ledger' },
       );
--- a/src/plugins/nodeFeed.ts
+++ b/src/plugins/nodeFeed.ts
@@ -35,6 +35,7 @@
 import type { FeedMetrics } from './feedMetrics.js';
 import { createFeedServer, type Publication } from './feedServer.js';
 import {
+  readAddresses,
   readBranchReport,
   readCluster,
   readConfiguration,
@@ -222,7 +223,7 @@
 
   const onWelcome = (message: Welcome) => {
     raiseFloor(message);
-    choice.commands.learnPeers(message.peers);
+    choice.commands.learnPeers(readAddresses(message.peers));
     refusals = 0;
     upward.commands.reset();
     syncSubscriptions();
@@ -257,7 +258,7 @@
   const buildReport = () => {
     const reported = subtree.queries.state();
     const difference = upward.queries.difference(reported);
-    const status = subtree.queries.status(ownStatus());
+    const status = subtree.queries.status(ownStatus(), headVersion);
     return {
       report: {
         name: node.name,
@@ -282,7 +283,7 @@
         readNodeVersions(response.siblingVersions).forEach((each) =>
           subtree.floors.commands.record(each, timer.now()),
         );
-        choice.commands.learnPeers(response.peers);
+        choice.commands.learnPeers(readAddresses(response.peers));
       },
     };
   };
