Close every socket of the fault proxy

Cause: the file of the tests of two faults passed and then spun until its limit of 240 s. A profile showed the event loop in epoll without JavaScript: Node.js leaves the handle of a socket open when a reset follows the end of its writable side, and a half-closed pair was no longer known to close(). Ruled out: open HTTP/2 sessions and timers of the test. Change: such sockets are closed and not reset; a connection is forgotten when both sides are closed.

--- a/__tests__/support/faultProxy.ts
+++ b/__tests__/support/faultProxy.ts
@@ -72,10 +72,15 @@
   accept: 'open',
 });
 
-/** Sends RST without ending the writable side first, which `resetAndDestroy()` would do. */
+/**
+ * Sends RST without ending the writable side first, which `resetAndDestroy()` would do. A socket
+ * whose writable side has ended cannot be reset: Node.js would leave its handle open, and the event
+ * loop would spin on it.
+ */
 const resetSocket = (socket: Socket | undefined) => {
-  if (socket) {
-    Object.assign(socket, { resetAndClosing: true });
+  if (socket && !socket.destroyed) {
+    const canReset = !socket.writableEnded && !socket.connecting;
+    Object.assign(socket, { resetAndClosing: canReset });
     socket.destroy();
   }
 };
@@ -197,6 +202,13 @@
   const at = target.lastIndexOf(':');
   const targetAddress = { host: target.slice(0, at), port: Number(target.slice(at + 1)) };
 
+  /** Half-closed connections stay known, so that `close` ends both of their sockets. */
+  const forgetIfClosed = (connection: Connection) => {
+    if (connection.client.destroyed && (connection.server?.destroyed ?? true)) {
+      connections.delete(connection);
+    }
+  };
+
   const faultsOf = (source: string | undefined): LinkFaults =>
     (source === undefined ? undefined : faultsBySource.get(source)) ?? faultsOfAll;
 
@@ -209,7 +221,7 @@
     connection.server = server;
     server.setNoDelay(true);
     server.on('error', () => resetSocket(client));
-    server.on('close', () => connections.delete(connection));
+    server.on('close', () => forgetIfClosed(connection));
     client.on('close', (hadError) => (hadError ? resetSocket(server) : server.end()));
     connection.pumps.push(
       createPump(client, server, () => faultsOfConnection(connection).toServer),
@@ -229,7 +241,7 @@
     const source = sourceOf(client.remotePort ?? 0);
     const connection: Connection = { source, client, pumps: [], isSilenced: false };
     connections.add(connection);
-    client.on('close', () => connections.delete(connection));
+    client.on('close', () => forgetIfClosed(connection));
     acceptModes[faultsOf(source).accept](connection);
   });
 
