--- a/bench/support/load.ts
+++ b/bench/support/load.ts
@@ -61,7 +61,6 @@
 }
 
 const defaultTimeoutMs = 30_000;
-const tickMs = 1;
 const microsecondsPerMs = 1_000;
 const highestLatencyUs = 120_000_000;
 
@@ -225,14 +224,18 @@
     });
   };
 
+  // Timers fire in steps of a millisecond or more, which would send calls in bursts: the loop turns
+  // without a pause, so that each call starts at its planned time.
   await new Promise<void>((resolve) => {
-    const ticker = setInterval(() => {
+    const turn = () => {
       startDue();
       if (performance.now() - startedAt >= endAt) {
-        clearInterval(ticker);
         resolve();
+      } else {
+        setImmediate(turn);
       }
-    }, tickMs);
+    };
+    turn();
   });
   await Promise.all(open);
   await agent.close();
--- a/standins/upstream.ts
+++ b/standins/upstream.ts
@@ -267,15 +267,19 @@
         finish();
       }
     };
-    const work = setTimeout(() => {
+    const complete = () => {
       counters.finished += 1;
       answerModes[mode](call);
       endOnce();
-    }, workMsOf(call.url));
+    };
+    const workMs = workMsOf(call.url);
+    // A timer waits for at least a millisecond.
+    const work = workMs > 0 ? setTimeout(complete, workMs) : setImmediate(complete);
     call.response.on('close', () => {
       if (!call.response.writableEnded && behaviour.honourCancellation && !isOver) {
         counters.cancelled += 1;
-        clearTimeout(work);
+        clearTimeout(work as NodeJS.Timeout);
+        clearImmediate(work as NodeJS.Immediate);
         endOnce();
       }
     });
