Take operators' changes one at a time

Cause: changes that arrived together were judged on the same state, and each that lost the race left an entry in the log; p-queue was declared and not used. Change: apply and drain take turns in a p-queue, 100 waiting at most; a further one is refused as not run.

--- a/src/plugins/operatorCommands.ts
+++ b/src/plugins/operatorCommands.ts
@@ -3,6 +3,7 @@
  * whether the change can have taken effect: a refusal is given only if it did not.
  */
 import type { ConnectRouter } from '@connectrpc/connect';
+import PQueue from 'p-queue';
 import {
   encodeChange,
   encodeDrain,
@@ -33,6 +34,8 @@
 
 const maxChangeIdLength = 128;
 const maxNoteLength = 1_024;
+/** Changes that wait for their turn; a further one is refused before it is judged. */
+const maxWaitingChanges = 100;
 
 const emptyConfiguration: Configuration = { services: {}, classes: {} };
 
@@ -118,6 +121,9 @@
   log,
   askIncarnation,
 }: OperatorCommandsOptions) => {
+  // One change at a time: each is judged on the state that the one before it has left.
+  const turns = new PQueue({ concurrency: 1 });
+
   const leaderAddress = (): string => group.queries.leader()?.address ?? '';
 
   const attachment = (): Attachment =>
@@ -301,7 +307,10 @@
       apply: async (request, { requestHeader }) => {
         const operator = operatorOf(requestHeader);
         const attached = attachment();
-        const answer = await apply(request, operator);
+        const answer =
+          turns.size < maxWaitingChanges
+            ? await turns.add(() => apply(request, operator))
+            : refuse([refusalFinding('overloaded', 'too many changes wait')]);
         log.info('change decided', {
           changeId: request.changeId,
           operator,
@@ -322,7 +331,10 @@
       },
       drain: async (request, { requestHeader }) => {
         const operator = operatorOf(requestHeader);
-        const answer = await drain(request, operator);
+        const answer =
+          turns.size < maxWaitingChanges
+            ? await turns.add(() => drain(request, operator))
+            : { outcome: 'refused', message: 'too many changes wait' };
         const { changeId, endpointId, undo } = request;
         log.info('drain decided', {
           changeId,
