--- a/__tests__/acceptance.test.ts
+++ b/__tests__/acceptance.test.ts
@@ -7,10 +7,14 @@
   maxChangesKept,
   maxConfigurationsKept,
   type Acceptance,
-} from '../src/core/acceptance.js';
-import { parseTargets } from '../src/core/configuration.js';
-import { createLedger, encodeLedgerCommand, type LedgerResult } from '../src/core/ledger.js';
-import { noVersion } from '../src/core/version.js';
+} from '../src/core/agreement/acceptance.js';
+import { parseTargets } from '../src/core/operators/configuration.js';
+import {
+  createLedger,
+  encodeLedgerCommand,
+  type LedgerResult,
+} from '../src/core/agreement/ledger.js';
+import { noVersion } from '../src/core/agreement/version.js';
 import type { Version } from '../src/types/public.js';
 import { targetsOf } from './support/controlClient.js';
 
--- a/__tests__/access.test.ts
+++ b/__tests__/access.test.ts
@@ -4,7 +4,11 @@
 import { Code, ConnectError, createClient } from '@connectrpc/connect';
 import { Ledger } from '../src/gen/auburnsill/v1/ledger_pb.js';
 import { OperatorQueries } from '../src/gen/auburnsill/v1/operator_pb.js';
-import { createAccess, createTokenInterceptor, operatorOf } from '../src/plugins/access.js';
+import {
+  createAccess,
+  createTokenInterceptor,
+  operatorOf,
+} from '../src/plugins/operators/access.js';
 import { createRpcServer, createRpcTransport, parseAddress } from '../src/plugins/rpc.js';
 
 const sha256 = (text: string) => createHash('sha256').update(text).digest('hex');
--- a/__tests__/admission.test.ts
+++ b/__tests__/admission.test.ts
@@ -7,8 +7,8 @@
   type AdmissionCall,
   type AdmissionEffect,
   type FinishOutcome,
-} from '../src/core/admission.js';
-import { createAdaptiveLimit } from '../src/core/adaptiveLimit.js';
+} from '../src/core/calls/admission.js';
+import { createAdaptiveLimit } from '../src/core/calls/adaptiveLimit.js';
 import { check } from './support/arbitraries.js';
 
 const ended = (latencyMs: number, outcome: FinishOutcome['outcome'] = 'ok') => ({
--- a/__tests__/burn.test.ts
+++ b/__tests__/burn.test.ts
@@ -9,8 +9,8 @@
   outcomeOfRefusal,
   type CallOutcome,
   type RecordedCall,
-} from '../src/core/burn.js';
-import { parseTargets } from '../src/core/configuration.js';
+} from '../src/core/operators/burn.js';
+import { parseTargets } from '../src/core/operators/configuration.js';
 import { check } from './support/arbitraries.js';
 
 const minute = 60_000;
--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createEvidence } from '../src/core/evidence.js';
-import { createRetryBudget } from '../src/core/retry.js';
-import { createCallRunner } from '../src/plugins/callRun.js';
-import { createLocalUpstream } from '../src/plugins/localUpstream.js';
-import type { RemoteNodes } from '../src/plugins/remoteNode.js';
+import { createEvidence } from '../src/core/calls/evidence.js';
+import { createRetryBudget } from '../src/core/calls/retry.js';
+import { createCallRunner } from '../src/plugins/calls/callRun.js';
+import { createLocalUpstream } from '../src/plugins/calls/localUpstream.js';
+import type { RemoteNodes } from '../src/plugins/calls/remoteNode.js';
 import type { AnswerHead } from '../src/types/calls.js';
 import { createManualTimer } from '../src/utils/timer.js';
 import { createCluster, createEndpoint, createPolicy, createRandom } from './support/fleet.js';
--- a/__tests__/configuration.test.ts
+++ b/__tests__/configuration.test.ts
@@ -10,7 +10,7 @@
   matchClass,
   maxTargetBytes,
   parseTargets,
-} from '../src/core/configuration.js';
+} from '../src/core/operators/configuration.js';
 import { Failure } from '../src/utils/failure.js';
 import type { Inventory } from '../src/types/internal.js';
 import type { Configuration, Endpoint } from '../src/types/public.js';
--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createReplica, emptySnapshot, type ReplicaCore } from '../src/core/consensus.js';
-import { encodeMembers } from '../src/core/consensusLog.js';
+import { createReplica, emptySnapshot, type ReplicaCore } from '../src/core/agreement/consensus.js';
+import { encodeMembers } from '../src/core/agreement/consensusLog.js';
 import type {
   LogEntry,
   ReplicaEffect,
   ReplicaEvent,
   RequestMessage,
-} from '../src/core/consensusTypes.js';
+} from '../src/core/agreement/consensusTypes.js';
 import type { Member } from '../src/types/internal.js';
 
 const electionTimeoutMs = 1_000;
--- a/__tests__/distribution.test.ts
+++ b/__tests__/distribution.test.ts
@@ -6,19 +6,28 @@
   createClusterLog,
   digestEndpoints,
   type ClusterChange,
-} from '../src/core/clusterLog.js';
-import { digestConfiguration } from '../src/core/configuration.js';
+} from '../src/core/distribution/clusterLog.js';
+import { digestConfiguration } from '../src/core/operators/configuration.js';
 import {
   createConfigurationStore,
   type ConfigurationChange,
-} from '../src/core/configurationStore.js';
-import { applyDelta, diffConfigurations } from '../src/core/delta.js';
-import { createFloors } from '../src/core/floors.js';
-import { clusterWaitMs, createHolding, type HoldingState } from '../src/core/holding.js';
-import { createNodeClusters } from '../src/core/nodeClusters.js';
-import { derivePolicies } from '../src/core/policy.js';
-import { createRegistry, settleMs } from '../src/core/registry.js';
-import { compareVersions, formatVersion, isNewer, noVersion } from '../src/core/version.js';
+} from '../src/core/distribution/configurationStore.js';
+import { applyDelta, diffConfigurations } from '../src/core/distribution/delta.js';
+import { createFloors } from '../src/core/distribution/floors.js';
+import {
+  clusterWaitMs,
+  createHolding,
+  type HoldingState,
+} from '../src/core/distribution/holding.js';
+import { createNodeClusters } from '../src/core/distribution/nodeClusters.js';
+import { derivePolicies } from '../src/core/operators/policy.js';
+import { createRegistry, settleMs } from '../src/core/distribution/registry.js';
+import {
+  compareVersions,
+  formatVersion,
+  isNewer,
+  noVersion,
+} from '../src/core/agreement/version.js';
 import type { Configuration, Endpoint, Version } from '../src/types/public.js';
 import { check, configurationArbitrary } from './support/arbitraries.js';
 import { configurationOf, endpointOf } from './support/feedFleet.js';
--- a/__tests__/drain.test.ts
+++ b/__tests__/drain.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createAcceptance, encodeChange, encodeDrain } from '../src/core/acceptance.js';
-import { parseTargets } from '../src/core/configuration.js';
-import { decodeConfiguration, encodeConfiguration } from '../src/core/configurationCodec.js';
-import { applyDelta, diffConfigurations } from '../src/core/delta.js';
+import { createAcceptance, encodeChange, encodeDrain } from '../src/core/agreement/acceptance.js';
+import { parseTargets } from '../src/core/operators/configuration.js';
+import {
+  decodeConfiguration,
+  encodeConfiguration,
+} from '../src/core/operators/configurationCodec.js';
+import { applyDelta, diffConfigurations } from '../src/core/distribution/delta.js';
 import type { Version } from '../src/types/public.js';
 
 const targets = '[class.lookup]\nservice = "s"\nmatch = [{ path = "/" }]\n';
--- a/__tests__/feedParents.test.ts
+++ b/__tests__/feedParents.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { after, describe, it } from 'node:test';
-import { digestConfiguration, encodeConfiguration } from '../src/core/configuration.js';
-import { diffConfigurations, encodeDelta } from '../src/core/delta.js';
-import type { NodeFeed } from '../src/plugins/nodeFeed.js';
+import { digestConfiguration, encodeConfiguration } from '../src/core/operators/configuration.js';
+import { diffConfigurations, encodeDelta } from '../src/core/distribution/delta.js';
+import type { NodeFeed } from '../src/plugins/distribution/nodeFeed.js';
 import type { Configuration, Version } from '../src/types/public.js';
 import { startFakeParent } from './support/fakeParent.js';
 import {
--- a/__tests__/feedTree.test.ts
+++ b/__tests__/feedTree.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { after, describe, it } from 'node:test';
 import type { Version } from '../src/types/public.js';
-import type { NodeFeed } from '../src/plugins/nodeFeed.js';
-import { probeFeed } from '../src/plugins/feedClient.js';
+import type { NodeFeed } from '../src/plugins/distribution/nodeFeed.js';
+import { probeFeed } from '../src/plugins/distribution/feedClient.js';
 import {
   access,
   clusterName,
--- a/__tests__/founding.test.ts
+++ b/__tests__/founding.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { decodeMembers } from '../src/core/consensusLog.js';
-import { foundGroup, isEmptyLog, type FoundingOptions } from '../src/plugins/founding.js';
-import { openGroupLog } from '../src/plugins/groupLog.js';
+import { decodeMembers } from '../src/core/agreement/consensusLog.js';
+import { foundGroup, isEmptyLog, type FoundingOptions } from '../src/plugins/agreement/founding.js';
+import { openGroupLog } from '../src/plugins/agreement/groupLog.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createManualTimer } from '../src/utils/timer.js';
 import { createMemoryFiles } from './support/memoryFiles.js';
--- a/__tests__/policy.test.ts
+++ b/__tests__/policy.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { derivePolicies, derivePolicy, explainPolicy } from '../src/core/policy.js';
+import { derivePolicies, derivePolicy, explainPolicy } from '../src/core/operators/policy.js';
 import type { TrafficClass } from '../src/types/public.js';
 import { check, configurationArbitrary } from './support/arbitraries.js';
 
--- a/__tests__/replicaGroup.test.ts
+++ b/__tests__/replicaGroup.test.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { encodeMembers } from '../src/core/consensusLog.js';
-import { openGroupLog } from '../src/plugins/groupLog.js';
-import { createReplicaGroup, type RunningReplicaGroup } from '../src/plugins/replicaGroup.js';
+import { encodeMembers } from '../src/core/agreement/consensusLog.js';
+import { openGroupLog } from '../src/plugins/agreement/groupLog.js';
+import {
+  createReplicaGroup,
+  type RunningReplicaGroup,
+} from '../src/plugins/agreement/replicaGroup.js';
 import type { Member } from '../src/types/internal.js';
 import { Failure, type FailureReason } from '../src/utils/failure.js';
 import { createSilentLog } from '../src/utils/log.js';
--- a/__tests__/retry.test.ts
+++ b/__tests__/retry.test.ts
@@ -8,7 +8,7 @@
   decideRetry,
   isRetriedBelow,
   type RetryQuestion,
-} from '../src/core/retry.js';
+} from '../src/core/calls/retry.js';
 import { failureTable, type FailureReason } from '../src/utils/failure.js';
 import { check } from './support/arbitraries.js';
 import { createPolicy } from './support/fleet.js';
--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { createEvidence, type AttemptOutcome, type Evidence } from '../src/core/evidence.js';
-import { chooseEndpoint, endpointsInUse } from '../src/core/routing.js';
+import { createEvidence, type AttemptOutcome, type Evidence } from '../src/core/calls/evidence.js';
+import { chooseEndpoint, endpointsInUse } from '../src/core/calls/routing.js';
 import type { Cluster, Endpoint, Policy } from '../src/types/public.js';
 import { check } from './support/arbitraries.js';
 import { createCluster, createEndpoint, createPolicy, createRandom } from './support/fleet.js';
--- a/__tests__/silentCaller.test.ts
+++ b/__tests__/silentCaller.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
 import { it } from 'node:test';
-import { createCallListener } from '../src/plugins/callListener.js';
+import { createCallListener } from '../src/plugins/calls/callListener.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createTimer } from '../src/utils/timer.js';
 import { waitFor } from './support/waitFor.js';
--- a/__tests__/storage.test.ts
+++ b/__tests__/storage.test.ts
@@ -5,9 +5,9 @@
 import { describe, it } from 'node:test';
 import { isDeepStrictEqual } from 'node:util';
 import fc from 'fast-check';
-import type { LogEntry, PersistEffect } from '../src/core/consensusTypes.js';
-import { openGroupLog, type LoadedLog } from '../src/plugins/groupLog.js';
-import { openStorage } from '../src/plugins/storage.js';
+import type { LogEntry, PersistEffect } from '../src/core/agreement/consensusTypes.js';
+import { openGroupLog, type LoadedLog } from '../src/plugins/agreement/groupLog.js';
+import { openStorage } from '../src/plugins/agreement/storage.js';
 import { Failure, type FailureReason } from '../src/utils/failure.js';
 import {
   createMemoryFiles,
--- a/__tests__/strangers.process.test.ts
+++ b/__tests__/strangers.process.test.ts
@@ -8,7 +8,7 @@
 import { Feed } from '../src/gen/auburnsill/v1/feed_pb.js';
 import { Ledger } from '../src/gen/auburnsill/v1/ledger_pb.js';
 import { OperatorCommands, OperatorQueries } from '../src/gen/auburnsill/v1/operator_pb.js';
-import { createTokenInterceptor } from '../src/plugins/access.js';
+import { createTokenInterceptor } from '../src/plugins/operators/access.js';
 import { createRpcTransport } from '../src/plugins/rpc.js';
 import { startDeployment, type Deployment } from './support/deployment.js';
 
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -4,11 +4,11 @@
  */
 import { request as httpRequest, type IncomingHttpHeaders } from 'node:http';
 import { createServer, type Socket } from 'node:net';
-import { parseTargets } from '../../src/core/configuration.js';
-import { derivePolicies } from '../../src/core/policy.js';
-import { createAccess } from '../../src/plugins/access.js';
+import { parseTargets } from '../../src/core/operators/configuration.js';
+import { derivePolicies } from '../../src/core/operators/policy.js';
+import { createAccess } from '../../src/plugins/operators/access.js';
 import { createMetrics } from '../../src/plugins/metrics.js';
-import { createNodeRuntime, type BoundAddresses } from '../../src/plugins/nodeRuntime.js';
+import { createNodeRuntime, type BoundAddresses } from '../../src/plugins/calls/nodeRuntime.js';
 import type {
   Announcer,
   ClaimOutcome,
--- a/__tests__/support/controlClient.ts
+++ b/__tests__/support/controlClient.ts
@@ -5,7 +5,7 @@
 import { createClient, type Client } from '@connectrpc/connect';
 import { Ledger } from '../../src/gen/auburnsill/v1/ledger_pb.js';
 import { OperatorCommands, OperatorQueries } from '../../src/gen/auburnsill/v1/operator_pb.js';
-import { createTokenInterceptor } from '../../src/plugins/access.js';
+import { createTokenInterceptor } from '../../src/plugins/operators/access.js';
 import { createRpcTransport } from '../../src/plugins/rpc.js';
 import type { ControlInstance, Deployment } from './deployment.js';
 import { waitFor } from './waitFor.js';
--- a/__tests__/support/fakeParent.ts
+++ b/__tests__/support/fakeParent.ts
@@ -8,7 +8,7 @@
   type ChangeSubscriptionRequest,
   type SubscribeRequest,
 } from '../../src/gen/auburnsill/v1/feed_pb.js';
-import { createAccess } from '../../src/plugins/access.js';
+import { createAccess } from '../../src/plugins/operators/access.js';
 import { createRpcServer, parseAddress } from '../../src/plugins/rpc.js';
 import type { Version } from '../../src/types/public.js';
 import { clusterToken, freeAddress } from './feedFleet.js';
--- a/__tests__/support/feedFleet.ts
+++ b/__tests__/support/feedFleet.ts
@@ -3,14 +3,14 @@
  * that the test changes by hand.
  */
 import { createServer } from 'node:net';
-import { digestConfiguration } from '../../src/core/configuration.js';
-import { createAccess } from '../../src/plugins/access.js';
-import { createControlFeed, type ControlFeed } from '../../src/plugins/controlFeed.js';
-import { createNodeFeed, type NodeFeed } from '../../src/plugins/nodeFeed.js';
+import { digestConfiguration } from '../../src/core/operators/configuration.js';
+import { createAccess } from '../../src/plugins/operators/access.js';
+import { createControlFeed, type ControlFeed } from '../../src/plugins/distribution/controlFeed.js';
+import { createNodeFeed, type NodeFeed } from '../../src/plugins/distribution/nodeFeed.js';
 import { createRpcServer, parseAddress, type RpcServer } from '../../src/plugins/rpc.js';
 import type { ConfigurationSource, Head } from '../../src/types/internal.js';
 import type { Configuration, Endpoint, TrafficClass, Version } from '../../src/types/public.js';
-import { formatVersion } from '../../src/core/version.js';
+import { formatVersion } from '../../src/core/agreement/version.js';
 import { createLog, createSilentLog } from '../../src/utils/log.js';
 import { createTimer } from '../../src/utils/timer.js';
 
--- a/__tests__/support/fleetView.ts
+++ b/__tests__/support/fleetView.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from 'node:crypto';
 import { createClient } from '@connectrpc/connect';
 import { OperatorCommands } from '../../src/gen/auburnsill/v1/operator_pb.js';
-import { createTokenInterceptor } from '../../src/plugins/access.js';
+import { createTokenInterceptor } from '../../src/plugins/operators/access.js';
 import { createRpcTransport } from '../../src/plugins/rpc.js';
 import type { Deployment, MeshNode } from './deployment.js';
 import { waitFor } from './waitFor.js';
--- a/__tests__/support/memoryFiles.ts
+++ b/__tests__/support/memoryFiles.ts
@@ -1,7 +1,7 @@
 /**
  * Files in memory that tell written from durable data, for tests of crashes and failing disks.
  */
-import type { DataFile, Files } from '../../src/plugins/files.js';
+import type { DataFile, Files } from '../../src/plugins/agreement/files.js';
 
 export type FailingOperation = 'append' | 'sync' | 'rename' | 'syncFolder';
 
--- a/__tests__/support/replicaWorld.ts
+++ b/__tests__/support/replicaWorld.ts
@@ -5,9 +5,13 @@
  */
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
-import { createReplica, emptyHardState, emptySnapshot } from '../../src/core/consensus.js';
-import type { ReplicaCore } from '../../src/core/consensus.js';
-import { encodeMembers } from '../../src/core/consensusLog.js';
+import {
+  createReplica,
+  emptyHardState,
+  emptySnapshot,
+} from '../../src/core/agreement/consensus.js';
+import type { ReplicaCore } from '../../src/core/agreement/consensus.js';
+import { encodeMembers } from '../../src/core/agreement/consensusLog.js';
 import type {
   AnswerMessage,
   HardState,
@@ -18,7 +22,7 @@
   ReplicaSnapshot,
   RequestMessage,
   Sender,
-} from '../../src/core/consensusTypes.js';
+} from '../../src/core/agreement/consensusTypes.js';
 import type { Member } from '../../src/types/internal.js';
 
 const electionTimeoutMs = 1_000;
--- a/__tests__/version.test.ts
+++ b/__tests__/version.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { compareVersions, formatVersion, isNewer, parseVersion } from '../src/core/version.js';
+import {
+  compareVersions,
+  formatVersion,
+  isNewer,
+  parseVersion,
+} from '../src/core/agreement/version.js';
 
 describe('version', () => {
   it('orders by term before index, so that a deposed leader cannot outnumber its successor', () => {
--- a/bench/support/baselineProcess.ts
+++ b/bench/support/baselineProcess.ts
@@ -10,7 +10,7 @@
   decodeConfiguration,
   digestConfiguration,
   encodeConfiguration,
-} from '../../src/core/configuration.js';
+} from '../../src/core/operators/configuration.js';
 import {
   Feed,
   FeedMessageSchema,
@@ -19,8 +19,8 @@
   type ReportRequest,
   type SubscribeRequest,
 } from '../../src/gen/auburnsill/v1/feed_pb.js';
-import { createAccess } from '../../src/plugins/access.js';
-import { readEndpoint, writeEndpoint } from '../../src/plugins/feedMessages.js';
+import { createAccess } from '../../src/plugins/operators/access.js';
+import { readEndpoint, writeEndpoint } from '../../src/plugins/distribution/feedMessages.js';
 import { createRpcServer, createRpcTransport } from '../../src/plugins/rpc.js';
 import type { Configuration, Endpoint } from '../../src/types/public.js';
 
--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -5,7 +5,7 @@
  * arguments or settings.
  */
 import { parseArgs } from 'node:util';
-import { readControlSettings } from '../plugins/controlSettings.js';
+import { readControlSettings } from '../plugins/operators/controlSettings.js';
 import { createLog, type Log } from '../utils/log.js';
 import { createTimer } from '../utils/timer.js';
 import { startControlInstance } from './controlInstance.js';
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -3,30 +3,33 @@
  * and stopped in order.
  */
 import type { ConnectRouter } from '@connectrpc/connect';
-import { createAcceptance, type AppliedChange } from '../core/acceptance.js';
-import { createLedger, type LedgerResult } from '../core/ledger.js';
-import { createAccess } from '../plugins/access.js';
-import { createAdminServer, type CheckState } from '../plugins/adminServer.js';
-import { createConsensusTransport, type Receiver } from '../plugins/consensusTransport.js';
-import { createControlFeed } from '../plugins/controlFeed.js';
-import { createFeedMetrics, observePeerTraffic } from '../plugins/feedMetrics.js';
-import { createControlMetrics, type ObservedGroup } from '../plugins/controlMetrics.js';
-import type { ControlSettings } from '../plugins/controlSettings.js';
-import { createConvergence } from '../plugins/convergence.js';
-import { foundGroup, identityProbe, isEmptyLog } from '../plugins/founding.js';
-import type { GroupLog, LoadedLog } from '../plugins/groupLog.js';
-import { followMembership } from '../plugins/ledgerMembership.js';
-import { createLedgerService } from '../plugins/ledgerService.js';
+import { createAcceptance, type AppliedChange } from '../core/agreement/acceptance.js';
+import { createLedger, type LedgerResult } from '../core/agreement/ledger.js';
+import { createAccess } from '../plugins/operators/access.js';
+import { createAdminServer, type CheckState } from '../plugins/operators/adminServer.js';
+import {
+  createConsensusTransport,
+  type Receiver,
+} from '../plugins/agreement/consensusTransport.js';
+import { createControlFeed } from '../plugins/distribution/controlFeed.js';
+import { createFeedMetrics, observePeerTraffic } from '../plugins/distribution/feedMetrics.js';
+import { createControlMetrics, type ObservedGroup } from '../plugins/agreement/controlMetrics.js';
+import type { ControlSettings } from '../plugins/operators/controlSettings.js';
+import { createConvergence } from '../plugins/distribution/convergence.js';
+import { foundGroup, identityProbe, isEmptyLog } from '../plugins/agreement/founding.js';
+import type { GroupLog, LoadedLog } from '../plugins/agreement/groupLog.js';
+import { followMembership } from '../plugins/agreement/ledgerMembership.js';
+import { createLedgerService } from '../plugins/agreement/ledgerService.js';
 import { createMetrics } from '../plugins/metrics.js';
-import { createOperatorCommands } from '../plugins/operatorCommands.js';
-import { createOperatorQueries } from '../plugins/operatorQueries.js';
+import { createOperatorCommands } from '../plugins/operators/operatorCommands.js';
+import { createOperatorQueries } from '../plugins/operators/operatorQueries.js';
 import {
   createReplicaGroup,
   defaultReplicaTimes,
   type RunningReplicaGroup,
-} from '../plugins/replicaGroup.js';
+} from '../plugins/agreement/replicaGroup.js';
 import { createRpcServer, type RpcServer } from '../plugins/rpc.js';
-import { openStorage } from '../plugins/storage.js';
+import { openStorage } from '../plugins/agreement/storage.js';
 import type { ConfigurationSource, StateMachine } from '../types/internal.js';
 import { Failure } from '../utils/failure.js';
 import type { Log } from '../utils/log.js';
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -5,17 +5,17 @@
 import { randomBytes } from 'node:crypto';
 import { parseArgs } from 'node:util';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
-import { createAccess } from '../plugins/access.js';
-import { createFeedMetrics, observePeerTraffic } from '../plugins/feedMetrics.js';
-import { createLedgerClient } from '../plugins/ledgerClient.js';
+import { createAccess } from '../plugins/operators/access.js';
+import { createFeedMetrics, observePeerTraffic } from '../plugins/distribution/feedMetrics.js';
+import { createLedgerClient } from '../plugins/calls/ledgerClient.js';
 import { createMetrics } from '../plugins/metrics.js';
-import { createNodeFeed } from '../plugins/nodeFeed.js';
-import { createNodeRuntime } from '../plugins/nodeRuntime.js';
+import { createNodeFeed } from '../plugins/distribution/nodeFeed.js';
+import { createNodeRuntime } from '../plugins/calls/nodeRuntime.js';
 import { createRpcServer, parseAddress, type Address } from '../plugins/rpc.js';
 import { Failure } from '../utils/failure.js';
 import { createLog, type Log } from '../utils/log.js';
 import { createTimer } from '../utils/timer.js';
-import { readNodeSettings, type NodeSettings } from '../plugins/nodeSettings.js';
+import { readNodeSettings, type NodeSettings } from '../plugins/operators/nodeSettings.js';
 import { failStart } from './startFailure.js';
 
 const stopLimitMs = 30_000;
--- a/src/cli/checkFile.ts
+++ b/src/cli/checkFile.ts
@@ -1,13 +1,13 @@
 /**
  * Checks of a file on its own, without the fleet. The kind of file is told by its tables.
  */
-import { readNodeSettings } from '../plugins/nodeSettings.js';
-import { checkConfiguration, parseTargets } from '../core/configuration.js';
+import { readNodeSettings } from '../plugins/operators/nodeSettings.js';
+import { checkConfiguration, parseTargets } from '../core/operators/configuration.js';
 import type { Inventory } from '../types/internal.js';
 import type { Configuration, Finding } from '../types/public.js';
 import { FindingsError } from '../utils/findings.js';
 import { parseTomlText, readSettings } from '../utils/settings.js';
-import { readControlSettings } from '../plugins/controlSettings.js';
+import { readControlSettings } from '../plugins/operators/controlSettings.js';
 import { cliSettingsSchema } from './connectionSettings.js';
 
 export type FileKind = 'targets' | 'node settings' | 'control settings' | 'command line settings';
--- a/src/cli/inForce.ts
+++ b/src/cli/inForce.ts
@@ -1,7 +1,7 @@
 /**
  * Where a version is in force, from the status of the control instances.
  */
-import { compareVersions } from '../core/version.js';
+import { compareVersions } from '../core/agreement/version.js';
 import type { DataCentreStatus, StatusResponse } from '../gen/auburnsill/v1/operator_pb.js';
 import type { Version } from '../types/public.js';
 import type { Timer } from '../utils/timer.js';
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -4,7 +4,7 @@
  * effect.
  */
 import { Code, ConnectError, createClient, type Client } from '@connectrpc/connect';
-import { createTokenInterceptor } from '../plugins/access.js';
+import { createTokenInterceptor } from '../plugins/operators/access.js';
 import { createRpcTransport, type RpcTransport } from '../plugins/rpc.js';
 import { OperatorCommands, OperatorQueries } from '../gen/auburnsill/v1/operator_pb.js';
 import { createTimer, type Timer } from '../utils/timer.js';
--- a/src/cli/queries/get.ts
+++ b/src/cli/queries/get.ts
@@ -2,7 +2,7 @@
  * `auburnsill get`: prints the targets of a version.
  */
 import { Command, Option } from 'clipanion';
-import { parseVersion } from '../../core/version.js';
+import { parseVersion } from '../../core/agreement/version.js';
 import { OperatorCommand } from '../operatorCommand.js';
 import { CommandFailure, exitCodes } from '../exitCodes.js';
 import { versionText } from '../text.js';
--- a/src/cli/queries/report.ts
+++ b/src/cli/queries/report.ts
@@ -3,7 +3,7 @@
  */
 import { readFile, writeFile } from 'node:fs/promises';
 import { Command, Option } from 'clipanion';
-import { parseTargets } from '../../core/configuration.js';
+import { parseTargets } from '../../core/operators/configuration.js';
 import type { Configuration } from '../../types/public.js';
 import { formatFinding } from '../../utils/findings.js';
 import { nodeAddresses, type ConnectionOptions } from '../connectionSettings.js';
--- a/src/cli/report/plots.ts
+++ b/src/cli/report/plots.ts
@@ -1,7 +1,7 @@
 /**
  * Plots of the burn report: burn over two windows, budget left, and what used the budget.
  */
-import type { BurnLine } from '../../core/burn.js';
+import type { BurnLine } from '../../core/operators/burn.js';
 import { formatBurn, formatShare, formatWindow, totalOf } from './reportText.js';
 import { element, type Markup } from './svg.js';
 
--- a/src/cli/report/reportData.ts
+++ b/src/cli/report/reportData.ts
@@ -3,7 +3,12 @@
  */
 import { request } from 'undici';
 import { z } from 'zod';
-import { burnReport, mergeBurn, type BurnLine, type BurnSnapshot } from '../../core/burn.js';
+import {
+  burnReport,
+  mergeBurn,
+  type BurnLine,
+  type BurnSnapshot,
+} from '../../core/operators/burn.js';
 import type { Configuration } from '../../types/public.js';
 
 const requestTimeoutMs = 3_000;
--- a/src/cli/report/reportHtml.ts
+++ b/src/cli/report/reportHtml.ts
@@ -1,7 +1,7 @@
 /**
  * The burn report as one HTML page without scripts or outside files.
  */
-import type { BurnLine } from '../../core/burn.js';
+import type { BurnLine } from '../../core/operators/burn.js';
 import { budgetPlot, burnPlot, causeColours, causePlot, windowColours } from './plots.js';
 import { formatBurn, formatShare, formatWindow, totalOf } from './reportText.js';
 import type { ReportData } from './reportData.js';
--- a/src/cli/report/reportText.ts
+++ b/src/cli/report/reportText.ts
@@ -1,7 +1,7 @@
 /**
  * The burn report as a text table.
  */
-import type { BurnLine, OutcomeCounts } from '../../core/burn.js';
+import type { BurnLine, OutcomeCounts } from '../../core/operators/burn.js';
 import { formatTable, plural } from '../text.js';
 import type { ReportData } from './reportData.js';
 
--- a/src/cli/text.ts
+++ b/src/cli/text.ts
@@ -3,7 +3,7 @@
  */
 import type { Version as VersionMessage } from '../gen/auburnsill/v1/common_pb.js';
 import type { Version } from '../types/public.js';
-import { formatVersion } from '../core/version.js';
+import { formatVersion } from '../core/agreement/version.js';
 
 /** Aligns rows in columns that are two spaces apart. */
 export const formatTable = (rows: readonly (readonly string[])[]): string => {
--- a/src/core/acceptance.ts
+++ b/src/core/agreement/acceptance.ts
@@ -3,9 +3,13 @@
  * the operator saw. The first outcome of a change id is kept, so that a resend has no second effect.
  */
 import { createHash } from 'node:crypto';
-import type { CommittedEntry, StateMachine } from '../types/internal.js';
-import type { Configuration, Version } from '../types/public.js';
-import { decodeConfiguration, digestConfiguration, encodeConfiguration } from './configuration.js';
+import type { CommittedEntry, StateMachine } from '../../types/internal.js';
+import type { Configuration, Version } from '../../types/public.js';
+import {
+  decodeConfiguration,
+  digestConfiguration,
+  encodeConfiguration,
+} from '../operators/configuration.js';
 import { compareVersions, noVersion } from './version.js';
 
 /** Changes whose outcome is kept. */
--- a/src/core/consensus.ts
+++ b/src/core/agreement/consensus.ts
@@ -4,7 +4,7 @@
  * carries out in order. The caller tells by `persisted` what has been synced, and holds a `send` or
  * `reply` back until its `afterSequence` is.
  */
-import type { Member, ReplicaRole } from '../types/internal.js';
+import type { Member, ReplicaRole } from '../../types/internal.js';
 import type {
   AnswerMessage,
   LogEntry,
--- a/src/core/consensusEffects.ts
+++ b/src/core/agreement/consensusEffects.ts
@@ -1,7 +1,7 @@
 /**
  * Effects that several parts of the replicated log produce.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 import type { PersistEffect, Replica, ReplicaSnapshot, RequestMessage } from './consensusTypes.js';
 
 type Write = Omit<PersistEffect, 'type' | 'sequence'>;
--- a/src/core/consensusElection.ts
+++ b/src/core/agreement/consensusElection.ts
@@ -3,7 +3,7 @@
  * election could be won and changes no state, so that a member that was cut off does not disturb a
  * leader when it returns.
  */
-import type { ReplicaRole } from '../types/internal.js';
+import type { ReplicaRole } from '../../types/internal.js';
 import type { Replica, RequestVote, Sender, TimeoutNow, VoteAnswer } from './consensusTypes.js';
 import { isMember, isQuorum, isVoter, otherMembers, voters } from './consensusMembership.js';
 import { persistHardState, send } from './consensusEffects.js';
--- a/src/core/consensusLog.ts
+++ b/src/core/agreement/consensusLog.ts
@@ -2,7 +2,7 @@
  * The log of a replica: a snapshot, the entries after it, the memberships that they contain and the
  * index up to which all of it is synced.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 import type { LogEntry, ReplicaSnapshot } from './consensusTypes.js';
 
 interface MembershipAt {
--- a/src/core/consensusMembership.ts
+++ b/src/core/agreement/consensusMembership.ts
@@ -3,7 +3,7 @@
  * not. It changes by one member at a time, so that any two majorities of successive memberships
  * share a member. A member counts only with the incarnation that the membership names.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 import type { MemberChange, RefusalReason, Replica, Sender } from './consensusTypes.js';
 
 export const currentMembers = (replica: Replica): readonly Member[] =>
--- a/src/core/consensusProgress.ts
+++ b/src/core/agreement/consensusProgress.ts
@@ -1,7 +1,7 @@
 /**
  * What a leader records about the other members.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 import type { Progress, Replica, Sender } from './consensusTypes.js';
 import { findMember, isSame, otherMembers } from './consensusMembership.js';
 
--- a/src/core/consensusReplication.ts
+++ b/src/core/agreement/consensusReplication.ts
@@ -3,7 +3,7 @@
  * for a member once the member has synced it; an entry is applied once it is committed and synced
  * here.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 import type {
   AppendAnswer,
   AppendEntries,
--- a/src/core/consensusSnapshot.ts
+++ b/src/core/agreement/consensusSnapshot.ts
@@ -2,7 +2,7 @@
  * Snapshots: a member that lacks entries which the leader has compacted gets the leader's snapshot
  * in chunks, in place of the entries.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 import type {
   InstallSnapshot,
   Progress,
--- a/src/core/consensusTypes.ts
+++ b/src/core/agreement/consensusTypes.ts
@@ -2,7 +2,7 @@
  * Types of the replicated log: what goes in (events), what comes out (effects), the messages between
  * members and the state that the parts of the algorithm share.
  */
-import type { Member, ReplicaRole } from '../types/internal.js';
+import type { Member, ReplicaRole } from '../../types/internal.js';
 import type { ReplicaLog } from './consensusLog.js';
 
 export type EntryKind = 'noop' | 'membership' | 'command';
--- a/src/core/ledger.ts
+++ b/src/core/agreement/ledger.ts
@@ -2,7 +2,7 @@
  * State machine of the group `ledger`: claims of idempotency keys, so that a call that must not run
  * twice is sent by one attempt only. Times are in the commands, since a state machine has no clock.
  */
-import type { ClaimOutcome, LedgerAnswer, StateMachine } from '../types/internal.js';
+import type { ClaimOutcome, LedgerAnswer, StateMachine } from '../../types/internal.js';
 
 /** How long a key is kept, in ms. */
 export const ledgerRetentionMs = 24 * 3_600_000;
--- a/src/core/version.ts
+++ b/src/core/agreement/version.ts
@@ -2,7 +2,7 @@
  * Order and text form of configuration versions. A version is the term and index of a committed log
  * entry, so two versions are equal only if they name the same change.
  */
-import type { Version } from '../types/public.js';
+import type { Version } from '../../types/public.js';
 
 export const noVersion: Version = { term: 0, index: 0 };
 
--- a/src/core/classMatching.ts
+++ b/src/core/calls/classMatching.ts
@@ -2,7 +2,7 @@
  * Finds the class of a call. The rules of a configuration are indexed once, by method and path
  * prefix, and the index lives as long as the configuration object.
  */
-import type { Configuration, Match, TrafficClass } from '../types/public.js';
+import type { Configuration, Match, TrafficClass } from '../../types/public.js';
 
 export interface CallShape {
   readonly method: string;
--- a/src/core/endpointRank.ts
+++ b/src/core/calls/endpointRank.ts
@@ -2,7 +2,7 @@
  * Rank of an endpoint by the time that one more call is predicted to take there, and its share of
  * calls while it warms up.
  */
-import type { Endpoint } from '../types/public.js';
+import type { Endpoint } from '../../types/public.js';
 import type { EndpointEvidence, Evidence } from './evidence.js';
 
 /** Time over which the share of a new endpoint rises, in ms. */
--- a/src/core/retry.ts
+++ b/src/core/calls/retry.ts
@@ -3,8 +3,8 @@
  * A call that may have run is tried again only if it is idempotent, and a call that was already
  * retried at a level below is not tried again above it.
  */
-import type { Policy, RunState } from '../types/public.js';
-import type { FailureReason } from '../utils/failure.js';
+import type { Policy, RunState } from '../../types/public.js';
+import type { FailureReason } from '../../utils/failure.js';
 
 /** Response header that says that a retry was already made below. */
 export const retriedHeader = 'x-retried';
--- a/src/core/routing.ts
+++ b/src/core/calls/routing.ts
@@ -2,7 +2,7 @@
  * Choice of the endpoint for one attempt: power of two choices on predicted time among the
  * endpoints that are ready and not ejected, nearest data centre first.
  */
-import type { Cluster, Endpoint, Policy } from '../types/public.js';
+import type { Cluster, Endpoint, Policy } from '../../types/public.js';
 import { predictedMs, usualLatencyMs, warmShare } from './endpointRank.js';
 import type { Evidence } from './evidence.js';
 import { chooseTier, groupByDistance, type Home } from './routingTiers.js';
--- a/src/core/routingTiers.ts
+++ b/src/core/calls/routingTiers.ts
@@ -2,7 +2,7 @@
  * Nearest data centre first: endpoints are grouped into tiers by distance, and a tier that is busy
  * hands a part of its calls to the next one.
  */
-import type { Cluster, Endpoint } from '../types/public.js';
+import type { Cluster, Endpoint } from '../../types/public.js';
 import { capacityOf, outstandingCalls } from './endpointRank.js';
 import type { Evidence } from './evidence.js';
 
--- a/src/core/attachment.ts
+++ b/src/core/distribution/attachment.ts
@@ -3,7 +3,7 @@
  * ago, or whose nodes are fed by another control instance that did. A change is accepted only while
  * all of them are, or while the operator allowed the others.
  */
-import type { Member } from '../types/internal.js';
+import type { Member } from '../../types/internal.js';
 
 /** Age of the last answer up to which a data centre counts as attached, in ms. */
 export const attachedWithinMs = 3_000;
--- a/src/core/branches.ts
+++ b/src/core/distribution/branches.ts
@@ -2,12 +2,12 @@
  * The subtrees below a process, one branch for each child, as its reports describe them. A branch
  * has one lease, renewed by each report with the right digest of the branch's endpoints.
  */
-import type { Endpoint, Version } from '../types/public.js';
+import type { Endpoint, Version } from '../../types/public.js';
 import { compareRecords, digestEndpoints } from './clusterLog.js';
 import { equalBytes } from './delta.js';
 import type { SubtreeStatus } from './reports.js';
 import type { Withdrawal } from './tombstones.js';
-import { compareVersions } from './version.js';
+import { compareVersions } from '../agreement/version.js';
 
 /** Lease of a branch: endpoints that are not renewed within it are gone. */
 export const leaseMs = 10_000;
--- a/src/core/clusterLog.ts
+++ b/src/core/distribution/clusterLog.ts
@@ -2,7 +2,7 @@
  * Endpoints of one service with a revision, as numbered by the registry of a control instance and
  * copied down the tree. Holders of an older revision of the same registry get the difference.
  */
-import type { Endpoint } from '../types/public.js';
+import type { Endpoint } from '../../types/public.js';
 import { equalBytes, sha256 } from './delta.js';
 
 /** Removed ids that are remembered for deltas. A holder that is further behind gets a full update. */
--- a/src/core/configurationStore.ts
+++ b/src/core/distribution/configurationStore.ts
@@ -2,11 +2,15 @@
  * Configurations that a process can pass on: the newest one and a few older ones as bases of
  * deltas. An update is checked whole before it is stored, and an older one is never stored.
  */
-import type { Configuration, Version } from '../types/public.js';
-import { Failure } from '../utils/failure.js';
-import { decodeConfiguration, digestConfiguration, encodeConfiguration } from './configuration.js';
+import type { Configuration, Version } from '../../types/public.js';
+import { Failure } from '../../utils/failure.js';
+import {
+  decodeConfiguration,
+  digestConfiguration,
+  encodeConfiguration,
+} from '../operators/configuration.js';
 import { applyDelta, decodeDelta, diffConfigurations, encodeDelta, equalBytes } from './delta.js';
-import { compareVersions, formatVersion, isNewer, noVersion } from './version.js';
+import { compareVersions, formatVersion, isNewer, noVersion } from '../agreement/version.js';
 
 /** Older configurations that are kept as bases. A child that is further behind gets a full one. */
 const keptVersions = 8;
--- a/src/core/delta.ts
+++ b/src/core/distribution/delta.ts
@@ -4,9 +4,13 @@
  */
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
-import type { Configuration } from '../types/public.js';
-import { Failure } from '../utils/failure.js';
-import { decodeConfiguration, digestConfiguration, encodeConfiguration } from './configuration.js';
+import type { Configuration } from '../../types/public.js';
+import { Failure } from '../../utils/failure.js';
+import {
+  decodeConfiguration,
+  digestConfiguration,
+  encodeConfiguration,
+} from '../operators/configuration.js';
 
 type Records = Readonly<Record<string, unknown>>;
 
--- a/src/core/floors.ts
+++ b/src/core/distribution/floors.ts
@@ -2,8 +2,8 @@
  * Highest version that each node was reported to have in force. A node that restarts is told its
  * floor by its parents and does not serve an older version.
  */
-import type { Version } from '../types/public.js';
-import { isNewer } from './version.js';
+import type { Version } from '../../types/public.js';
+import { isNewer } from '../agreement/version.js';
 
 /** A node that was away for longer starts without a floor. */
 export const floorLifeMs = 3_600_000;
--- a/src/core/holding.ts
+++ b/src/core/distribution/holding.ts
@@ -4,10 +4,10 @@
  * of one reference. A version never goes back, and a route whose cluster has not arrived is
  * withheld.
  */
-import type { Cluster, Configuration, Policy, Version } from '../types/public.js';
-import type { Held } from '../types/internal.js';
+import type { Cluster, Configuration, Policy, Version } from '../../types/public.js';
+import type { Held } from '../../types/internal.js';
 import type { StoredConfiguration } from './configurationStore.js';
-import { isNewer, noVersion } from './version.js';
+import { isNewer, noVersion } from '../agreement/version.js';
 
 /** Longest wait for the clusters of a staged configuration. */
 export const clusterWaitMs = 3_000;
--- a/src/core/parentHealth.ts
+++ b/src/core/distribution/parentHealth.ts
@@ -3,10 +3,10 @@
  * or whose path contains the node is left; a parent that is cut off from the source, or feeds from
  * another data centre, is kept while better ones are looked for.
  */
-import type { Version } from '../types/public.js';
+import type { Version } from '../../types/public.js';
 import { maxPathLength } from './childAdmission.js';
 import { confirmationLeaseMs } from './freshness.js';
-import { isNewer } from './version.js';
+import { isNewer } from '../agreement/version.js';
 
 /** A parent that is behind is left after this time; doubled each time, up to the maximum. */
 const minLagMs = 3_000;
--- a/src/core/registry.ts
+++ b/src/core/distribution/registry.ts
@@ -4,7 +4,7 @@
  * registry has just started, and when most endpoints would go at once: both look the same as a
  * fault of this process or its network, and a caller's own evidence covers dead endpoints.
  */
-import type { Cluster, Endpoint } from '../types/public.js';
+import type { Cluster, Endpoint } from '../../types/public.js';
 import { leaseMs } from './branches.js';
 import { createClusterLog, recordChange, settle, type ClusterLog } from './clusterLog.js';
 
--- a/src/core/reports.ts
+++ b/src/core/distribution/reports.ts
@@ -2,9 +2,9 @@
  * What a child reports about its subtree, and how the reports of several children are merged into
  * the one that goes further up.
  */
-import type { Version } from '../types/public.js';
-import type { FleetNode } from '../types/internal.js';
-import { compareVersions, formatVersion } from './version.js';
+import type { Version } from '../../types/public.js';
+import type { FleetNode } from '../../types/internal.js';
+import { compareVersions, formatVersion } from '../agreement/version.js';
 
 /** Laggards that travel in one report. The counts stay exact beyond it. */
 export const maxLaggards = 32;
--- a/src/core/subtree.ts
+++ b/src/core/distribution/subtree.ts
@@ -2,7 +2,7 @@
  * A process and everything below it in the fan-out tree: own endpoints, the branches of the
  * children, withdrawals and versions in force. This is what a process reports to its parent.
  */
-import type { Endpoint, Version } from '../types/public.js';
+import type { Endpoint, Version } from '../../types/public.js';
 import { compareRecords } from './clusterLog.js';
 import { createBranches, type BranchReport } from './branches.js';
 import { createFloors, type Floors, type NodeVersion } from './floors.js';
--- a/src/core/tombstones.ts
+++ b/src/core/distribution/tombstones.ts
@@ -2,7 +2,7 @@
  * Withdrawals of endpoints, remembered so that an older record that arrives late does not bring the
  * endpoint back.
  */
-import type { Endpoint } from '../types/public.js';
+import type { Endpoint } from '../../types/public.js';
 import { compareRecords } from './clusterLog.js';
 
 /** Longer than any record can be under way: several lease times of the deepest tree. */
--- a/src/core/upwardReport.ts
+++ b/src/core/distribution/upwardReport.ts
@@ -2,11 +2,11 @@
  * What a process reports to its parent: only what the parent has not answered yet, and the digest
  * of the whole. A new parent gets everything.
  */
-import type { Endpoint } from '../types/public.js';
+import type { Endpoint } from '../../types/public.js';
 import { compareRecords, digestEndpoints } from './clusterLog.js';
 import type { NodeVersion } from './floors.js';
 import type { Withdrawal } from './tombstones.js';
-import { compareVersions } from './version.js';
+import { compareVersions } from '../agreement/version.js';
 
 /** State that is to be reported. */
 export interface ReportedState {
--- a/src/core/burn.ts
+++ b/src/core/operators/burn.ts
@@ -3,8 +3,8 @@
  * error budget that is left and what used it. Memory is bounded: counters stand in a ring of
  * minutes, and the number of rows has a limit. Snapshots of several nodes can be merged.
  */
-import type { Configuration, TrafficClass } from '../types/public.js';
-import type { FailureReason } from '../utils/failure.js';
+import type { Configuration, TrafficClass } from '../../types/public.js';
+import type { FailureReason } from '../../utils/failure.js';
 
 /**
  * Outcome of a call against its target. `waiting` is a call that was late or refused because it
--- a/src/core/capacity.ts
+++ b/src/core/operators/capacity.ts
@@ -2,8 +2,8 @@
  * Arithmetic behind the checks of a target: network trips, slots and availability of a service's
  * endpoints.
  */
-import type { Inventory } from '../types/internal.js';
-import type { Endpoint, TrafficClass } from '../types/public.js';
+import type { Inventory } from '../../types/internal.js';
+import type { Endpoint, TrafficClass } from '../../types/public.js';
 
 /**
  * Share of time in which one endpoint is out: 4 of 1,000 instances fail on an ordinary day and
--- a/src/core/configuration.ts
+++ b/src/core/operators/configuration.ts
@@ -9,4 +9,4 @@
   encodeConfiguration,
 } from './configurationCodec.js';
 export { diffLines } from './configurationDiff.js';
-export { matchClass, type CallShape } from './classMatching.js';
+export { matchClass, type CallShape } from '../calls/classMatching.js';
--- a/src/core/configurationChecks.ts
+++ b/src/core/operators/configurationChecks.ts
@@ -3,8 +3,8 @@
  * cannot be met. Each finding carries its arithmetic.
  */
 import { isDeepStrictEqual } from 'node:util';
-import type { Inventory } from '../types/internal.js';
-import type { Configuration, Finding, TrafficClass } from '../types/public.js';
+import type { Inventory } from '../../types/internal.js';
+import type { Configuration, Finding, TrafficClass } from '../../types/public.js';
 import {
   attainableAvailability,
   endpointUnavailability,
@@ -14,7 +14,7 @@
   totalSlots,
   unrepeatableLoss,
 } from './capacity.js';
-import { formatRule } from './classMatching.js';
+import { formatRule } from '../calls/classMatching.js';
 import { formatDuration } from './durations.js';
 
 type ClassCheck = (trafficClass: TrafficClass, inventory: Inventory) => Finding[];
--- a/src/core/configurationCodec.ts
+++ b/src/core/operators/configurationCodec.ts
@@ -4,8 +4,8 @@
  */
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
-import type { Configuration } from '../types/public.js';
-import { Failure } from '../utils/failure.js';
+import type { Configuration } from '../../types/public.js';
+import { Failure } from '../../utils/failure.js';
 import { namePattern } from './targets.js';
 
 const name = z.string().regex(namePattern);
--- a/src/core/configurationDiff.ts
+++ b/src/core/operators/configurationDiff.ts
@@ -1,7 +1,7 @@
 /**
  * Difference between two configurations as lines for people.
  */
-import type { Configuration } from '../types/public.js';
+import type { Configuration } from '../../types/public.js';
 
 const flatten = (configuration: Configuration): Map<string, string> => {
   const lines = new Map<string, string>();
--- a/src/core/policyDerivation.ts
+++ b/src/core/operators/policyDerivation.ts
@@ -2,7 +2,7 @@
  * Derives what a proxy does with the calls of a class from the target of the class. The same rules
  * run on every proxy and in the checks of a change, so that only targets have to be distributed.
  */
-import type { Configuration, Policy, TrafficClass } from '../types/public.js';
+import type { Configuration, Policy, TrafficClass } from '../../types/public.js';
 
 /** Time to answer of a class that declares none, in ms. */
 export const defaultAnswerMs = 30_000;
--- a/src/core/policyReasons.ts
+++ b/src/core/operators/policyReasons.ts
@@ -1,7 +1,7 @@
 /**
  * Explains the policy of a class to operators: each value with the arithmetic that led to it.
  */
-import type { Cluster, Policy, TrafficClass } from '../types/public.js';
+import type { Cluster, Policy, TrafficClass } from '../../types/public.js';
 import { slotsInUse, totalSlots } from './capacity.js';
 import { formatDuration } from './durations.js';
 import {
--- a/src/core/targets.ts
+++ b/src/core/operators/targets.ts
@@ -3,8 +3,8 @@
  * place and reported together.
  */
 import { z } from 'zod';
-import type { Configuration, Finding, Service, TrafficClass } from '../types/public.js';
-import { checkValue, parseTomlText } from '../utils/settings.js';
+import type { Configuration, Finding, Service, TrafficClass } from '../../types/public.js';
+import { checkValue, parseTomlText } from '../../utils/settings.js';
 import { parseDuration } from './durations.js';
 
 /** Largest target text that is accepted, in bytes. */
--- a/src/index.ts
+++ b/src/index.ts
@@ -26,7 +26,7 @@
   isNewer,
   noVersion,
   parseVersion,
-} from './core/version.js';
+} from './core/agreement/version.js';
 
 /** Targets in TOML to a configuration, its canonical form, digest and difference. */
 export {
@@ -39,13 +39,18 @@
   maxTargetBytes,
   parseTargets,
   type CallShape,
-} from './core/configuration.js';
+} from './core/operators/configuration.js';
 
 /** Fleet that `checkConfiguration` compares a configuration with. */
 export type { Inventory } from './types/internal.js';
 
 /** What a target is turned into, and why. Durations in ms, shares between 0 and 1. */
-export { derivePolicies, derivePolicy, explainPolicy, type PolicyReason } from './core/policy.js';
+export {
+  derivePolicies,
+  derivePolicy,
+  explainPolicy,
+  type PolicyReason,
+} from './core/operators/policy.js';
 
 /** Service-level burn: the snapshots that nodes serve, merged and compared with the targets. */
 export {
@@ -56,7 +61,7 @@
   type BurnSnapshot,
   type CallOutcome,
   type OutcomeCounts,
-} from './core/burn.js';
+} from './core/operators/burn.js';
 
 /** The numbered table of failures and the error that carries an entry of it. */
 export { Failure, failureTable, type FailureReason } from './utils/failure.js';
--- a/src/plugins/consensusCodec.ts
+++ b/src/plugins/agreement/consensusCodec.ts
@@ -11,8 +11,8 @@
   RequestVote,
   Sender,
   TimeoutNow,
-} from '../core/consensusTypes.js';
-import { decodeMembers, encodeMembers } from '../core/consensusLog.js';
+} from '../../core/agreement/consensusTypes.js';
+import { decodeMembers, encodeMembers } from '../../core/agreement/consensusLog.js';
 import type {
   AppendEntriesRequest,
   AppendEntriesRequestSchema,
@@ -28,8 +28,8 @@
   TimeoutNowRequest,
   TimeoutNowRequestSchema,
   TimeoutNowResponse,
-} from '../gen/auburnsill/v1/consensus_pb.js';
-import { Failure } from '../utils/failure.js';
+} from '../../gen/auburnsill/v1/consensus_pb.js';
+import { Failure } from '../../utils/failure.js';
 
 const entryKinds: ReadonlySet<string> = new Set<EntryKind>(['noop', 'membership', 'command']);
 
--- a/src/plugins/consensusTransport.ts
+++ b/src/plugins/agreement/consensusTransport.ts
@@ -11,8 +11,8 @@
   type ConnectRouter,
   type Interceptor,
 } from '@connectrpc/connect';
-import type { AnswerMessage, RequestMessage, Sender } from '../core/consensusTypes.js';
-import { Consensus, type Sender as WireSender } from '../gen/auburnsill/v1/consensus_pb.js';
+import type { AnswerMessage, RequestMessage, Sender } from '../../core/agreement/consensusTypes.js';
+import { Consensus, type Sender as WireSender } from '../../gen/auburnsill/v1/consensus_pb.js';
 import {
   decodeAppend,
   decodeAppendAnswer,
@@ -32,7 +32,7 @@
   encodeVoteAnswer,
   toSender,
 } from './consensusCodec.js';
-import { createRpcTransport, type RpcTransport } from './rpc.js';
+import { createRpcTransport, type RpcTransport } from '../rpc.js';
 
 /** Timeouts in a row after which a connection counts as silent and is replaced. */
 const maxTimeouts = 2;
--- a/src/plugins/controlMetrics.ts
+++ b/src/plugins/agreement/controlMetrics.ts
@@ -1,9 +1,9 @@
 /**
  * Metrics of a control instance: state of its replica groups and times of its disk.
  */
-import type { ReplicaStatus } from '../core/consensus.js';
-import type { ReplicaRole } from '../types/internal.js';
-import type { Metrics } from './metrics.js';
+import type { ReplicaStatus } from '../../core/agreement/consensus.js';
+import type { ReplicaRole } from '../../types/internal.js';
+import type { Metrics } from '../metrics.js';
 
 const roles: readonly ReplicaRole[] = ['leader', 'follower', 'candidate', 'learner'];
 
--- a/src/plugins/folderLock.ts
+++ b/src/plugins/agreement/folderLock.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import { link, readFile, rename, rm, writeFile } from 'node:fs/promises';
-import { Failure } from '../utils/failure.js';
+import { Failure } from '../../utils/failure.js';
 
 const lockName = 'lock';
 const maxTakeovers = 3;
--- a/src/plugins/founding.ts
+++ b/src/plugins/agreement/founding.ts
@@ -4,11 +4,11 @@
  * So a founder that lost its disk cannot found a second cluster beside the one that goes on without
  * it. The others start as learners and become voters once they have caught up.
  */
-import { encodeMembers } from '../core/consensusLog.js';
-import type { LogEntry, RequestVote } from '../core/consensusTypes.js';
-import type { Member } from '../types/internal.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+import { encodeMembers } from '../../core/agreement/consensusLog.js';
+import type { LogEntry, RequestVote } from '../../core/agreement/consensusTypes.js';
+import type { Member } from '../../types/internal.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 import type { Answer } from './consensusTransport.js';
 import type { GroupLog, LoadedLog } from './groupLog.js';
 
--- a/src/plugins/groupLog.ts
+++ b/src/plugins/agreement/groupLog.ts
@@ -4,14 +4,14 @@
  * written any more: what the failure left on the disk is unknown, so a retry could report data as
  * durable that is not.
  */
-import { Failure } from '../utils/failure.js';
+import { Failure } from '../../utils/failure.js';
 import type {
   EntryKind,
   HardState,
   LogEntry,
   PersistEffect,
   ReplicaSnapshot,
-} from '../core/consensusTypes.js';
+} from '../../core/agreement/consensusTypes.js';
 import { replaceFile, type DataFile, type Files } from './files.js';
 import { encodeRecord, readJournal, type JournalRecord } from './journal.js';
 
--- a/src/plugins/ledgerMembership.ts
+++ b/src/plugins/agreement/ledgerMembership.ts
@@ -2,9 +2,9 @@
  * The membership of the group `ledger` follows that of the group `configuration`, which operators
  * change. The two groups can have different leaders, so the ledger's leader makes its own changes.
  */
-import type { Member, ReplicaGroup } from '../types/internal.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+import type { Member, ReplicaGroup } from '../../types/internal.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 
 const periodMs = 500;
 /** The membership of an instance that is cut off may be old and is not followed. */
--- a/src/plugins/ledgerService.ts
+++ b/src/plugins/agreement/ledgerService.ts
@@ -8,11 +8,11 @@
   type Ledger as LedgerState,
   type LedgerCommand,
   type LedgerResult,
-} from '../core/ledger.js';
-import { Ledger, type RecordedAnswer } from '../gen/auburnsill/v1/ledger_pb.js';
-import type { LedgerAnswer, ReplicaGroup } from '../types/internal.js';
-import { Failure } from '../utils/failure.js';
-import type { Timer } from '../utils/timer.js';
+} from '../../core/agreement/ledger.js';
+import { Ledger, type RecordedAnswer } from '../../gen/auburnsill/v1/ledger_pb.js';
+import type { LedgerAnswer, ReplicaGroup } from '../../types/internal.js';
+import { Failure } from '../../utils/failure.js';
+import type { Timer } from '../../utils/timer.js';
 
 const maxKeyBytes = 512;
 const maxHeaderBytes = 16 * 1024;
--- a/src/plugins/replicaGroup.ts
+++ b/src/plugins/agreement/replicaGroup.ts
@@ -2,7 +2,11 @@
  * One replica group of this process: drives the core with the clock, the disk and the network, and
  * feeds the state machine. Writes that come up while a sync is running share the next one.
  */
-import { createReplica, type ReplicaCore, type ReplicaStatus } from '../core/consensus.js';
+import {
+  createReplica,
+  type ReplicaCore,
+  type ReplicaStatus,
+} from '../../core/agreement/consensus.js';
 import type {
   AnswerMessage,
   LogEntry,
@@ -12,11 +16,11 @@
   ReplicaEvent,
   RequestMessage,
   Sender,
-} from '../core/consensusTypes.js';
-import type { Member, Proposal, ReplicaGroup, StateMachine } from '../types/internal.js';
-import { Failure, type FailureReason } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+} from '../../core/agreement/consensusTypes.js';
+import type { Member, Proposal, ReplicaGroup, StateMachine } from '../../types/internal.js';
+import { Failure, type FailureReason } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 import type { GroupLog, LoadedLog } from './groupLog.js';
 import type { Answer } from './consensusTransport.js';
 
--- a/src/plugins/storage.ts
+++ b/src/plugins/agreement/storage.ts
@@ -5,7 +5,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import { crc32 } from 'node:zlib';
-import { Failure } from '../utils/failure.js';
+import { Failure } from '../../utils/failure.js';
 import { createFiles, replaceFile, type Files } from './files.js';
 import { lockFolder } from './folderLock.js';
 import { openGroupLog, type GroupLog } from './groupLog.js';
--- a/src/plugins/admissionQueue.ts
+++ b/src/plugins/calls/admissionQueue.ts
@@ -8,8 +8,8 @@
   AdmissionEffect,
   AdmissionRefusal,
   FinishOutcome,
-} from '../core/admission.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+} from '../../core/calls/admission.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 
 /** Told once per call: undefined means that it may start. */
 export type AdmissionListener = (refusal: AdmissionRefusal | undefined) => void;
--- a/src/plugins/atMostOnce.ts
+++ b/src/plugins/calls/atMostOnce.ts
@@ -4,11 +4,11 @@
  * may have run goes on without its caller, so that its outcome is recorded.
  */
 import { createHash } from 'node:crypto';
-import type { AttemptFailureReport } from '../types/calls.js';
-import type { ClaimOutcome, LedgerAnswer, LedgerClient } from '../types/internal.js';
-import { Failure } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+import type { AttemptFailureReport } from '../../types/calls.js';
+import type { ClaimOutcome, LedgerAnswer, LedgerClient } from '../../types/internal.js';
+import { Failure } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 import { reportOf } from './callAnswers.js';
 import { passAnswerHeaders } from './callHeaders.js';
 import type { CallListener, CallPlan, CallRunner, RunningCall } from './callRun.js';
--- a/src/plugins/callAnswers.ts
+++ b/src/plugins/calls/callAnswers.ts
@@ -4,10 +4,10 @@
  * never taken for a whole one.
  */
 import type { ServerResponse } from 'node:http';
-import { retriedHeader } from '../core/retry.js';
-import type { AnswerHead, AttemptFailureReport } from '../types/calls.js';
-import { Failure, failureTable } from '../utils/failure.js';
-import type { Timer } from '../utils/timer.js';
+import { retriedHeader } from '../../core/calls/retry.js';
+import type { AnswerHead, AttemptFailureReport } from '../../types/calls.js';
+import { Failure, failureTable } from '../../utils/failure.js';
+import type { Timer } from '../../utils/timer.js';
 import {
   passAnswerHeaders,
   refusalHeader,
--- a/src/plugins/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -3,7 +3,7 @@
  * refusal looks like. Hop-by-hop headers are never passed on.
  */
 import type { IncomingMessage } from 'node:http';
-import { Failure } from '../utils/failure.js';
+import { Failure } from '../../utils/failure.js';
 
 export const requestIdHeader = 'x-request-id';
 export const deadlineHeader = 'x-request-deadline-ms';
--- a/src/plugins/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -10,14 +10,14 @@
 } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import polka, { type PolkaRequest } from 'polka';
-import type { FailureReason } from '../utils/failure.js';
-import { failureTable } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+import type { FailureReason } from '../../utils/failure.js';
+import { failureTable } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 import { refusalBody } from './callAnswers.js';
 import { requestIdHeader, refusalHeader, runHeader } from './callHeaders.js';
-import { listenHttp } from './httpListen.js';
-import type { Address } from './rpc.js';
+import { listenHttp } from '../httpListen.js';
+import type { Address } from '../rpc.js';
 
 const headTimeoutMs = 10_000;
 /** Longer than callers usually keep idle connections, so that the caller's side closes first. */
--- a/src/plugins/callMetrics.ts
+++ b/src/plugins/calls/callMetrics.ts
@@ -1,8 +1,8 @@
 /**
  * Metrics of the path of a call.
  */
-import type { FailureReason } from '../utils/failure.js';
-import { createLabelBound, type Metrics } from './metrics.js';
+import type { FailureReason } from '../../utils/failure.js';
+import { createLabelBound, type Metrics } from '../metrics.js';
 
 export interface CallMetrics {
   recordCall(className: string, result: FailureReason | 'ok', durationMs: number): void;
--- a/src/plugins/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -4,7 +4,7 @@
  * run once any of its attempts may have.
  */
 import { randomUUID } from 'node:crypto';
-import type { AttemptOutcome, Evidence } from '../core/evidence.js';
+import type { AttemptOutcome, Evidence } from '../../core/calls/evidence.js';
 import {
   decideHedge,
   decideRetry,
@@ -12,8 +12,8 @@
   retriedHeader,
   type RetryBudget,
   type RetryDecision,
-} from '../core/retry.js';
-import { chooseEndpoint } from '../core/routing.js';
+} from '../../core/calls/retry.js';
+import { chooseEndpoint } from '../../core/calls/routing.js';
 import type {
   AnswerHead,
   AttemptFailureReport,
@@ -21,12 +21,12 @@
   AttemptRequest,
   RequestBody,
   RunningAttempt,
-} from '../types/calls.js';
-import type { Held } from '../types/internal.js';
-import type { Cluster, Endpoint, Policy } from '../types/public.js';
-import type { FailureReason } from '../utils/failure.js';
-import { Failure } from '../utils/failure.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+} from '../../types/calls.js';
+import type { Held } from '../../types/internal.js';
+import type { Cluster, Endpoint, Policy } from '../../types/public.js';
+import type { FailureReason } from '../../utils/failure.js';
+import { Failure } from '../../utils/failure.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 import { reportOf } from './callAnswers.js';
 import { headerIn } from './callHeaders.js';
 import type { LocalUpstream } from './localUpstream.js';
--- a/src/plugins/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -5,15 +5,15 @@
 import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
-import { outcomeOfRefusal, type Burn, type CallOutcome } from '../core/burn.js';
-import { matchClass } from '../core/classMatching.js';
-import { formatVersion } from '../core/version.js';
-import type { AttemptFailureReport } from '../types/calls.js';
-import type { Held, Holding } from '../types/internal.js';
-import type { Policy } from '../types/public.js';
-import { Failure, type FailureReason } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
+import { matchClass } from '../../core/calls/classMatching.js';
+import { formatVersion } from '../../core/agreement/version.js';
+import type { AttemptFailureReport } from '../../types/calls.js';
+import type { Held, Holding } from '../../types/internal.js';
+import type { Policy } from '../../types/public.js';
+import { Failure, type FailureReason } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
 import {
@@ -36,7 +36,7 @@
 } from './callRun.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { readBody, type ReadBody } from './requestBody.js';
-import type { Address } from './rpc.js';
+import type { Address } from '../rpc.js';
 
 const maxHeaderBytes = 16 * 1_024;
 /** Time for which idle connections of callers stay open during a stop. */
--- a/src/plugins/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -10,9 +10,9 @@
   AttemptListener,
   RequestBody,
   RunningAttempt,
-} from '../types/calls.js';
-import type { FailureReason } from '../utils/failure.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+} from '../../types/calls.js';
+import type { FailureReason } from '../../utils/failure.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 import { attemptIdHeader, requestIdHeader } from './callHeaders.js';
 
 /** Longest time between two parts of an answer's body before its connection counts as silent. */
--- a/src/plugins/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -4,8 +4,8 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
-import type { AttemptFailureReport, RunningAttempt } from '../types/calls.js';
-import type { Access } from './access.js';
+import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
+import type { Access } from '../operators/access.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
 import {
   attemptIdHeader,
@@ -22,10 +22,10 @@
 import type { LocalUpstream } from './localUpstream.js';
 import { formatLoad } from './remoteNode.js';
 import { streamBody } from './requestBody.js';
-import type { Address } from './rpc.js';
-import { Failure } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+import type { Address } from '../rpc.js';
+import { Failure } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 
 /** Room for the headers that nodes add to those of a caller. */
 const maxHeaderBytes = 32 * 1_024;
--- a/src/plugins/ledgerClient.ts
+++ b/src/plugins/calls/ledgerClient.ts
@@ -3,12 +3,12 @@
  * hint about the leader, and tries the others in turn within the time of the claim.
  */
 import { Code, ConnectError, createClient, type Client } from '@connectrpc/connect';
-import { Ledger, type RecordedAnswer } from '../gen/auburnsill/v1/ledger_pb.js';
-import type { ClaimOutcome, LedgerAnswer, LedgerClient } from '../types/internal.js';
-import { Failure } from '../utils/failure.js';
-import type { Timer } from '../utils/timer.js';
-import type { Access } from './access.js';
-import { createRpcTransport, type RpcTransport } from './rpc.js';
+import { Ledger, type RecordedAnswer } from '../../gen/auburnsill/v1/ledger_pb.js';
+import type { ClaimOutcome, LedgerAnswer, LedgerClient } from '../../types/internal.js';
+import { Failure } from '../../utils/failure.js';
+import type { Timer } from '../../utils/timer.js';
+import type { Access } from '../operators/access.js';
+import { createRpcTransport, type RpcTransport } from '../rpc.js';
 
 /** Longest time for one request to one control instance, in ms. */
 const requestMs = 1_500;
--- a/src/plugins/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -9,16 +9,16 @@
   type AdmissionEffect,
   type AdmissionRefusal,
   type FinishOutcome,
-} from '../core/admission.js';
-import type { EndpointLoad } from '../core/evidence.js';
+} from '../../core/calls/admission.js';
+import type { EndpointLoad } from '../../core/calls/evidence.js';
 import type {
   AttemptFailureReport,
   AttemptListener,
   AttemptRequest,
   RunningAttempt,
-} from '../types/calls.js';
-import type { FailureReason } from '../utils/failure.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+} from '../../types/calls.js';
+import type { FailureReason } from '../../utils/failure.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 import { attemptIdHeader, classHeader, deadlineHeader, requestIdHeader } from './callHeaders.js';
 import { startExchange } from './exchange.js';
 import { createUpstreamPool } from './upstreamPool.js';
--- a/src/plugins/nodeLines.ts
+++ b/src/plugins/calls/nodeLines.ts
@@ -3,10 +3,10 @@
  * and the pool serves its own queue in order of arrival: without a line, calls that may wait hold
  * up calls that must be answered fast. The line orders calls as the admission of an upstream does.
  */
-import { createAdmission } from '../core/admission.js';
-import type { AttemptListener, AttemptRequest, RunningAttempt } from '../types/calls.js';
-import type { Endpoint } from '../types/public.js';
-import type { Timer } from '../utils/timer.js';
+import { createAdmission } from '../../core/calls/admission.js';
+import type { AttemptListener, AttemptRequest, RunningAttempt } from '../../types/calls.js';
+import type { Endpoint } from '../../types/public.js';
+import type { Timer } from '../../utils/timer.js';
 import { createAdmissionQueue, type AdmissionQueue } from './admissionQueue.js';
 import type { RemoteNodes } from './remoteNode.js';
 import { nodeConnections } from './upstreamPool.js';
--- a/src/plugins/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -2,27 +2,27 @@
  * A node without its feed: the path of a call, the announcement of the own upstream and the admin
  * address. Configuration, clusters and the ledger are given, so that tests can replace them.
  */
-import { createBurn, burnReport } from '../core/burn.js';
-import { createEvidence } from '../core/evidence.js';
-import { explainPolicy, retryShare, siblingsOf } from '../core/policy.js';
-import { createRetryBudgets } from '../core/retry.js';
-import { formatVersion } from '../core/version.js';
-import type { Cluster } from '../types/public.js';
-import type { Announcer, Held, Holding, LedgerClient } from '../types/internal.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
-import type { Access } from './access.js';
-import { createAdminServer, sendJson, type CheckState } from './adminServer.js';
+import { createBurn, burnReport } from '../../core/operators/burn.js';
+import { createEvidence } from '../../core/calls/evidence.js';
+import { explainPolicy, retryShare, siblingsOf } from '../../core/operators/policy.js';
+import { createRetryBudgets } from '../../core/calls/retry.js';
+import { formatVersion } from '../../core/agreement/version.js';
+import type { Cluster } from '../../types/public.js';
+import type { Announcer, Held, Holding, LedgerClient } from '../../types/internal.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
+import type { Access } from '../operators/access.js';
+import { createAdminServer, sendJson, type CheckState } from '../operators/adminServer.js';
 import { createAtMostOnce } from './atMostOnce.js';
 import { createCallMetrics } from './callMetrics.js';
 import { createCallRunner } from './callRun.js';
 import { createCallServer } from './callServer.js';
 import { createForwardServer } from './forwardServer.js';
 import { createLocalUpstream } from './localUpstream.js';
-import type { Metrics } from './metrics.js';
+import type { Metrics } from '../metrics.js';
 import { createNodeLines } from './nodeLines.js';
 import { createRemoteNodes } from './remoteNode.js';
-import type { Address } from './rpc.js';
+import type { Address } from '../rpc.js';
 import { createUpstreamAnnouncement } from './upstreamAnnouncement.js';
 import { createNodePools } from './upstreamPool.js';
 
--- a/src/plugins/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -2,18 +2,18 @@
  * Sends an attempt to the node beside another upstream and reads its refusals. A refusal of that
  * node says itself whether the call may have run.
  */
-import { retriedHeader } from '../core/retry.js';
-import type { EndpointLoad } from '../core/evidence.js';
-import type { Endpoint } from '../types/public.js';
+import { retriedHeader } from '../../core/calls/retry.js';
+import type { EndpointLoad } from '../../core/calls/evidence.js';
+import type { Endpoint } from '../../types/public.js';
 import type {
   AnswerHead,
   AttemptFailureReport,
   AttemptListener,
   AttemptRequest,
   RunningAttempt,
-} from '../types/calls.js';
-import { failureTable, type FailureReason } from '../utils/failure.js';
-import type { Timer } from '../utils/timer.js';
+} from '../../types/calls.js';
+import { failureTable, type FailureReason } from '../../utils/failure.js';
+import type { Timer } from '../../utils/timer.js';
 import {
   attemptIdHeader,
   callerAuthorizationHeader,
--- a/src/plugins/requestBody.ts
+++ b/src/plugins/calls/requestBody.ts
@@ -3,8 +3,8 @@
  * idempotency key can be bound to it; a larger one is passed on part by part and read once.
  */
 import type { IncomingMessage } from 'node:http';
-import type { RequestBody } from '../types/calls.js';
-import { Failure } from '../utils/failure.js';
+import type { RequestBody } from '../../types/calls.js';
+import { Failure } from '../../utils/failure.js';
 import { hasBody } from './callHeaders.js';
 
 /** Largest body that is kept for a second attempt, in bytes. */
--- a/src/plugins/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -6,16 +6,16 @@
 import { isIPv4 } from 'node:net';
 import type { Polka, PolkaRequest } from 'polka';
 import { z } from 'zod';
-import type { Announcer } from '../types/internal.js';
-import type { Endpoint } from '../types/public.js';
-import { Failure } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import { checkValue } from '../utils/settings.js';
-import { formatFinding } from '../utils/findings.js';
-import type { Timer } from '../utils/timer.js';
-import { sendError, sendJson } from './adminServer.js';
+import type { Announcer } from '../../types/internal.js';
+import type { Endpoint } from '../../types/public.js';
+import { Failure } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import { checkValue } from '../../utils/settings.js';
+import { formatFinding } from '../../utils/findings.js';
+import type { Timer } from '../../utils/timer.js';
+import { sendError, sendJson } from '../operators/adminServer.js';
 import type { LocalUpstream } from './localUpstream.js';
-import { parseAddress } from './rpc.js';
+import { parseAddress } from '../rpc.js';
 
 /** Time within which the upstream has to renew its announcement, in ms. */
 const renewWithinMs = 3_000;
--- a/src/plugins/controlExchange.ts
+++ b/src/plugins/distribution/controlExchange.ts
@@ -3,18 +3,18 @@
  * and reports the versions in force of its own tree. The round trips of the reports give the delays
  * between data centres.
  */
-import type { DataCentreDelay } from '../gen/auburnsill/v1/feed_pb.js';
-import type { Endpoint } from '../types/public.js';
+import type { DataCentreDelay } from '../../gen/auburnsill/v1/feed_pb.js';
+import type { Endpoint } from '../../types/public.js';
 import {
   applyChange,
   createClusterLog,
   digestEndpoints,
   type ClusterLog,
-} from '../core/clusterLog.js';
-import type { SubtreeStatus } from '../core/feed.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
-import type { Access } from './access.js';
+} from '../../core/distribution/clusterLog.js';
+import type { SubtreeStatus } from '../../core/distribution/feed.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
+import type { Access } from '../operators/access.js';
 import { createFeedLink, type FeedLink } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import { readCluster, writeCursor, writeVersion } from './feedMessages.js';
--- a/src/plugins/convergence.ts
+++ b/src/plugins/distribution/convergence.ts
@@ -1,10 +1,10 @@
 /**
  * Measures the time from the acceptance of a configuration until all known proxies have it in force.
  */
-import { compareVersions } from '../core/version.js';
-import type { ConfigurationSource, FleetStatus } from '../types/internal.js';
-import type { Version } from '../types/public.js';
-import type { Timer } from '../utils/timer.js';
+import { compareVersions } from '../../core/agreement/version.js';
+import type { ConfigurationSource, FleetStatus } from '../../types/internal.js';
+import type { Version } from '../../types/public.js';
+import type { Timer } from '../../utils/timer.js';
 
 export interface Convergence {
   /** Time in ms for the current version; 0 while a proxy lacks it. */
--- a/src/plugins/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -16,14 +16,14 @@
   type Heartbeat,
   type ReportResponse,
   type Welcome,
-} from '../gen/auburnsill/v1/feed_pb.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
-import type { Access } from './access.js';
+} from '../../gen/auburnsill/v1/feed_pb.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
+import type { Access } from '../operators/access.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import { readAddresses } from './feedMessages.js';
 import { heartbeatMs } from './feedServer.js';
-import { createRpcTransport } from './rpc.js';
+import { createRpcTransport } from '../rpc.js';
 
 /** Silence after which a parent is given up. */
 export const silenceMs = 3 * heartbeatMs;
--- a/src/plugins/feedMessages.ts
+++ b/src/plugins/distribution/feedMessages.ts
@@ -3,7 +3,7 @@
  * from the network are bounded here; what exceeds a bound is refused as malformed.
  */
 import { create, type MessageInitShape } from '@bufbuild/protobuf';
-import type { Version as VersionMessage } from '../gen/auburnsill/v1/common_pb.js';
+import type { Version as VersionMessage } from '../../gen/auburnsill/v1/common_pb.js';
 import {
   ClusterUpdateSchema,
   ConfigurationUpdateSchema,
@@ -16,15 +16,15 @@
   type NodeVersion as NodeVersionMessage,
   type ReportRequest,
   type VersionCount as VersionCountMessage,
-} from '../gen/auburnsill/v1/feed_pb.js';
-import type { Endpoint, Version } from '../types/public.js';
-import type { FleetNode } from '../types/internal.js';
-import type { BranchReport, NodeVersion, VersionCount } from '../core/feed.js';
-import type { ClusterChange, ClusterCursor } from '../core/clusterLog.js';
-import type { ConfigurationChange } from '../core/configurationStore.js';
-import { noVersion } from '../core/version.js';
-import { Failure } from '../utils/failure.js';
-import { parseAddress } from './rpc.js';
+} from '../../gen/auburnsill/v1/feed_pb.js';
+import type { Endpoint, Version } from '../../types/public.js';
+import type { FleetNode } from '../../types/internal.js';
+import type { BranchReport, NodeVersion, VersionCount } from '../../core/distribution/feed.js';
+import type { ClusterChange, ClusterCursor } from '../../core/distribution/clusterLog.js';
+import type { ConfigurationChange } from '../../core/distribution/configurationStore.js';
+import { noVersion } from '../../core/agreement/version.js';
+import { Failure } from '../../utils/failure.js';
+import { parseAddress } from '../rpc.js';
 
 const maxTextLength = 256;
 const maxListLength = 20_000;
--- a/src/plugins/feedMetrics.ts
+++ b/src/plugins/distribution/feedMetrics.ts
@@ -9,8 +9,8 @@
   ReportRequestSchema,
   type FeedMessage,
   type ReportRequest,
-} from '../gen/auburnsill/v1/feed_pb.js';
-import type { Traffic } from './rpc.js';
+} from '../../gen/auburnsill/v1/feed_pb.js';
+import type { Traffic } from '../rpc.js';
 
 export interface FeedMetrics {
   sent(message: FeedMessage | ReportRequest): void;
--- a/src/plugins/feedServer.ts
+++ b/src/plugins/distribution/feedServer.ts
@@ -12,21 +12,28 @@
   type ReportRequest,
   type Subscriber,
   type SubscribeRequest,
-} from '../gen/auburnsill/v1/feed_pb.js';
-import type { Version } from '../types/public.js';
+} from '../../gen/auburnsill/v1/feed_pb.js';
+import type { Version } from '../../types/public.js';
 import {
   createChildAdmission,
   leaseMs,
   type ChildAdmission,
   type Floors,
   type NodeVersion,
-} from '../core/feed.js';
-import { changeSince, type ClusterCursor, type ClusterLog } from '../core/clusterLog.js';
-import type { ConfigurationCursor, ConfigurationStore } from '../core/configurationStore.js';
-import { noVersion } from '../core/version.js';
-import { Failure } from '../utils/failure.js';
-import type { Log } from '../utils/log.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+} from '../../core/distribution/feed.js';
+import {
+  changeSince,
+  type ClusterCursor,
+  type ClusterLog,
+} from '../../core/distribution/clusterLog.js';
+import type {
+  ConfigurationCursor,
+  ConfigurationStore,
+} from '../../core/distribution/configurationStore.js';
+import { noVersion } from '../../core/agreement/version.js';
+import { Failure } from '../../utils/failure.js';
+import type { Log } from '../../utils/log.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import {
   readAddresses,
--- a/src/plugins/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -13,24 +13,27 @@
   ReportResponse,
   Subscriber,
   Welcome,
-} from '../gen/auburnsill/v1/feed_pb.js';
-import type { Cluster } from '../types/public.js';
-import type { Announcer, Held, Holding } from '../types/internal.js';
-import { createConfigurationStore, type ChangeResult } from '../core/configurationStore.js';
+} from '../../gen/auburnsill/v1/feed_pb.js';
+import type { Cluster } from '../../types/public.js';
+import type { Announcer, Held, Holding } from '../../types/internal.js';
+import {
+  createConfigurationStore,
+  type ChangeResult,
+} from '../../core/distribution/configurationStore.js';
 import {
   createFreshness,
   createParentChoice,
   createUpwardReport,
   type ControlAddress,
   type SubtreeStatus,
-} from '../core/feed.js';
-import { clusterWaitMs, createHolding } from '../core/holding.js';
-import { derivePolicies } from '../core/policy.js';
-import { createSubtree } from '../core/subtree.js';
-import { formatVersion, isNewer, noVersion } from '../core/version.js';
-import type { Log } from '../utils/log.js';
-import type { Cancel, Timer } from '../utils/timer.js';
-import type { Access } from './access.js';
+} from '../../core/distribution/feed.js';
+import { clusterWaitMs, createHolding } from '../../core/distribution/holding.js';
+import { derivePolicies } from '../../core/operators/policy.js';
+import { createSubtree } from '../../core/distribution/subtree.js';
+import { formatVersion, isNewer, noVersion } from '../../core/agreement/version.js';
+import type { Log } from '../../utils/log.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
+import type { Access } from '../operators/access.js';
 import { createFeedLink, probeFeed, type FeedLink } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import { createFeedServer, type Publication } from './feedServer.js';
@@ -46,7 +49,7 @@
   writeNodeVersion,
   writeVersion,
 } from './feedMessages.js';
-import { createNodeClusters } from '../core/nodeClusters.js';
+import { createNodeClusters } from '../../core/distribution/nodeClusters.js';
 import { createParentLoop } from './parentLoop.js';
 
 const tickMs = 500;
--- a/src/plugins/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -3,13 +3,17 @@
  * parent that lags, cycles or has gone silent, and looks for a better one while the present one is
  * cut off from the source.
  */
-import type { Version } from '../types/public.js';
-import { confirmationLeaseMs } from '../core/freshness.js';
-import type { ParentChoice } from '../core/parentChoice.js';
-import { createParentHealth, type ParentBeat, type ParentHealth } from '../core/parentHealth.js';
-import { compareVersions, isNewer } from '../core/version.js';
-import type { Log } from '../utils/log.js';
-import type { Cancel, Timer } from '../utils/timer.js';
+import type { Version } from '../../types/public.js';
+import { confirmationLeaseMs } from '../../core/distribution/freshness.js';
+import type { ParentChoice } from '../../core/distribution/parentChoice.js';
+import {
+  createParentHealth,
+  type ParentBeat,
+  type ParentHealth,
+} from '../../core/distribution/parentHealth.js';
+import { compareVersions, isNewer } from '../../core/agreement/version.js';
+import type { Log } from '../../utils/log.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
 import type { FeedLink, LinkOutcome, ProbeResult } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import { readVersion } from './feedMessages.js';
--- a/src/plugins/adminServer.ts
+++ b/src/plugins/operators/adminServer.ts
@@ -5,9 +5,9 @@
  */
 import { createServer, type ServerResponse } from 'node:http';
 import polka, { type Polka } from 'polka';
-import { Failure } from '../utils/failure.js';
-import { listenHttp } from './httpListen.js';
-import type { Address } from './rpc.js';
+import { Failure } from '../../utils/failure.js';
+import { listenHttp } from '../httpListen.js';
+import type { Address } from '../rpc.js';
 
 const requestTimeoutMs = 10_000;
 const maxConnections = 64;
--- a/src/plugins/controlSettings.ts
+++ b/src/plugins/operators/controlSettings.ts
@@ -4,11 +4,11 @@
 import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
 import { z } from 'zod';
-import type { Finding } from '../types/public.js';
-import { FindingsError } from '../utils/findings.js';
-import type { LogLevel } from '../utils/log.js';
-import { checkValue, parseTomlText, readSettings } from '../utils/settings.js';
-import { parseAddress, type Address } from './rpc.js';
+import type { Finding } from '../../types/public.js';
+import { FindingsError } from '../../utils/findings.js';
+import type { LogLevel } from '../../utils/log.js';
+import { checkValue, parseTomlText, readSettings } from '../../utils/settings.js';
+import { parseAddress, type Address } from '../rpc.js';
 import { readTokenFile } from './tokenFile.js';
 
 /** At most 7 instances are set aside for control. */
--- a/src/plugins/nodeSettings.ts
+++ b/src/plugins/operators/nodeSettings.ts
@@ -2,9 +2,9 @@
  * Settings of a node, see docs/design.md.
  */
 import { z } from 'zod';
-import { parseAddress } from './rpc.js';
+import { parseAddress } from '../rpc.js';
 import { readTokenFile } from './tokenFile.js';
-import { readSettings } from '../utils/settings.js';
+import { readSettings } from '../../utils/settings.js';
 
 const maxListed = 64;
 
--- a/src/plugins/operatorCommands.ts
+++ b/src/plugins/operators/operatorCommands.ts
@@ -13,24 +13,24 @@
   type Change,
   type ChangeResult,
   type RefusalCause,
-} from '../core/acceptance.js';
-import { judgeAttachment, type Attachment } from '../core/attachment.js';
-import { checkConfiguration, diffLines, parseTargets } from '../core/configuration.js';
-import { formatVersion } from '../core/version.js';
+} from '../../core/agreement/acceptance.js';
+import { judgeAttachment, type Attachment } from '../../core/distribution/attachment.js';
+import { checkConfiguration, diffLines, parseTargets } from '../../core/operators/configuration.js';
+import { formatVersion } from '../../core/agreement/version.js';
 import {
   OperatorCommands,
   type ApplyRequest,
   type ChangeMembersRequest,
   type DrainRequest,
-} from '../gen/auburnsill/v1/operator_pb.js';
-import type { FleetStatus, Member, ReplicaGroup } from '../types/internal.js';
-import type { Configuration, Finding, RunState, Version } from '../types/public.js';
-import { Failure, failureTable } from '../utils/failure.js';
-import { formatFinding } from '../utils/findings.js';
-import type { Log } from '../utils/log.js';
-import type { Timer } from '../utils/timer.js';
+} from '../../gen/auburnsill/v1/operator_pb.js';
+import type { FleetStatus, Member, ReplicaGroup } from '../../types/internal.js';
+import type { Configuration, Finding, RunState, Version } from '../../types/public.js';
+import { Failure, failureTable } from '../../utils/failure.js';
+import { formatFinding } from '../../utils/findings.js';
+import type { Log } from '../../utils/log.js';
+import type { Timer } from '../../utils/timer.js';
 import { operatorOf } from './access.js';
-import { fromWireVersion, toWireVersion } from './wireVersion.js';
+import { fromWireVersion, toWireVersion } from '../wireVersion.js';
 
 const maxChangeIdLength = 128;
 const maxNoteLength = 1_024;
--- a/src/plugins/operatorQueries.ts
+++ b/src/plugins/operators/operatorQueries.ts
@@ -3,15 +3,15 @@
  * instance answers with the leader's address.
  */
 import type { ConnectRouter } from '@connectrpc/connect';
-import type { Acceptance, AppliedChange, ChangeRecord } from '../core/acceptance.js';
-import { attachedDataCentres } from '../core/attachment.js';
-import { explainPolicy, siblingsOf } from '../core/policy.js';
-import { compareVersions, noVersion } from '../core/version.js';
-import { OperatorQueries } from '../gen/auburnsill/v1/operator_pb.js';
-import type { FleetNode, FleetStatus, Member, ReplicaGroup } from '../types/internal.js';
-import type { Endpoint } from '../types/public.js';
-import { Failure } from '../utils/failure.js';
-import { fromWireVersion, toWireVersion } from './wireVersion.js';
+import type { Acceptance, AppliedChange, ChangeRecord } from '../../core/agreement/acceptance.js';
+import { attachedDataCentres } from '../../core/distribution/attachment.js';
+import { explainPolicy, siblingsOf } from '../../core/operators/policy.js';
+import { compareVersions, noVersion } from '../../core/agreement/version.js';
+import { OperatorQueries } from '../../gen/auburnsill/v1/operator_pb.js';
+import type { FleetNode, FleetStatus, Member, ReplicaGroup } from '../../types/internal.js';
+import type { Endpoint } from '../../types/public.js';
+import { Failure } from '../../utils/failure.js';
+import { fromWireVersion, toWireVersion } from '../wireVersion.js';
 
 const defaultHistoryLength = 20;
 const maxHistoryLength = 1_000;
--- a/src/plugins/tokenFile.ts
+++ b/src/plugins/operators/tokenFile.ts
@@ -4,7 +4,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
-import type { Finding } from '../types/public.js';
+import type { Finding } from '../../types/public.js';
 
 /** Shorter tokens can be guessed. */
 const minTokenLength = 16;
--- a/src/plugins/wireVersion.ts
+++ b/src/plugins/wireVersion.ts
@@ -1,7 +1,7 @@
 /**
  * Versions between their form in the core and on the wire.
  */
-import { noVersion } from '../core/version.js';
+import { noVersion } from '../core/agreement/version.js';
 import type { Version as WireVersion } from '../gen/auburnsill/v1/common_pb.js';
 import type { Version } from '../types/public.js';
 
