--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -3,6 +3,7 @@
 import { createEvidence } from '../src/core/calls/evidence.js';
 import { createRetryBudget } from '../src/core/calls/retry.js';
 import { createCallRunner } from '../src/plugins/calls/callRun.js';
+import { ownCallInterface } from '../src/plugins/calls/ownCallInterface.js';
 import { createLocalUpstream } from '../src/plugins/calls/localUpstream.js';
 import type { RemoteNodes } from '../src/plugins/calls/remoteNode.js';
 import type { AnswerHead } from '../src/types/calls.js';
@@ -36,7 +37,7 @@
     home: { name: 'home', dataCentre: 'a', region: 'r' },
     timer,
     random,
-    upstream: createLocalUpstream(timer),
+    upstream: createLocalUpstream(timer, ownCallInterface.upstreams),
     remote,
     evidence,
     budgetOf: () => budget,
@@ -57,6 +58,7 @@
           clusters: new Map([[policy.service, cluster]]),
         },
         policy,
+        service: policy.service,
         caller: 'x',
         method: 'GET',
         path: '/',
--- a/__tests__/nodeLines.test.ts
+++ b/__tests__/nodeLines.test.ts
@@ -29,6 +29,7 @@
         attemptId,
         requestId: attemptId,
         className: 'bulk',
+        service: 's',
         caller: 'x',
         priority: 10,
         maxWaitMs: 5_000,
--- a/__tests__/silentCaller.test.ts
+++ b/__tests__/silentCaller.test.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import { it } from 'node:test';
 import { createCallListener } from '../src/plugins/calls/callListener.js';
+import { ownCallInterface } from '../src/plugins/calls/ownCallInterface.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createTimer } from '../src/utils/timer.js';
 import { waitFor } from './support/waitFor.js';
@@ -14,7 +15,8 @@
     timer,
     log: createSilentLog(),
     maxHeaderBytes: 1_024,
-    idleStopMs: 0,
+    callers: ownCallInterface.callers,
+    stopTimes: { acceptMs: 0, idleMs: 0 },
     peerSilenceMs: 200,
     onCall: (request, response) => {
       response.on('close', () => closed.push(request.url ?? ''));
--- a/__tests__/support/feedFleet.ts
+++ b/__tests__/support/feedFleet.ts
@@ -156,7 +156,7 @@
   const timer = createTimer();
   const feed = createControlFeed({
     control: { name, dataCentre, region: 'region', peerAddress },
-    cluster: { name: clusterName, members },
+    cluster: { name: clusterName, members: () => members },
     source,
     access,
     timer,
--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -6,9 +6,10 @@
  */
 import { parseArgs } from 'node:util';
 import { readControlSettings } from '../plugins/operators/controlSettings.js';
-import { createLog, type Log } from '../utils/log.js';
+import { createLog } from '../utils/log.js';
 import { createTimer } from '../utils/timer.js';
 import { startControlInstance } from './controlInstance.js';
+import { runProgram } from './runProgram.js';
 import { describeFailure, failStart, programExitCodes } from './startFailure.js';
 
 const usage = 'usage: auburnsill-control --settings FILE [--bootstrap]';
@@ -39,24 +40,6 @@
   return exit(code);
 };
 
-const stopOnSignals = (log: Log, stop: () => Promise<void>) => {
-  let isStopping = false;
-  const onSignal = (signal: NodeJS.Signals) => {
-    if (isStopping) {
-      log.warn('second signal, ending at once', { signal });
-      exit(programExitCodes.failed);
-    }
-    isStopping = true;
-    log.info('stopping', { signal });
-    setTimeout(() => exit(programExitCodes.failed), stopLimitMs).unref();
-    stop()
-      .then(() => exit(0))
-      .catch((error: unknown) => fail(programExitCodes.failed, describeFailure(error)));
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
-};
-
 const main = async () => {
   const given = readArguments() ?? fail(programExitCodes.badInput, usage);
   const settings = readControlSettings(given.settings);
@@ -69,7 +52,7 @@
     random: Math.random,
     onFatal: (error) => fail(programExitCodes.failed, describeFailure(error)),
   });
-  stopOnSignals(log.part('control'), instance.stop);
+  runProgram({ log: log.part('control'), stopLimitMs, stop: instance.stop });
 };
 
 main().catch(failStart);
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -3,12 +3,17 @@
  * and stopped in order.
  */
 import type { ConnectRouter } from '@connectrpc/connect';
-import { createAcceptance, type AppliedChange } from '../core/agreement/acceptance.js';
+import {
+  createAcceptance,
+  type AppliedChange,
+  type DocumentReader,
+} from '../core/agreement/acceptance.js';
 import { createLedger, type LedgerResult } from '../core/agreement/ledger.js';
 import { createAccess } from '../plugins/operators/access.js';
 import { createAdminServer, type CheckState } from '../plugins/operators/adminServer.js';
 import {
   createConsensusTransport,
+  type JoinReceiver,
   type Receiver,
 } from '../plugins/agreement/consensusTransport.js';
 import { createControlFeed } from '../plugins/distribution/controlFeed.js';
@@ -18,9 +23,14 @@
 import { createConvergence } from '../plugins/distribution/convergence.js';
 import { foundGroup, identityProbe, isEmptyLog } from '../plugins/agreement/founding.js';
 import type { GroupLog, LoadedLog } from '../plugins/agreement/groupLog.js';
+import { answerJoin, startJoining } from '../plugins/agreement/joining.js';
 import { followMembership } from '../plugins/agreement/ledgerMembership.js';
 import { createLedgerService } from '../plugins/agreement/ledgerService.js';
-import { createMetrics } from '../plugins/metrics.js';
+import { createMetrics, type Metrics } from '../plugins/metrics.js';
+import {
+  createDocumentChanges,
+  type DocumentChanges,
+} from '../plugins/operators/documentChanges.js';
 import { createOperatorCommands } from '../plugins/operators/operatorCommands.js';
 import { createOperatorQueries } from '../plugins/operators/operatorQueries.js';
 import {
@@ -35,6 +45,10 @@
 import type { Log } from '../utils/log.js';
 import type { Timer } from '../utils/timer.js';
 
+/** Silence after which a member counts as replaced, in ms: three times that of an election. */
+const removeSilentAfterMs = 3 * defaultReplicaTimes.electionTimeoutMs;
+/** Bytes of entries after which a group's log is compacted: it is held in memory, too. */
+const compactAfterBytes = 4 * 1024 * 1024;
 /** Entries after which a group's log is compacted. */
 const compactAfterEntries = { configuration: 1_000, ledger: 10_000 } as const;
 const closeGraceMs = 2_000;
@@ -47,6 +61,8 @@
   readonly timer: Timer;
   readonly log: Log;
   readonly random: () => number;
+  /** An interface of an adapter to operators; it is started last and closed first. */
+  readonly adapter?: ControlAdapter;
   /** The disk has failed or an invariant is broken: the process has to end at once. */
   readonly onFatal: (error: unknown) => void;
 }
@@ -55,9 +71,27 @@
   stop(): Promise<void>;
 }
 
+/** What an adapter gets of a control instance. */
+export interface ControlContext {
+  readonly documents: DocumentChanges;
+  readonly metrics: Metrics;
+}
+
+export interface ControlAdapter {
+  /** Reads the documents that operators hand in. */
+  readonly readDocument: DocumentReader;
+  start(context: ControlContext): ControlExtension;
+}
+
+export interface ControlExtension {
+  listen(): Promise<unknown>;
+  close(): Promise<void>;
+}
+
 interface Groups {
   readonly configuration: RunningReplicaGroup<AppliedChange>;
-  readonly ledger: RunningReplicaGroup<LedgerResult>;
+  /** Unset if the ledger does not run here. */
+  readonly ledger?: RunningReplicaGroup<LedgerResult>;
 }
 
 type GroupName = keyof Groups;
@@ -70,14 +104,17 @@
   log,
   random,
   onFatal,
+  adapter,
 }: ControlInstanceOptions): Promise<ControlInstance> => {
-  const { control, cluster } = settings;
+  const { control, cluster, discovery, hasLedger } = settings;
   const ownMember = cluster.members.find(({ name }) => name === control.name)!;
-  const isFounder = bootstrap && cluster.members[0] === ownMember;
+  const isFounder = discovery
+    ? discovery.isFirstStart && discovery.seeds()[0] === ownMember.address
+    : bootstrap && cluster.members[0] === ownMember;
   const metrics = createMetrics();
   const controlMetrics = createControlMetrics(metrics);
   const access = createAccess({ clusterToken: cluster.token, operators: cluster.operators });
-  const acceptance = createAcceptance();
+  const acceptance = createAcceptance({ readDocument: adapter?.readDocument });
   const ledger = createLedger();
 
   const storage = await openStorage(settings.folder, {
@@ -86,7 +123,10 @@
   });
   const openLog = (group: GroupName): Promise<GroupLog> =>
     storage.openLog(group, (ms) => controlMetrics.observeSyncMs(group, ms));
-  const logs = { configuration: await openLog('configuration'), ledger: await openLog('ledger') };
+  const logs: { configuration: GroupLog; ledger?: GroupLog } = {
+    configuration: await openLog('configuration'),
+    ledger: hasLedger ? await openLog('ledger') : undefined,
+  };
   const self = { name: control.name, incarnation: storage.incarnation };
   const transport = createConsensusTransport({
     cluster: cluster.name,
@@ -100,12 +140,13 @@
   const createGroup = <Result>(
     group: GroupName,
     machine: StateMachine<Result>,
+    storageOfGroup: GroupLog,
     loaded: LoadedLog,
   ): RunningReplicaGroup<Result> =>
     createReplicaGroup({
       group,
       self,
-      storage: logs[group],
+      storage: storageOfGroup,
       loaded,
       machine,
       request: (address, message) => transport.request(address, group, message),
@@ -113,6 +154,8 @@
       log: log.part(group),
       random,
       compactAfterEntries: compactAfterEntries[group],
+      compactAfterBytes,
+      removeSilentAfterMs: discovery ? removeSilentAfterMs : undefined,
       onFatal,
     });
 
@@ -123,15 +166,21 @@
       : Promise.reject(new Failure('no_quorum', `group "${group}" does not run here`));
   };
 
-  const loadGroup = (group: GroupName): Promise<LoadedLog> => {
-    const { loaded } = logs[group];
+  const seedMembers = () =>
+    (discovery?.seeds() ?? [])
+      .filter((address) => address !== ownMember.address)
+      .map((address) => ({ ...ownMember, name: address, address }));
+
+  const loadGroup = (group: GroupName, storageOfGroup: GroupLog): Promise<LoadedLog> => {
+    const { loaded } = storageOfGroup;
     if (!isFounder || !isEmptyLog(loaded)) {
       return Promise.resolve(loaded);
     }
     return foundGroup({
       self: { ...ownMember, incarnation: self.incarnation, kind: 'voter' },
-      others: cluster.members.filter((member) => member !== ownMember),
-      storage: logs[group],
+      others: discovery ? seedMembers() : cluster.members.filter((member) => member !== ownMember),
+      othersJoin: discovery !== undefined,
+      storage: storageOfGroup,
       probe: (address) => transport.request(address, group, identityProbe),
       timer,
       log: log.part(group),
@@ -153,9 +202,14 @@
     },
   };
 
+  const controlMembers = () => {
+    const members = groups.configuration?.queries.members() ?? [];
+    return members.length === 0 ? cluster.members : members;
+  };
+
   const feed = createControlFeed({
     control: { ...control, peerAddress: ownMember.address },
-    cluster: { name: cluster.name, members: cluster.members },
+    cluster: { name: cluster.name, members: controlMembers },
     source,
     access,
     timer,
@@ -170,15 +224,20 @@
     controlMetrics.observeConvergenceMs,
   );
 
+  const groupNames: readonly GroupName[] = hasLedger
+    ? ['configuration', 'ledger']
+    : ['configuration'];
+
   const observedGroups = (): ObservedGroup[] =>
-    Object.entries(groups).map(([name, group]) => ({
-      name,
-      status: group.status,
-      confirmedAgeMs: group.queries.confirmedAgeMs,
-    }));
+    groupNames.flatMap((name) => {
+      const group = groups[name];
+      return group
+        ? [{ name, status: group.status, confirmedAgeMs: group.queries.confirmedAgeMs }]
+        : [];
+    });
 
   const reasonsNotReady = (): string[] => {
-    const reasons = (['configuration', 'ledger'] as const).flatMap((name) => {
+    const reasons = groupNames.flatMap((name) => {
       const group = groups[name];
       if (!group) {
         return [`group ${name} is not started`];
@@ -218,22 +277,52 @@
   };
 
   const startGroups = async (): Promise<Groups> => {
+    const storages = logs;
     const [configurationLog, ledgerLog] = await Promise.all([
-      loadGroup('configuration'),
-      loadGroup('ledger'),
+      loadGroup('configuration', storages.configuration),
+      storages.ledger && loadGroup('ledger', storages.ledger),
     ]);
-    const configuration = createGroup('configuration', acceptance.machine, configurationLog);
-    const ledgerGroup = createGroup('ledger', ledger.machine, ledgerLog);
+    const configuration = createGroup(
+      'configuration',
+      acceptance.machine,
+      storages.configuration,
+      configurationLog,
+    );
     groups.configuration = configuration;
-    groups.ledger = ledgerGroup;
     configuration.onChange(notifyHead);
     configuration.start();
-    ledgerGroup.start();
-    return { configuration, ledger: ledgerGroup };
+    if (storages.ledger && ledgerLog) {
+      groups.ledger = createGroup('ledger', ledger.machine, storages.ledger, ledgerLog);
+      groups.ledger.start();
+    }
+    return { configuration, ledger: groups.ledger };
+  };
+
+  const takeJoin: JoinReceiver = (group, member) => {
+    const running = groups[group as GroupName];
+    return running
+      ? answerJoin(running, member)
+      : Promise.resolve({ outcome: 'not_leader', addresses: [] });
+  };
+
+  const joinGroup = (group: GroupName) => {
+    const running = groups[group];
+    if (discovery && running) {
+      const joining = { group, ...control, address: ownMember.address };
+      startJoining({
+        self: joining,
+        incarnation: self.incarnation,
+        group: running,
+        seeds: discovery.seeds,
+        ask: (address) => transport.join(address, joining),
+        timer,
+        log: log.part(group),
+      });
+    }
   };
 
   const createRoutes = ({ configuration, ledger: ledgerGroup }: Groups) => {
-    const ledgerService = createLedgerService({ group: ledgerGroup, ledger, timer });
+    const ledgerService = ledgerGroup && createLedgerService({ group: ledgerGroup, ledger, timer });
     const addCommands = createOperatorCommands({
       group: configuration,
       acceptance,
@@ -251,11 +340,11 @@
       fleet: feed.fleet,
       convergedMs: convergence.convergedMs,
     });
-    ledgerService.start();
+    ledgerService?.start();
     return (router: ConnectRouter) => {
-      transport.routes(router, receive);
+      transport.routes(router, receive, takeJoin);
       feed.routes(router);
-      ledgerService.routes(router);
+      ledgerService?.routes(router);
       addCommands(router);
       addQueries(router);
     };
@@ -267,9 +356,11 @@
   };
 
   let server: RpcServer | undefined;
+  let extension: ControlExtension | undefined;
 
   const stop = async () => {
     isStopping = true;
+    await extension?.close();
     await Promise.all(Object.values(groups).map((group) => group.commands.stop()));
     await feed.stop();
     await server?.close(closeGraceMs);
@@ -287,9 +378,25 @@
     });
     observePeerTraffic(metrics.registry, server.traffic);
     await server.listen();
-    followMembership(started.configuration, started.ledger, timer, log.part('ledger'));
+    groupNames.forEach(joinGroup);
+    if (started.ledger && !discovery) {
+      followMembership(started.configuration, started.ledger, timer, log.part('ledger'));
+    }
     convergence.start();
     feed.start();
+    extension = adapter?.start({
+      documents: createDocumentChanges({
+        readDocument: adapter.readDocument,
+        group: started.configuration,
+        acceptance,
+        // A change that one disk alone holds is lost with it.
+        minVoters: Math.floor((discovery?.seeds().length ?? 1) / 2) + 1,
+        timer,
+        log: log.part('operators'),
+      }),
+      metrics,
+    });
+    await extension?.listen();
     log.info('started', { incarnation: self.incarnation, newFolder: storage.isNew });
   } catch (error) {
     await stop();
--- /dev/null
+++ b/src/bin/nodeInstance.ts
@@ -0,0 +1,137 @@
+/**
+ * Wiring of a node: feed, path of calls, ledger client and admin address, started and stopped in
+ * order.
+ */
+import { randomBytes } from 'node:crypto';
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
+import { createAccess } from '../plugins/operators/access.js';
+import { createFeedMetrics, observePeerTraffic } from '../plugins/distribution/feedMetrics.js';
+import { createLedgerClient } from '../plugins/calls/ledgerClient.js';
+import { createMetrics } from '../plugins/metrics.js';
+import { createNodeFeed } from '../plugins/distribution/nodeFeed.js';
+import { createNodeRuntime, type NodeRuntime } from '../plugins/calls/nodeRuntime.js';
+import { createRpcServer, parseAddress, type Address } from '../plugins/rpc.js';
+import type { CallInterface } from '../types/callInterface.js';
+import type { StopTimes } from '../types/internal.js';
+import type { Log } from '../utils/log.js';
+import type { Timer } from '../utils/timer.js';
+import type { NodeSettings } from '../plugins/operators/nodeSettings.js';
+
+const peerGraceMs = 500;
+
+/** What an adapter adds to a node. */
+export interface NodeAdapter {
+  readonly callInterface: CallInterface;
+  readonly stopTimes: StopTimes;
+  /** Time within which the upstream renews its announcement, in ms. */
+  readonly renewWithinMs: number;
+  /** Interfaces of the adapter; they are started last and closed last. */
+  start(runtime: Pick<NodeRuntime, 'ready' | 'announcement'>): {
+    listen(): Promise<unknown>;
+    close(): Promise<void>;
+  };
+}
+
+export interface NodeInstanceOptions {
+  readonly settings: NodeSettings;
+  readonly timer: Timer;
+  readonly log: Log;
+  readonly adapter?: NodeAdapter;
+}
+
+export interface NodeInstance {
+  /** Ends calls in flight within the limit, in ms. */
+  stop(limitMs: number): Promise<void>;
+}
+
+const addressOf = (text: string): Address => parseAddress(text)!;
+
+/** Source of random numbers in [0, 1), seeded by the system. */
+const createRandom = (): (() => number) => {
+  const generator = xoroshiro128plus(randomBytes(4).readInt32LE());
+  const range = 2 ** 30;
+  return () => unsafeUniformIntDistribution(0, range - 1, generator) / range;
+};
+
+/** Control instances of the own data centre first. */
+const controlOrder = ({ node, cluster }: NodeSettings): string[] => {
+  const near = cluster.control.filter((control) => control.data_centre === node.data_centre);
+  const far = cluster.control.filter((control) => control.data_centre !== node.data_centre);
+  return [...near, ...far].map(({ address }) => address);
+};
+
+/** Starts a node and resolves once it takes calls. */
+export const startNodeInstance = async ({
+  settings,
+  timer,
+  log,
+  adapter,
+}: NodeInstanceOptions): Promise<NodeInstance> => {
+  const random = createRandom();
+  const { listen, cluster, advertise } = settings;
+  const access = createAccess({ clusterToken: settings.token });
+  const metrics = createMetrics();
+  const node = {
+    name: settings.node.name,
+    dataCentre: settings.node.data_centre,
+    region: settings.node.region,
+  };
+  const control = cluster.control.map((entry) => ({
+    address: entry.address,
+    dataCentre: entry.data_centre,
+  }));
+  const feed = createNodeFeed({
+    node: { ...node, peerAddress: advertise?.peer ?? listen.peer },
+    cluster: { name: cluster.name, control, peers: cluster.peers },
+    access,
+    timer,
+    log,
+    random,
+    metrics: createFeedMetrics(metrics.registry),
+  });
+  const peer = createRpcServer({
+    address: addressOf(listen.peer),
+    routes: feed.routes,
+    interceptors: [access.serverInterceptor],
+  });
+  observePeerTraffic(metrics.registry, peer.traffic);
+  const ledger = createLedgerClient({ addresses: controlOrder(settings), access, timer });
+  const runtime = createNodeRuntime({
+    node,
+    listen: {
+      calls: addressOf(listen.calls),
+      forward: addressOf(listen.forward),
+      admin: addressOf(listen.admin),
+    },
+    advertisedForward: advertise?.forward,
+    callInterface: adapter?.callInterface,
+    stopTimes: adapter?.stopTimes,
+    renewWithinMs: adapter?.renewWithinMs,
+    access,
+    holding: feed.holding,
+    announcer: feed.announcer,
+    ledger,
+    metrics,
+    timer,
+    log,
+    random,
+  });
+  const extension = adapter?.start(runtime);
+
+  await peer.listen();
+  await runtime.start();
+  await extension?.listen();
+  feed.start();
+  log.info('started', { ...listen });
+
+  return {
+    stop: async (limitMs) => {
+      await runtime.stop(limitMs);
+      await feed.stop();
+      await peer.close(peerGraceMs);
+      ledger.close();
+      await extension?.close();
+      timer.stop();
+    },
+  };
+};
--- /dev/null
+++ b/src/bin/runProgram.ts
@@ -0,0 +1,59 @@
+/**
+ * What all long-running programs do: stop gracefully on SIGTERM or SIGINT, at once on a second
+ * signal or after a time limit, and go on after SIGHUP, which would end the process by default.
+ */
+import type { Log } from '../utils/log.js';
+import { describeFailure, programExitCodes } from './startFailure.js';
+
+/** Lines of the log need some turns of the loop before the process ends, in ms. */
+const logFlushMs = 20;
+
+export interface RunningProgram {
+  readonly log: Log;
+  /** A graceful stop that takes longer is cut off, in ms. */
+  readonly stopLimitMs: number;
+  stop(): Promise<void>;
+  /** Called on SIGHUP. */
+  reload?(): void;
+}
+
+/** Ends the process once its last log lines are written. */
+export const exitSoon = (code: number): void => {
+  // Open connections would keep the process alive.
+  // eslint-disable-next-line n/no-process-exit
+  setTimeout(() => process.exit(code), logFlushMs);
+};
+
+/** Connects a running program to the signals of its process. */
+export const runProgram = ({ log, stopLimitMs, stop, reload }: RunningProgram): void => {
+  let isStopping = false;
+  const onSignal = (signal: NodeJS.Signals) => {
+    if (isStopping) {
+      log.warn('second signal, ending at once', { signal });
+      exitSoon(programExitCodes.failed);
+      return;
+    }
+    isStopping = true;
+    log.info('stopping', { signal });
+    setTimeout(() => {
+      log.error('the time limit of the stop has passed', { limitMs: stopLimitMs });
+      exitSoon(programExitCodes.failed);
+    }, stopLimitMs).unref();
+    stop().then(
+      () => {
+        log.info('stopped');
+        exitSoon(0);
+      },
+      (error: unknown) => {
+        log.error('stop failed', { error: describeFailure(error) });
+        exitSoon(programExitCodes.failed);
+      },
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+  process.on('SIGHUP', () => {
+    log.info('reloading', { signal: 'SIGHUP' });
+    reload?.();
+  });
+};
--- a/src/core/agreement/acceptance.ts
+++ b/src/core/agreement/acceptance.ts
@@ -10,12 +10,15 @@
   digestConfiguration,
   encodeConfiguration,
 } from '../operators/configuration.js';
+import { Failure } from '../../utils/failure.js';
 import { compareVersions, noVersion } from './version.js';
 
 /** Changes whose outcome is kept. */
 export const maxChangesKept = 10_000;
 /** Configurations that are kept as bases of deltas: more than a fifth of a day's changes. */
 export const maxConfigurationsKept = 256;
+/** Bytes of target text of the configurations that are kept, so that large ones are fewer. */
+const maxTargetBytesKept = 1024 * 1024;
 
 /** Endpoints that are out of use at a time: a quarter of the 1,000 of the design size. */
 export const maxDrains = 256;
@@ -33,6 +36,28 @@
   readonly proposedAtMs: number;
 }
 
+/**
+ * A change that an operator hands in as a document with a number of its own choice, which rises from
+ * document to document. The number of the document that it builds on stands in for the version.
+ */
+export interface DocumentChange {
+  readonly changeId: string;
+  readonly text: string;
+  /** Time of day at the leader, in ms. */
+  readonly proposedAtMs: number;
+}
+
+/** What a document says. */
+export interface Document {
+  readonly number: number;
+  /** Number of the document that this one builds on; 0 for the first. */
+  readonly baseNumber: number;
+  readonly configuration: Configuration;
+}
+
+/** Reads a document. Equal texts give equal results on every replica; throws a Failure otherwise. */
+export type DocumentReader = (text: string) => Document;
+
 /** Takes an endpoint out of use, or back. It applies to whatever configuration is in force. */
 export interface DrainChange {
   readonly changeId: string;
@@ -76,6 +101,8 @@
   readonly digest: Uint8Array;
   readonly targets: string;
   readonly acceptedAtMs: number;
+  /** Number of the newest document that is part of it; 0 if none is. */
+  readonly documentNumber: number;
 }
 
 export interface Acceptance {
@@ -88,6 +115,8 @@
     history(limit: number): readonly ChangeRecord[];
     /** What the change would lead to now, without an entry. */
     judge(change: Change): AppliedChange | undefined;
+    /** The same for a document that was read. */
+    judgeDocument(change: DocumentChange, document: Document): AppliedChange | undefined;
   };
 }
 
@@ -101,6 +130,7 @@
 
 type Entry =
   | { readonly type: 'targets'; readonly command: Command }
+  | { readonly type: 'document'; readonly command: DocumentChange }
   | { readonly type: 'drain'; readonly command: DrainChange };
 
 interface Snapshot {
@@ -122,12 +152,20 @@
 export const encodeDrain = (drain: DrainChange): Uint8Array =>
   encodeText(JSON.stringify({ drain }));
 
+export const encodeDocument = (document: DocumentChange): Uint8Array =>
+  encodeText(JSON.stringify({ document }));
+
 const decodeEntry = (payload: Uint8Array): Entry => {
   const content = JSON.parse(decodeText(payload)) as
-    { readonly drain: DrainChange } | (Change & { configuration: string });
+    | { readonly drain: DrainChange }
+    | { readonly document: DocumentChange }
+    | (Change & { configuration: string });
   if ('drain' in content) {
     return { type: 'drain', command: content.drain };
   }
+  if ('document' in content) {
+    return { type: 'document', command: content.document };
+  }
   const { configuration, ...change } = content;
   const command = { ...change, configuration: decodeConfiguration(encodeText(configuration)) };
   return { type: 'targets', command };
@@ -153,6 +191,14 @@
   proposedAtMs: change.proposedAtMs,
 });
 
+const decidedDocument = ({ changeId, text, proposedAtMs }: DocumentChange): Decided => ({
+  changeId,
+  fingerprint: createHash('sha256').update(text).digest('hex'),
+  operator: '',
+  note: 'document',
+  proposedAtMs,
+});
+
 const decidedDrain = (drain: DrainChange): Decided => ({
   changeId: drain.changeId,
   fingerprint: fingerprintOfDrain(drain),
@@ -172,8 +218,25 @@
   return { ...configuration, drains: Object.fromEntries(drained.map((each) => [each.name, each])) };
 };
 
+const refuseDocuments: DocumentReader = () => {
+  throw new Failure('malformed_message', 'documents are not read here');
+};
+
+/** Newest configurations, as many as the bounds on their number and size allow. */
+const boundKept = (configurations: readonly StoredConfiguration[]): StoredConfiguration[] => {
+  let bytes = 0;
+  const first = configurations.findLastIndex(({ targets }, index) => {
+    bytes += targets.length;
+    const isNewest = index === configurations.length - 1;
+    return !isNewest && bytes > maxTargetBytesKept;
+  });
+  return configurations.slice(Math.max(first + 1, configurations.length - maxConfigurationsKept));
+};
+
 /** Creates the state machine of the group `configuration`. */
-export const createAcceptance = (): Acceptance => {
+export const createAcceptance = ({
+  readDocument = refuseDocuments,
+}: { readDocument?: DocumentReader } = {}): Acceptance => {
   let records = new Map<string, ChangeRecord>();
   let configurations: StoredConfiguration[] = [];
 
@@ -216,15 +279,24 @@
       proposedAtMs,
     }: Pick<Command, 'configuration' | 'targets' | 'proposedAtMs'>,
     version: Version,
+    documentNumber = head()?.documentNumber ?? 0,
   ): ChangeResult => {
     const digest = digestConfiguration(configuration);
     const current = head();
-    if (current && Buffer.compare(current.digest, digest) === 0 && current.targets === targets) {
+    const isSameDocument = current?.documentNumber === documentNumber;
+    if (
+      current &&
+      isSameDocument &&
+      Buffer.compare(current.digest, digest) === 0 &&
+      current.targets === targets
+    ) {
       return { outcome: 'unchanged', version: current.version };
     }
     const acceptedAtMs = proposedAtMs;
-    configurations.push({ version, configuration, digest, targets, acceptedAtMs });
-    configurations = configurations.slice(-maxConfigurationsKept);
+    configurations = boundKept([
+      ...configurations,
+      { version, configuration, digest, targets, acceptedAtMs, documentNumber },
+    ]);
     return { outcome: 'accepted', version };
   };
 
@@ -234,6 +306,34 @@
     return conflictOf(command) ?? accept({ ...command, configuration }, version);
   };
 
+  const documentConflictOf = ({ number, baseNumber }: Document): ChangeResult | undefined => {
+    const current = head()?.documentNumber ?? 0;
+    return baseNumber === current && number > current
+      ? undefined
+      : { outcome: 'refused', reason: 'version_conflict', version: headVersion() };
+  };
+
+  const decideDocument = (change: DocumentChange, version: Version): ChangeResult => {
+    let document: Document;
+    try {
+      document = readDocument(change.text);
+    } catch (error) {
+      // The leader reads a document before it proposes it: only another version of this program
+      // can differ.
+      if (!(error instanceof Failure)) {
+        throw error;
+      }
+      return { outcome: 'refused', reason: 'malformed_message', version: headVersion() };
+    }
+    const { drains } = head()?.configuration ?? {};
+    const configuration = { ...document.configuration, drains };
+    const { text: targets, proposedAtMs } = change;
+    return (
+      documentConflictOf(document) ??
+      accept({ configuration, targets, proposedAtMs }, version, document.number)
+    );
+  };
+
   const decideDrain = (drain: DrainChange, version: Version): ChangeResult => {
     const current = head();
     if (!current) {
@@ -256,9 +356,29 @@
     return { result, replayed: false };
   };
 
+  /**
+   * The refusal of a document is not kept: its id stands for its text, and the same text may fit
+   * once the document that it builds on has arrived.
+   */
+  const applyDocument = (change: DocumentChange, version: Version): AppliedChange => {
+    const decided = decidedDocument(change);
+    const replay = replayOf(decided);
+    if (replay) {
+      return replay;
+    }
+    const result = decideDocument(change, version);
+    if (result.outcome === 'accepted') {
+      keepRecord(decided, result);
+    }
+    return { result, replayed: false };
+  };
+
   const apply = ({ term, index, payload }: CommittedEntry): AppliedChange => {
     const entry = decodeEntry(payload);
     const version = { term, index };
+    if (entry.type === 'document') {
+      return applyDocument(entry.command, version);
+    }
     return entry.type === 'drain'
       ? decide(decidedDrain(entry.command), () => decideDrain(entry.command, version))
       : decide(decidedTargets(entry.command), () => decideTargets(entry.command, version));
@@ -267,11 +387,9 @@
   const snapshot = (): Uint8Array => {
     const content: Snapshot = {
       records: [...records.values()],
-      configurations: configurations.map(({ version, configuration, targets, acceptedAtMs }) => ({
-        version,
+      configurations: configurations.map(({ digest: _digest, configuration, ...stored }) => ({
+        ...stored,
         configuration: decodeText(encodeConfiguration(configuration)),
-        targets,
-        acceptedAtMs,
       })),
     };
     return encodeText(JSON.stringify(content));
@@ -285,7 +403,9 @@
     records = new Map(content.records.map((record) => [record.changeId, record]));
     configurations = content.configurations.map((stored) => {
       const configuration = decodeConfiguration(encodeText(stored.configuration));
-      return { ...stored, configuration, digest: digestConfiguration(configuration) };
+      const { documentNumber = 0 } = stored;
+      const digest = digestConfiguration(configuration);
+      return { ...stored, documentNumber, configuration, digest };
     });
   };
 
@@ -302,6 +422,11 @@
         const conflict = conflictOf(change);
         return replay ?? (conflict && { result: conflict, replayed: false });
       },
+      judgeDocument: (change, document) => {
+        const replay = replayOf(decidedDocument(change));
+        const conflict = documentConflictOf(document);
+        return replay ?? (conflict && { result: conflict, replayed: false });
+      },
     },
   };
 };
--- a/src/core/agreement/consensusMembership.ts
+++ b/src/core/agreement/consensusMembership.ts
@@ -79,12 +79,15 @@
   return change(members, member);
 };
 
-const isSilent = (replica: Replica, name: string): boolean => {
+const silentMs = (replica: Replica, name: string): number => {
   const progress = replica.progress.get(name);
   const since = Math.max(progress?.createdAt ?? replica.now, progress?.contactAt ?? replica.now);
-  return replica.now - since > replica.options.electionTimeoutMs;
+  return replica.now - since;
 };
 
+const isSilent = (replica: Replica, name: string): boolean =>
+  silentMs(replica, name) > replica.options.electionTimeoutMs;
+
 const replacedMember = (replica: Replica): Member | undefined => {
   for (const member of otherMembers(replica)) {
     const incarnation = replica.progress.get(member.name)?.otherIncarnation;
@@ -105,14 +108,39 @@
   return learner && { ...learner, kind: 'voter' };
 };
 
+/** Fewer voters than this are never removed automatically: two cannot do without one another. */
+const minVotersToRemove = 4;
+
+/**
+ * A member that a replacement has made superfluous. An even number of voters tolerates no more
+ * losses than the odd number below it, so the silent one is given up; it joins again if it returns.
+ */
+const surplusMember = (replica: Replica): Member | undefined => {
+  const { removeSilentAfterMs = Infinity } = replica.options;
+  const isLost = ({ name }: Member) => silentMs(replica, name) > removeSilentAfterMs;
+  const others = otherMembers(replica);
+  const count = voters(replica).length;
+  const isSurplus = count >= minVotersToRemove && count % 2 === 0;
+  const lostLearner = others.find((member) => member.kind === 'learner' && isLost(member));
+  return (
+    lostLearner ??
+    (isSurplus ? others.find((member) => member.kind === 'voter' && isLost(member)) : undefined)
+  );
+};
+
 /**
  * The next change that a leader makes on its own: a member that came back with another data folder
- * loses its vote and becomes a learner; a learner that holds all committed entries becomes a voter.
+ * loses its vote and becomes a learner; a learner that holds all committed entries becomes a voter;
+ * a member that was replaced is removed.
  */
 export const nextAutomaticMembers = (replica: Replica): readonly Member[] | undefined => {
   if (!mayChangeMembers(replica)) {
     return undefined;
   }
+  const surplus = surplusMember(replica);
+  if (surplus) {
+    return currentMembers(replica).filter((member) => member !== surplus);
+  }
   const changed = replacedMember(replica) ?? caughtUpLearner(replica);
   return (
     changed &&
--- a/src/core/agreement/consensusTypes.ts
+++ b/src/core/agreement/consensusTypes.ts
@@ -182,6 +182,11 @@
   /** Shortest time without a leader after which an election starts, in ms. */
   readonly electionTimeoutMs: number;
   readonly heartbeatMs: number;
+  /**
+   * Silence after which a leader removes a voter from a membership of an even number, in ms. Unset:
+   * only operators remove members.
+   */
+  readonly removeSilentAfterMs?: number;
   /** Returns a number from 0 to below 1. */
   readonly random: () => number;
   readonly hardState: HardState;
--- a/src/core/calls/classMatching.ts
+++ b/src/core/calls/classMatching.ts
@@ -7,6 +7,8 @@
 export interface CallShape {
   readonly method: string;
   readonly path: string;
+  /** Host that the caller named, in lower case and without a port. */
+  readonly host?: string;
   /** Class that the caller named, for example by `x-class`. */
   readonly className?: string;
 }
@@ -18,13 +20,18 @@
 }
 
 const anyMethod = '*';
+const anyHost = '';
 const indexes = new WeakMap<Configuration, RuleIndex>();
 
-const ruleKey = (method: string, pathPrefix: string): string => `${method} ${pathPrefix}`;
+const ruleKey = (host: string, method: string, pathPrefix: string): string =>
+  `${method} ${host}${pathPrefix}`;
 
 /** Text form of a rule. Two rules with the same text match the same calls. */
-export const formatRule = ({ method = anyMethod, pathPrefix = '/' }: Match): string =>
-  ruleKey(method, pathPrefix);
+export const formatRule = ({
+  host = anyHost,
+  method = anyMethod,
+  pathPrefix = '/',
+}: Match): string => ruleKey(host, method, pathPrefix);
 
 const buildIndex = (configuration: Configuration): RuleIndex => {
   const classByRule = new Map<string, TrafficClass>();
@@ -50,6 +57,7 @@
 
 const matchRule = (
   { lengths, classByRule }: RuleIndex,
+  host: string,
   method: string,
   path: string,
 ): TrafficClass | undefined => {
@@ -57,7 +65,8 @@
     if (length <= path.length) {
       const prefix = path.slice(0, length);
       const found =
-        classByRule.get(ruleKey(method, prefix)) ?? classByRule.get(ruleKey(anyMethod, prefix));
+        classByRule.get(ruleKey(host, method, prefix)) ??
+        classByRule.get(ruleKey(host, anyMethod, prefix));
       if (found) {
         return found;
       }
@@ -67,15 +76,18 @@
 };
 
 /**
- * Class of a call: the class that the caller named, else the rule with the longest path prefix. Of
- * two rules with the same prefix the one with a method wins.
+ * Class of a call: the class that the caller named, else the rule with the longest path prefix. A
+ * rule with a host goes before all rules without one, and of two rules with the same prefix the one
+ * with a method wins.
  */
 export const matchClass = (
   configuration: Configuration,
-  { method, path, className }: CallShape,
+  { method, path, host, className }: CallShape,
 ): TrafficClass | undefined => {
   if (className === undefined) {
-    return matchRule(indexOf(configuration), method, path);
+    const index = indexOf(configuration);
+    const ofHost = host === undefined ? undefined : matchRule(index, host, method, path);
+    return ofHost ?? matchRule(index, anyHost, method, path);
   }
   return Object.hasOwn(configuration.classes, className)
     ? configuration.classes[className]
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -79,6 +79,7 @@
 /** Failures that another attempt would meet again, or that leave nobody to answer. */
 const finalReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
   'bad_request',
+  'body_too_large',
   'cancelled',
   'deadline_past',
   'key_in_progress',
--- a/src/core/distribution/delta.ts
+++ b/src/core/distribution/delta.ts
@@ -28,6 +28,8 @@
   readonly services: RecordsDelta;
   readonly classes: RecordsDelta;
   readonly drains: RecordsDelta;
+  /** Records of which there is one at most, by name. */
+  readonly settings: RecordsDelta;
 }
 
 const recordsDeltaSchema = z.strictObject({
@@ -39,6 +41,7 @@
   services: recordsDeltaSchema,
   classes: recordsDeltaSchema,
   drains: recordsDeltaSchema,
+  settings: recordsDeltaSchema,
 });
 
 export const equalBytes = (a: Uint8Array, b: Uint8Array): boolean =>
@@ -50,6 +53,9 @@
 const canonicalText = (configuration: Configuration): string =>
   new TextDecoder().decode(encodeConfiguration(configuration));
 
+const settingsOf = ({ callerLimits }: Configuration): Records =>
+  callerLimits === undefined ? {} : { callerLimits };
+
 const diffRecords = (base: Records, next: Records): RecordsDelta => ({
   set: Object.fromEntries(
     Object.entries(next).filter(
@@ -74,6 +80,7 @@
     services: diffRecords(from.services, to.services),
     classes: diffRecords(from.classes, to.classes),
     drains: diffRecords(from.drains ?? {}, to.drains ?? {}),
+    settings: diffRecords(settingsOf(from), settingsOf(to)),
   };
 };
 
@@ -92,6 +99,7 @@
     services: applyRecords(base.services, delta.services),
     classes: applyRecords(base.classes, delta.classes),
     drains: applyRecords(base.drains ?? {}, delta.drains),
+    ...applyRecords(settingsOf(base), delta.settings),
   };
   const result = decodeConfiguration(encodeConfiguration(merged as Configuration));
   if (!equalBytes(digestConfiguration(result), delta.resultDigest)) {
@@ -101,8 +109,13 @@
 };
 
 /** Encodes the body of a delta; the digests travel beside it. */
-export const encodeDelta = ({ services, classes, drains }: ConfigurationDelta): Uint8Array =>
-  new TextEncoder().encode(JSON.stringify({ services, classes, drains }));
+export const encodeDelta = ({
+  services,
+  classes,
+  drains,
+  settings,
+}: ConfigurationDelta): Uint8Array =>
+  new TextEncoder().encode(JSON.stringify({ services, classes, drains, settings }));
 
 /** Decodes the body of a delta. Throws a Failure with `bad_update` for anything else. */
 export const decodeDelta = (
--- a/src/core/distribution/holding.ts
+++ b/src/core/distribution/holding.ts
@@ -8,6 +8,7 @@
 import type { Held } from '../../types/internal.js';
 import type { StoredConfiguration } from './configurationStore.js';
 import { isNewer, noVersion } from '../agreement/version.js';
+import { routedServices } from '../operators/services.js';
 
 /** Longest wait for the clusters of a staged configuration. */
 export const clusterWaitMs = 3_000;
@@ -54,9 +55,6 @@
 /** Derives the policies of all classes of a configuration, by class name. */
 export type DerivePolicies = (configuration: Configuration) => ReadonlyMap<string, Policy>;
 
-const routedServices = (configuration: Configuration): Set<string> =>
-  new Set(Object.values(configuration.classes).map(({ service }) => service));
-
 export const createHolding = (derivePolicies: DerivePolicies): HoldingState => {
   let held: Held | undefined;
   let staged: Staged | undefined;
--- a/src/core/distribution/parentChoice.ts
+++ b/src/core/distribution/parentChoice.ts
@@ -5,6 +5,9 @@
  */
 export const minBackoffMs = 100;
 export const maxBackoffMs = 5_000;
+/** Longest delay after an attempt at an address where nothing listens. */
+const maxRefusedBackoffMs = 400;
+const maxControls = 64;
 /** Redirects that are followed before the choice starts again from the top. */
 const maxRedirects = 16;
 /** Peers that are remembered. */
@@ -46,11 +49,17 @@
     /** Makes an address the next one, without a delay. */
     prefer(address: string): void;
     learnPeers(addresses: readonly string[]): void;
+    /** Takes the control instances that a parent named; those of the settings are kept besides. */
+    learnControls(controls: readonly ControlAddress[]): void;
+    /** Nothing listens at the parent that was tried: the attempt has cost it nothing. */
+    refused(): void;
   };
   readonly queries: {
     ownControls(): string[];
     otherControls(): string[];
     peers(): string[];
+    /** All control instances, as far as they are known. */
+    controls(): readonly ControlAddress[];
   };
 }
 
@@ -60,7 +69,8 @@
 const tierOrder: readonly Tier[] = ['own', 'peers', 'own', 'peers', 'other', 'peers'];
 
 export const createParentChoice = (options: ParentChoiceOptions): ParentChoice => {
-  const { dataCentre, ownAddress, controls, random } = options;
+  const { dataCentre, ownAddress, random } = options;
+  let controls: readonly ControlAddress[] = options.controls;
   const peers = new Set(options.peers.filter((address) => address !== ownAddress));
   const triedAt = new Map<string, number>();
   const avoidUntil = new Map<string, number>();
@@ -69,6 +79,7 @@
   let attempt = 0;
   let tries = 0;
   let retryAfterMs = 0;
+  let wasRefused = false;
 
   const tiers: Record<Tier, () => string[]> = {
     own: () => controls.filter((each) => each.dataCentre === dataCentre).map((c) => c.address),
@@ -98,7 +109,9 @@
   };
 
   const backoff = (): number => {
-    const limit = Math.min(maxBackoffMs, minBackoffMs * 2 ** Math.min(attempt, 10));
+    const longest = wasRefused ? maxRefusedBackoffMs : maxBackoffMs;
+    const limit = Math.min(longest, minBackoffMs * 2 ** Math.min(attempt, 10));
+    wasRefused = false;
     const delayMs = random() * limit;
     const asked = retryAfterMs * (1 + random());
     retryAfterMs = 0;
@@ -164,11 +177,28 @@
         avoidUntil.delete(address);
       },
       learnPeers,
+      learnControls: (learned) => {
+        if (learned.length === 0) {
+          return;
+        }
+        const named = learned.slice(0, maxControls);
+        const isNamed = ({ address }: ControlAddress) =>
+          named.some((other) => other.address === address);
+        // A seed of the settings that is no longer a member is asked last: it may be one again.
+        const seeds = options.controls
+          .filter((control) => !isNamed(control))
+          .map(({ address }) => ({ address, dataCentre: '' }));
+        controls = [...named, ...seeds];
+      },
+      refused: () => {
+        wasRefused = true;
+      },
     },
     queries: {
       ownControls: tiers.own,
       otherControls: tiers.other,
       peers: tiers.peers,
+      controls: () => controls.filter(({ dataCentre: known }) => known !== ''),
     },
   };
 };
--- a/src/core/operators/configurationCodec.ts
+++ b/src/core/operators/configurationCodec.ts
@@ -11,6 +11,7 @@
 const name = z.string().regex(namePattern);
 
 const matchSchema = z.strictObject({
+  host: z.string().optional(),
   method: z.string().optional(),
   pathPrefix: z.string().optional(),
 });
@@ -18,6 +19,10 @@
 const classSchema = z.strictObject({
   name,
   service: name,
+  split: z
+    .array(z.strictObject({ service: name, weight: z.number().nonnegative() }))
+    .min(1)
+    .optional(),
   match: z.array(matchSchema),
   answerWithinMs: z.number().nonnegative().optional(),
   share: z.number().min(0).max(1),
@@ -28,6 +33,21 @@
   importance: z.number().int().min(1).max(100),
   ratePerSecond: z.number().positive().optional(),
   workMs: z.number().nonnegative().optional(),
+  timeoutMs: z.number().positive().optional(),
+  maxAttempts: z.number().int().min(1).optional(),
+});
+
+const serviceSchema = z.strictObject({
+  name,
+  expected: z.boolean(),
+  connections: z.number().int().min(1).optional(),
+});
+
+const callerLimitsSchema = z.strictObject({
+  maxHeaderBytes: z.number().int().positive(),
+  maxBodyBytes: z.number().int().nonnegative(),
+  headerTimeoutMs: z.number().positive(),
+  idleTimeoutMs: z.number().positive(),
 });
 
 const isNamedByKey = (items: Readonly<Record<string, { readonly name: string }>>): boolean =>
@@ -36,17 +56,22 @@
 const configurationSchema = z
   .strictObject({
     services: z
-      .record(name, z.strictObject({ name, expected: z.boolean() }))
+      .record(name, serviceSchema)
       .refine(isNamedByKey, 'a service is not named by its key'),
     classes: z.record(name, classSchema).refine(isNamedByKey, 'a class is not named by its key'),
     drains: z
       .record(name, z.strictObject({ name }))
       .refine(isNamedByKey, 'a drain is not named by its key')
       .optional(),
+    callerLimits: callerLimitsSchema.optional(),
   })
   .refine(
     ({ services, classes }) =>
-      Object.values(classes).every(({ service }) => Object.hasOwn(services, service)),
+      Object.values(classes).every(({ service, split = [] }) =>
+        [service, ...split.map((part) => part.service)].every((used) =>
+          Object.hasOwn(services, used),
+        ),
+      ),
     'a class names a service that is missing',
   );
 
--- a/src/core/operators/policyDerivation.ts
+++ b/src/core/operators/policyDerivation.ts
@@ -21,7 +21,10 @@
   answerWithinMs ?? defaultAnswerMs;
 
 export const deadlineMs = (trafficClass: TrafficClass): number => {
-  const { answerWithinMs, atMostOnce, mayWaitMs } = trafficClass;
+  const { answerWithinMs, atMostOnce, mayWaitMs, timeoutMs } = trafficClass;
+  if (timeoutMs !== undefined) {
+    return timeoutMs;
+  }
   const lateMs =
     answerWithinMs === undefined ? defaultAnswerMs + mayWaitMs : lateFactor * answerWithinMs;
   return atMostOnce ? Math.max(lateMs, minAtMostOnceDeadlineMs) : lateMs;
@@ -39,10 +42,13 @@
 };
 
 /** Time after which an attempt is given up, in ms: late for its target, early enough to retry. */
-export const attemptTimeoutMs = (trafficClass: TrafficClass): number =>
-  trafficClass.idempotent && trafficClass.answerWithinMs !== undefined
-    ? trafficClass.answerWithinMs
+export const attemptTimeoutMs = (trafficClass: TrafficClass): number => {
+  const { idempotent, answerWithinMs, timeoutMs } = trafficClass;
+  // A declared timeout says how long an answer is worth waiting for, also by the same endpoint.
+  return idempotent && answerWithinMs !== undefined && timeoutMs === undefined
+    ? answerWithinMs
     : deadlineMs(trafficClass);
+};
 
 /** Hedging halves the effect of one slow endpoint on calls that have to be answered fast. */
 export const hedgeAfterMs = ({
@@ -62,14 +68,15 @@
   trafficClass: TrafficClass,
   siblings: readonly TrafficClass[] = [trafficClass],
 ): Policy => {
-  const { name, service, importance, atMostOnce, idempotent } = trafficClass;
+  const { name, service, split, importance, atMostOnce, idempotent, maxAttempts } = trafficClass;
   const hedgeMs = hedgeAfterMs(trafficClass);
   return {
     className: name,
     service,
+    ...(split !== undefined && { split }),
     deadlineMs: deadlineMs(trafficClass),
     attemptTimeoutMs: attemptTimeoutMs(trafficClass),
-    maxAttempts: idempotent ? maxAttemptsOfIdempotent : maxAttemptsOfOthers,
+    maxAttempts: maxAttempts ?? (idempotent ? maxAttemptsOfIdempotent : maxAttemptsOfOthers),
     retryShare,
     priority: importance,
     maxWaitMs: maxWaitMs(trafficClass),
@@ -88,10 +95,19 @@
   Object.values(configuration.classes).filter((trafficClass) => trafficClass.service === service);
 
 /** Derives the policies of all classes, by class name. */
-export const derivePolicies = (configuration: Configuration): Map<string, Policy> =>
-  new Map(
-    Object.values(configuration.classes).map((trafficClass) => [
+export const derivePolicies = ({ classes }: Configuration): Map<string, Policy> => {
+  const all = Object.values(classes);
+  // Grouped once: with hundreds of classes a search for each class's siblings is quadratic.
+  const byService = new Map<string, TrafficClass[]>();
+  all.forEach((trafficClass) => {
+    const siblings = byService.get(trafficClass.service) ?? [];
+    siblings.push(trafficClass);
+    byService.set(trafficClass.service, siblings);
+  });
+  return new Map(
+    all.map((trafficClass) => [
       trafficClass.name,
-      derivePolicy(trafficClass, siblingsOf(configuration, trafficClass)),
+      derivePolicy(trafficClass, byService.get(trafficClass.service)),
     ]),
   );
+};
--- a/src/core/operators/targets.ts
+++ b/src/core/operators/targets.ts
@@ -3,7 +3,14 @@
  * place and reported together.
  */
 import { z } from 'zod';
-import type { Configuration, Finding, Service, TrafficClass } from '../../types/public.js';
+import type {
+  CallerLimits,
+  Configuration,
+  Finding,
+  Service,
+  TrafficClass,
+} from '../../types/public.js';
+import { servicesOf } from './services.js';
 import { checkValue, parseTomlText } from '../../utils/settings.js';
 import { parseDuration } from './durations.js';
 
@@ -30,6 +37,10 @@
 });
 
 const matchSchema = z.strictObject({
+  host: z
+    .string()
+    .regex(/^[a-z0-9.-]{1,253}$/, 'a host name in lower case, without a port')
+    .optional(),
   method: z
     .string()
     .regex(/^[A-Z]{1,16}$/, 'an HTTP method in upper case')
@@ -41,8 +52,13 @@
     .optional(),
 });
 
+const splitSchema = z
+  .record(name, z.number().min(0).max(1e6))
+  .refine((weights) => Object.values(weights).some((weight) => weight > 0), 'a weight above 0');
+
 const classSchema = z.strictObject({
-  service: name,
+  service: name.optional(),
+  split: splitSchema.optional(),
   match: z.array(matchSchema).max(64).default([]),
   answer_within: duration.optional(),
   share: z.number().gt(0).max(1).default(defaultShare),
@@ -53,19 +69,41 @@
   importance: z.number().int().min(1).max(100).default(defaultImportance),
   rate: z.number().gt(0).max(1e9).optional(),
   work: duration.optional(),
+  timeout: duration.optional(),
+  attempts: z.number().int().min(1).max(16).optional(),
+});
+
+const callersSchema = z.strictObject({
+  max_header_bytes: z.number().int().min(1_024).max(1_048_576).default(16_384),
+  max_body_bytes: z.number().int().min(0).max(Number.MAX_SAFE_INTEGER),
+  header_timeout: duration.default(10_000),
+  idle_timeout: duration.default(65_000),
+});
+
+const serviceSchema = z.strictObject({
+  expected: z.boolean().default(false),
+  connections: z.number().int().min(1).max(10_000).optional(),
 });
 
 const targetsSchema = z.strictObject({
-  service: z.record(name, z.strictObject({ expected: z.boolean().default(false) })).default({}),
+  service: z.record(name, serviceSchema).default({}),
   class: z.record(name, classSchema).default({}),
+  callers: callersSchema.optional(),
 });
 
 type ClassTarget = z.output<typeof classSchema>;
 
+const heaviest = (split: Readonly<Record<string, number>>): string =>
+  Object.entries(split).sort(([, a], [, b]) => b - a)[0]![0];
+
 const toClass = (className: string, target: ClassTarget): TrafficClass => ({
   name: className,
-  service: target.service,
-  match: target.match.map(({ method, path }) => ({
+  service: target.service ?? heaviest(target.split ?? {}),
+  ...(target.split !== undefined && {
+    split: Object.entries(target.split).map(([service, weight]) => ({ service, weight })),
+  }),
+  match: target.match.map(({ host, method, path }) => ({
+    ...(host !== undefined && { host }),
     ...(method !== undefined && { method }),
     ...(path !== undefined && { pathPrefix: path }),
   })),
@@ -78,6 +116,15 @@
   importance: target.importance,
   ...(target.rate !== undefined && { ratePerSecond: target.rate }),
   ...(target.work !== undefined && { workMs: target.work }),
+  ...(target.timeout !== undefined && { timeoutMs: target.timeout }),
+  ...(target.attempts !== undefined && { maxAttempts: target.attempts }),
+});
+
+const toCallerLimits = (callers: z.output<typeof callersSchema>): CallerLimits => ({
+  maxHeaderBytes: callers.max_header_bytes,
+  maxBodyBytes: callers.max_body_bytes,
+  headerTimeoutMs: callers.header_timeout,
+  idleTimeoutMs: callers.idle_timeout,
 });
 
 const toConfiguration = (targets: z.output<typeof targetsSchema>): Configuration => {
@@ -85,15 +132,21 @@
     ([className, target]) => [className, toClass(className, target)] as const,
   );
   const named = Object.entries(targets.service).map(
-    ([service, { expected }]): [string, Service] => [service, { name: service, expected }],
+    ([service, { expected, connections }]): [string, Service] => [
+      service,
+      { name: service, expected, ...(connections !== undefined && { connections }) },
+    ],
+  );
+  const used = classes.flatMap(([, trafficClass]) =>
+    servicesOf(trafficClass).map((service): [string, Service] => [
+      service,
+      { name: service, expected: false },
+    ]),
   );
-  const used = classes.map(([, { service }]): [string, Service] => [
-    service,
-    { name: service, expected: false },
-  ]);
   return {
     services: Object.fromEntries([...used, ...named]),
     classes: Object.fromEntries(classes),
+    ...(targets.callers !== undefined && { callerLimits: toCallerLimits(targets.callers) }),
   };
 };
 
@@ -119,14 +172,37 @@
   ...(finding.found !== undefined && { found: shorten(finding.found) }),
 });
 
+/**
+ * A class names one service, or several by weight. Checked on the raw value: the schema reports
+ * nothing that spans two keys while any other key of the file is wrong.
+ */
+const checkServices = (value: Record<string, unknown>, file: string): Finding[] => {
+  const classes = typeof value.class === 'object' && value.class !== null ? value.class : {};
+  return Object.entries(classes).flatMap(([className, target]: [string, unknown]) => {
+    const keys = typeof target === 'object' && target !== null ? Object.keys(target) : [];
+    const named = keys.filter((key) => key === 'service' || key === 'split');
+    return named.length === 1 || !namePattern.test(className)
+      ? []
+      : [
+          {
+            place: `${file}: class.${className}.service`,
+            message: 'a class names its service or a split of its work',
+            found: named.join(', ') || 'nothing',
+            allowed: 'one of service and split',
+          },
+        ];
+  });
+};
+
 const parseWithinSize = (text: string, file: string): Parsed => {
   const { value, findings } = parseTomlText(text, file);
   if (!value) {
     return { findings };
   }
   const checked = checkValue(value, file, targetsSchema);
-  return checked.output === undefined
-    ? { findings: checked.findings.map(shortenFinding) }
+  const found = [...checked.findings, ...checkServices(value, file)];
+  return checked.output === undefined || found.length > 0
+    ? { findings: found.map(shortenFinding) }
     : { configuration: toConfiguration(checked.output), findings: [] };
 };
 
--- a/src/plugins/agreement/consensusTransport.ts
+++ b/src/plugins/agreement/consensusTransport.ts
@@ -32,7 +32,8 @@
   encodeVoteAnswer,
   toSender,
 } from './consensusCodec.js';
-import { createRpcTransport, type RpcTransport } from '../rpc.js';
+import type { Member } from '../../types/internal.js';
+import { createRpcTransport, parseAddress, type RpcTransport } from '../rpc.js';
 
 /** Timeouts in a row after which a connection counts as silent and is replaced. */
 const maxTimeouts = 2;
@@ -44,6 +45,24 @@
   readonly callTimeoutMs: number;
 }
 
+/** What an instance says of itself when it wants to join. */
+export interface JoiningMember {
+  readonly group: string;
+  readonly name: string;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly region: string;
+}
+
+export interface JoinAnswer {
+  /** `member`, `not_leader` or `pending`. */
+  readonly outcome: string;
+  /** Control instances to ask instead, the leader first. */
+  readonly addresses: readonly string[];
+}
+
+export type JoinReceiver = (group: string, member: Member) => Promise<JoinAnswer>;
+
 export interface Answer {
   readonly from: Sender;
   readonly message: AnswerMessage;
@@ -57,9 +76,11 @@
 ) => Promise<AnswerMessage>;
 
 export interface ConsensusTransport {
+  /** Asks the instance at `address` to add this one to the membership. */
+  join(address: string, self: JoiningMember): Promise<JoinAnswer>;
   /** Sends a request to the member at `address`. Rejects if no answer comes. */
   request(address: string, group: string, message: RequestMessage): Promise<Answer>;
-  routes(router: ConnectRouter, receive: Receiver): void;
+  routes(router: ConnectRouter, receive: Receiver, takeJoin: JoinReceiver): void;
   close(): void;
 }
 
@@ -98,6 +119,11 @@
   },
 };
 
+const maxToldAddresses = 16;
+
+const readPeerAddresses = (addresses: readonly string[]): string[] =>
+  addresses.slice(0, maxToldAddresses).filter((address) => parseAddress(address) !== undefined);
+
 const isTimeout = (error: unknown): boolean =>
   error instanceof ConnectError && error.code === Code.DeadlineExceeded;
 
@@ -153,7 +179,24 @@
     }
   };
 
-  const routes: ConsensusTransport['routes'] = (router, receive) => {
+  const join: ConsensusTransport['join'] = async (address, { group, ...joining }) => {
+    const peer = peerAt(address);
+    try {
+      const answer = await peer.client.join({
+        sender: senderOf(group),
+        address: joining.address,
+        dataCentre: joining.dataCentre,
+        region: joining.region,
+      });
+      peer.timeouts = 0;
+      return { outcome: answer.outcome, addresses: readPeerAddresses(answer.addresses) };
+    } catch (error) {
+      noteFailure(address, peer, error);
+      throw error;
+    }
+  };
+
+  const routes: ConsensusTransport['routes'] = (router, receive, takeJoin) => {
     const take = async <Type extends AnswerMessage['type']>(
       sender: WireSender | undefined,
       message: RequestMessage,
@@ -170,6 +213,15 @@
     };
 
     router.service(Consensus, {
+      join: async ({ sender, address, dataCentre, region }) => {
+        if (sender?.cluster !== cluster || parseAddress(address) === undefined) {
+          throw new ConnectError('another cluster, or no address', Code.InvalidArgument);
+        }
+        const { name, incarnation } = toSender(sender);
+        const member = { name, incarnation, address, dataCentre, region };
+        const answer = await takeJoin(sender.group, { ...member, kind: 'learner' });
+        return { outcome: answer.outcome, addresses: [...answer.addresses] };
+      },
       requestVote: async (wire) => {
         const { sender, answer } = await take<'voteAnswer'>(wire.sender, decodeVote(wire));
         return { sender, ...encodeVoteAnswer(answer) };
@@ -193,6 +245,7 @@
   };
 
   return {
+    join,
     request,
     routes,
     close: () => {
--- a/src/plugins/agreement/folderLock.ts
+++ b/src/plugins/agreement/folderLock.ts
@@ -1,6 +1,8 @@
 /**
  * Lock of a data folder: a file that names the process that uses it. Node.js has no file locks, so
- * a lock whose process is gone is recognised by process id and start time and is taken over.
+ * a lock whose process is gone is recognised by process id and start time and is taken over. A hard
+ * link makes the lock appear with its content at once; a file system without hard links gets an
+ * exclusive create, which one process at a time wins as well.
  */
 import { randomUUID } from 'node:crypto';
 import { link, readFile, rename, rm, writeFile } from 'node:fs/promises';
@@ -11,6 +13,25 @@
 /** Position of the start time in /proc/PID/stat, counted after the command name. */
 const startTimeField = 19;
 
+/** Errors of a file system that has no hard links. */
+const noLinkCodes: ReadonlySet<string | undefined> = new Set(['ENOSYS', 'EPERM', 'ENOTSUP']);
+
+/** Gives a file a second name, or copies it where that is not possible. Throws EEXIST. */
+export const linkOrCopy = async (
+  from: string,
+  to: string,
+  makeLink: typeof link = link,
+): Promise<void> => {
+  try {
+    await makeLink(from, to);
+  } catch (error) {
+    if (!noLinkCodes.has((error as NodeJS.ErrnoException).code)) {
+      throw error;
+    }
+    await writeFile(to, await readFile(from), { flag: 'wx', mode: 0o600 });
+  }
+};
+
 const readText = async (path: string): Promise<string | undefined> => {
   try {
     return await readFile(path, 'utf8');
@@ -38,7 +59,7 @@
 
   const tryLock = async (): Promise<boolean> => {
     try {
-      await link(ownPath, lockPath);
+      await linkOrCopy(ownPath, lockPath);
       return true;
     } catch (error) {
       if ((error as NodeJS.ErrnoException).code !== 'EEXIST') {
@@ -61,7 +82,7 @@
     await rename(lockPath, `${ownPath}.stale`).catch(() => undefined);
     const moved = await readText(`${ownPath}.stale`);
     if (moved !== undefined && moved !== held) {
-      await link(`${ownPath}.stale`, lockPath).catch(() => undefined);
+      await linkOrCopy(`${ownPath}.stale`, lockPath).catch(() => undefined);
     }
     await rm(`${ownPath}.stale`, { force: true });
   };
--- a/src/plugins/agreement/founding.ts
+++ b/src/plugins/agreement/founding.ts
@@ -30,6 +30,8 @@
   /** The other members of the settings. */
   readonly others: readonly Omit<Member, 'incarnation' | 'kind'>[];
   readonly storage: GroupLog;
+  /** The others are known by their addresses alone and join by themselves. */
+  readonly othersJoin?: boolean;
   readonly probe: (address: string) => Promise<Answer>;
   readonly timer: Timer;
   readonly log: Log;
@@ -41,6 +43,7 @@
 
 const askOthers = async ({
   others,
+  othersJoin = false,
   probe,
   timer,
   log,
@@ -53,7 +56,7 @@
     await Promise.all(
       missing.map(async (other) => {
         const answer = await probe(other.address).catch(() => undefined);
-        if (answer?.from.name === other.name) {
+        if (answer && (othersJoin || answer.from.name === other.name)) {
           const { incarnation } = answer.from;
           const member: Member = { ...other, incarnation, kind: 'learner' };
           answers.set(other.name, { member, term: answer.message.term });
@@ -77,7 +80,7 @@
  * already.
  */
 export const foundGroup = async (options: FoundingOptions): Promise<LoadedLog> => {
-  const { self, storage, log, isStopped } = options;
+  const { self, storage, log, isStopped, othersJoin = false } = options;
   const answers = await askOthers(options);
   const known = answers.find(({ term }) => term > 0);
   if (known || isStopped()) {
@@ -88,7 +91,8 @@
     }
     return storage.loaded;
   }
-  const members: Member[] = [{ ...self, kind: 'voter' }, ...answers.map(({ member }) => member)];
+  const learners = othersJoin ? [] : answers.map(({ member }) => member);
+  const members: Member[] = [{ ...self, kind: 'voter' }, ...learners];
   const entry: LogEntry = {
     term: firstTerm,
     index: firstIndex,
--- a/src/plugins/agreement/replicaGroup.ts
+++ b/src/plugins/agreement/replicaGroup.ts
@@ -60,6 +60,10 @@
   readonly times?: ReplicaTimes;
   /** Entries after which the log is compacted. */
   readonly compactAfterEntries: number;
+  /** Bytes of entries after which the log is compacted. Default: no bound. */
+  readonly compactAfterBytes?: number;
+  /** See `ReplicaOptions`. */
+  readonly removeSilentAfterMs?: number;
   /** Called when the disk has failed; the process has to end. */
   readonly onFatal: (error: unknown) => void;
 }
@@ -109,6 +113,7 @@
     self,
     electionTimeoutMs: times.electionTimeoutMs,
     heartbeatMs: times.heartbeatMs,
+    removeSilentAfterMs: options.removeSilentAfterMs,
     random: options.random,
     ...loaded,
   });
@@ -124,6 +129,7 @@
   let nextId = 1;
   let isWriting = false;
   let isStopped = false;
+  let bytesSinceCompaction = 0;
   let pendingCompaction: { index: number; data: Uint8Array; since: number } | undefined;
 
   const takeId = (): number => {
@@ -224,13 +230,19 @@
 
   const applyEntry = (entry: LogEntry) => {
     const { kind, term, index, payload } = entry;
+    bytesSinceCompaction += payload.length;
     const result = kind === 'command' ? machine.apply({ term, index, payload }) : undefined;
     settle(entry, result);
   };
 
   const planCompaction = () => {
     const { appliedIndex, snapshotIndex } = replica.queries.status();
-    if (!pendingCompaction && appliedIndex - snapshotIndex >= options.compactAfterEntries) {
+    const { compactAfterEntries, compactAfterBytes = Infinity } = options;
+    const isDue =
+      appliedIndex - snapshotIndex >= compactAfterEntries ||
+      bytesSinceCompaction >= compactAfterBytes;
+    if (!pendingCompaction && isDue) {
+      bytesSinceCompaction = 0;
       const data = machine.snapshot();
       pendingCompaction = { index: appliedIndex, data, since: timer.now() };
     }
--- a/src/plugins/calls/callAnswers.ts
+++ b/src/plugins/calls/callAnswers.ts
@@ -4,17 +4,11 @@
  * never taken for a whole one.
  */
 import type { ServerResponse } from 'node:http';
-import { retriedHeader } from '../../core/calls/retry.js';
 import type { AnswerHead, AttemptFailureReport } from '../../types/calls.js';
 import { Failure, failureTable } from '../../utils/failure.js';
 import type { Timer } from '../../utils/timer.js';
-import {
-  passAnswerHeaders,
-  refusalHeader,
-  replayedHeader,
-  requestIdHeader,
-  runHeader,
-} from './callHeaders.js';
+import type { RefusalAnswer } from '../../types/callInterface.js';
+import { passAnswerHeaders, replayedHeader } from './callHeaders.js';
 
 /** Time for which a refused peer may go on sending its body, in ms. */
 const lingerMs = 1_000;
@@ -68,8 +62,7 @@
 /** Writes a refusal, or resets the connection if an answer was begun. */
 export const writeRefusal = (
   response: ServerResponse,
-  failure: AttemptFailureReport,
-  requestId: string,
+  { status, headers, body }: RefusalAnswer,
   timer: Timer,
   extraHeaders: readonly string[] = [],
 ) => {
@@ -77,29 +70,9 @@
     response.destroy();
     return;
   }
-  const body = refusalBody(failure, requestId);
-  const headers = [
-    'content-type',
-    'application/json',
-    'content-length',
-    String(body.length),
-    requestIdHeader,
-    requestId,
-    refusalHeader,
-    failure.reason,
-    runHeader,
-    failure.run,
-    ...extraHeaders,
-  ];
-  if (failure.retried) {
-    headers.push(retriedHeader, 'true');
-  }
-  if (failure.retryAfterSeconds !== undefined) {
-    headers.push('retry-after', String(failure.retryAfterSeconds));
-  }
   // The rest of a body is not read: the connection cannot carry another request.
   response.shouldKeepAlive &&= response.req.complete;
-  response.writeHead(failureTable[failure.reason].status, headers);
+  response.writeHead(status, [...headers, ...extraHeaders]);
   endRefusal(response, body, timer);
 };
 
--- a/src/plugins/calls/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -3,6 +3,7 @@
  * refusal looks like. Hop-by-hop headers are never passed on.
  */
 import type { IncomingMessage } from 'node:http';
+import type { CallHeaders } from '../../types/callInterface.js';
 import { Failure } from '../../utils/failure.js';
 
 export const requestIdHeader = 'x-request-id';
@@ -18,6 +19,8 @@
 export const refusalHeader = 'x-refusal';
 export const runHeader = 'x-run';
 export const callerHeader = 'x-caller';
+/** Service that the call is for: the upstream beside the receiving node may have been replaced. */
+export const serviceHeader = 'x-service';
 /** The caller's own `authorization` while that header carries the cluster token between nodes. */
 export const callerAuthorizationHeader = 'x-caller-authorization';
 export const priorityHeader = 'x-priority';
@@ -52,6 +55,7 @@
   maxWaitHeader,
   priorityHeader,
   requestIdHeader,
+  serviceHeader,
 ]);
 
 const ownAnswerHeaders = new Set([
@@ -65,13 +69,6 @@
   runHeader,
 ]);
 
-export interface CallHeaders {
-  readonly requestId: string | undefined;
-  readonly deadlineMs: number | undefined;
-  readonly className: string | undefined;
-  readonly key: string | undefined;
-}
-
 const readHeader = (
   request: IncomingMessage,
   name: string,
@@ -127,7 +124,8 @@
   return names;
 };
 
-const passOn = (raw: readonly string[], own: ReadonlySet<string>): string[] => {
+/** End-to-end headers of a message, in lower case, without those of the given names. */
+export const passOn = (raw: readonly string[], own: ReadonlySet<string>): string[] => {
   const connectionNames = namedByConnection(raw);
   const passed: string[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -11,23 +11,21 @@
 import { Server as NetServer, type Socket } from 'node:net';
 import polka, { type PolkaRequest } from 'polka';
 import type { FailureReason } from '../../utils/failure.js';
-import { failureTable } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
-import { refusalBody } from './callAnswers.js';
-import { requestIdHeader, refusalHeader, runHeader } from './callHeaders.js';
+import type { CallerInterface } from '../../types/callInterface.js';
+import type { StopTimes } from '../../types/internal.js';
+import type { CallerLimits } from '../../types/public.js';
 import { listenHttp } from '../httpListen.js';
 import type { Address } from '../rpc.js';
 
-const headTimeoutMs = 10_000;
+const defaultHeadTimeoutMs = 10_000;
 /** Longer than callers usually keep idle connections, so that the caller's side closes first. */
-const keepAliveMs = 65_000;
+const defaultKeepAliveMs = 65_000;
 const maxConnections = 10_000;
 /** A peer that takes no byte of its answer for this long has gone silent. */
 const defaultPeerSilenceMs = 30_000;
 const stopCheckMs = 20;
-/** Callers get this long to see that the node is not ready before new connections are refused. */
-const acceptWhileDrainingMs = 500;
 
 /** Called when the peer breaks its request while the call runs; answers and ends the call. */
 export type OnBroken = (reason: FailureReason, detail: string) => void;
@@ -36,9 +34,11 @@
   readonly address: Address;
   readonly timer: Timer;
   readonly log: Log;
+  readonly callers: CallerInterface;
+  /** Limits of the configuration in force. */
+  readonly limits?: () => CallerLimits | undefined;
   readonly maxHeaderBytes: number;
-  /** Time for which idle connections stay open during a stop, in ms. */
-  readonly idleStopMs: number;
+  readonly stopTimes: StopTimes;
   /** Time after which a peer that does not take its answer is cut off, in ms. */
   readonly peerSilenceMs?: number;
   readonly onCall: (request: PolkaRequest, response: ServerResponse) => void;
@@ -72,18 +72,26 @@
 
   const server: HttpServer = createServer({
     maxHeaderSize: options.maxHeaderBytes,
-    headersTimeout: headTimeoutMs,
+    headersTimeout: defaultHeadTimeoutMs,
     // Large bodies may take long; a body that makes no progress is ended by the call itself.
     requestTimeout: 0,
-    keepAliveTimeout: keepAliveMs,
+    keepAliveTimeout: defaultKeepAliveMs,
     connectionsCheckingInterval: 1_000,
     requireHostHeader: false,
     noDelay: true,
   });
   server.maxConnections = maxConnections;
 
+  // Node.js reads these for each connection anew, so that a change of the limits takes effect.
+  const takeLimits = () => {
+    const limits = options.limits?.();
+    server.headersTimeout = limits?.headerTimeoutMs ?? defaultHeadTimeoutMs;
+    server.keepAliveTimeout = limits?.idleTimeoutMs ?? defaultKeepAliveMs;
+  };
+
   const onRequest = (request: PolkaRequest, response: ServerResponse) => {
     const { socket } = request;
+    takeLimits();
     running.set(socket, response);
     response.shouldKeepAlive &&= !draining;
     response.once('close', () => {
@@ -118,21 +126,15 @@
   });
 
   const refuseSocket = (socket: Socket, code: string, detail: string) => {
-    const status = brokenStatus[code] ?? failureTable.bad_request.status;
-    const body = refusalBody({ reason: 'bad_request', run: 'not_run', detail, retried: false }, '');
-    socket.end(
-      [
-        `HTTP/1.1 ${status} Bad Request`,
-        'content-type: application/json',
-        `content-length: ${body.length}`,
-        `${requestIdHeader}: `,
-        `${refusalHeader}: bad_request`,
-        `${runHeader}: not_run`,
-        'connection: close',
-        '',
-        body.toString(),
-      ].join('\r\n'),
+    const { status, headers, body } = options.callers.refusal(
+      { reason: 'bad_request', run: 'not_run', detail, retried: false },
+      '',
     );
+    const lines = [`HTTP/1.1 ${brokenStatus[code] ?? status} Bad Request`];
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+      lines.push(`${headers[index]}: ${headers[index + 1]}`);
+    }
+    socket.end([...lines, 'connection: close', '', body.toString()].join('\r\n'));
   };
 
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -162,12 +164,14 @@
   };
 
   const isQuiet = (): boolean =>
-    running.size === 0 && (sockets.size === 0 || timer.now() - lastActiveAt >= options.idleStopMs);
+    running.size === 0 &&
+    (sockets.size === 0 || timer.now() - lastActiveAt >= options.stopTimes.idleMs);
 
   const stop = async (limitMs: number) => {
+    const { acceptMs } = options.stopTimes;
     const limitAt = timer.now() + limitMs;
     drain();
-    await timer.sleep(Math.min(acceptWhileDrainingMs, limitMs));
+    await timer.sleep(Math.min(acceptMs, limitMs));
     // Closes the listening socket only: an open connection may be about to get a request.
     NetServer.prototype.close.call(server);
     while (!isQuiet() && timer.now() < limitAt) {
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -49,6 +49,8 @@
   readonly requestId: string;
   readonly held: Held;
   readonly policy: Policy;
+  /** Service that does the work: one of those of the policy. */
+  readonly service: string;
   readonly caller: string;
   readonly method: string;
   readonly path: string;
@@ -264,6 +266,7 @@
       attemptId,
       requestId: plan.requestId,
       className: policy.className,
+      service: plan.service,
       caller: plan.caller,
       priority: policy.priority,
       maxWaitMs: policy.maxWaitMs,
@@ -290,24 +293,25 @@
         refuse(earlier ?? reportOf(new Failure('deadline_past')));
         return;
       }
+      const ownId = upstream.queries.description()?.instance ?? home.name;
       const isLocal =
-        upstream.queries.hasFreeSlot(policy.service) &&
-        !excluded.has(home.name) &&
-        !evidence.queries.isEjected(home.name, now);
-      const cluster = isLocal ? undefined : plan.held.clusters.get(policy.service);
+        upstream.queries.hasFreeSlot(plan.service) &&
+        !excluded.has(ownId) &&
+        !evidence.queries.isEjected(ownId, now);
+      const cluster = isLocal ? undefined : plan.held.clusters.get(plan.service);
       const endpoint = cluster && chooseRemote(cluster);
       const isHedge = active.size > 0;
       if (!isLocal && !endpoint && isHedge) {
         return;
       }
       if (!isLocal && !endpoint) {
-        refuse(earlier ?? reportOf(new Failure('no_upstream', policy.service)));
+        refuse(earlier ?? reportOf(new Failure('no_upstream', plan.service)));
         return;
       }
       attempts += 1;
       const id = attempts === 1 && firstAttemptId ? firstAttemptId : nextAttemptId();
       const attempt: Attempt = {
-        endpointId: endpoint?.id ?? home.name,
+        endpointId: endpoint?.id ?? ownId,
         startedAt: now,
         running: undefined,
         status: 0,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -7,25 +7,16 @@
 import type { PolkaRequest } from 'polka';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
 import { matchClass } from '../../core/calls/classMatching.js';
-import { formatVersion } from '../../core/agreement/version.js';
 import type { AttemptFailureReport } from '../../types/calls.js';
-import type { Held, Holding } from '../../types/internal.js';
+import type { CallerInterface, CallHeaders } from '../../types/callInterface.js';
+import type { Held, Holding, StopTimes } from '../../types/internal.js';
 import type { Policy } from '../../types/public.js';
 import { Failure, type FailureReason } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
-import {
-  configStaleHeader,
-  configVersionHeader,
-  hasBody,
-  passRequestHeaders,
-  readCallHeaders,
-  readRequestId,
-  requestIdHeader,
-  type CallHeaders,
-} from './callHeaders.js';
+import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import type { CallMetrics } from './callMetrics.js';
 import type {
@@ -37,16 +28,17 @@
 import type { LocalUpstream } from './localUpstream.js';
 import { readBody, type ReadBody } from './requestBody.js';
 import type { Address } from '../rpc.js';
+import { pickService } from '../../core/operators/services.js';
 
 const maxHeaderBytes = 16 * 1_024;
-/** Time for which idle connections of callers stay open during a stop. */
-const idleStopMs = 2_000;
 /** Time that a call waits for the endpoints of a service that the node does not hold yet. */
 const clusterWaitMs = 1_000;
 
 export interface CallServerOptions {
   readonly address: Address;
   readonly dataCentre: string;
+  readonly callers: CallerInterface;
+  readonly stopTimes: StopTimes;
   readonly timer: Timer;
   readonly log: Log;
   readonly holding: Holding;
@@ -54,6 +46,8 @@
   readonly runner: CallRunner;
   readonly atMostOnce: AtMostOnce;
   readonly burn: Burn;
+  /** Returns a number in [0, 1) that spreads the calls of a class evenly. */
+  readonly spread: (className: string) => number;
   readonly metrics: CallMetrics;
 }
 
@@ -65,6 +59,8 @@
   readonly headers: CallHeaders;
   readonly held: Held;
   readonly policy: Policy;
+  /** Service that does the work of this call. */
+  readonly service: string;
   readonly startedAt: number;
   readonly deadlineAt: number;
   running: RunningCall | undefined;
@@ -76,14 +72,20 @@
   return end < 0 ? url : url.slice(0, end);
 };
 
+/** Host that the caller named, in lower case and without the port. */
+const hostOf = ({ headers: { host } }: PolkaRequest): string | undefined =>
+  host?.replace(/:\d+$/, '').toLowerCase();
+
 /** Creates the server of a node's calls address. */
 export const createCallServer = (options: CallServerOptions): CallListener => {
-  const { timer, holding, upstream, runner, metrics } = options;
+  const { timer, holding, upstream, runner, metrics, callers } = options;
 
-  const versionHeaders = ({ held }: Call): string[] => {
-    const headers = [configVersionHeader, formatVersion(held.version)];
-    return holding.queries.isDetached() ? [...headers, configStaleHeader, 'true'] : headers;
-  };
+  const answerHeaders = ({ held, requestId }: Call): string[] =>
+    callers.answerHeaders({
+      requestId,
+      version: held.version,
+      isStale: holding.queries.isDetached(),
+    });
 
   const finish = (call: Call, outcome: CallOutcome, result: FailureReason | 'ok') => {
     call.isOver = true;
@@ -101,7 +103,7 @@
     const elapsedMs = timer.now() - call.startedAt;
     const outcome = outcomeOfRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
     finish(call, outcome, failure.reason);
-    writeRefusal(call.response, failure, call.requestId, timer, versionHeaders(call));
+    writeRefusal(call.response, callers.refusal(failure, call.requestId), timer);
   };
 
   const outcomeOf = (call: Call, status: number): CallOutcome => {
@@ -117,11 +119,7 @@
     return {
       onHead: (head) => {
         outcome = outcomeOf(call, head.status);
-        writeAnswerHead(call.response, head, [
-          requestIdHeader,
-          call.requestId,
-          ...versionHeaders(call),
-        ]);
+        writeAnswerHead(call.response, head, answerHeaders(call));
       },
       onData: (chunk) => writeAnswerPart(call.response, chunk, () => call.running?.resume()),
       onEnd: () => {
@@ -133,7 +131,7 @@
   };
 
   const begin = (request: PolkaRequest, response: ServerResponse): Call => {
-    const headers = readCallHeaders(request);
+    const headers = callers.readCall(request);
     const held = holding.queries.current();
     if (!held) {
       throw new Failure('no_configuration');
@@ -144,7 +142,8 @@
     const method = request.method ?? 'GET';
     const path = pathOf(request.originalUrl);
     const { className } = headers;
-    const trafficClass = matchClass(held.configuration, { method, path, className });
+    const host = hostOf(request);
+    const trafficClass = matchClass(held.configuration, { method, path, host, className });
     const policy = trafficClass && held.policies.get(trafficClass.name);
     if (!policy) {
       throw new Failure('unknown_class', className ?? `${method} ${path}`);
@@ -152,6 +151,10 @@
     if (policy.atMostOnce && headers.key === undefined) {
       throw new Failure('key_required', policy.className);
     }
+    const maxBodyBytes = held.configuration.callerLimits?.maxBodyBytes ?? Infinity;
+    if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
+      throw new Failure('body_too_large', `${maxBodyBytes} bytes at most`);
+    }
     const startedAt = timer.now();
     const deadlineMs = Math.min(headers.deadlineMs ?? Infinity, policy.deadlineMs);
     return {
@@ -161,6 +164,7 @@
       headers,
       held,
       policy,
+      service: pickService(policy, options.spread(policy.className)),
       startedAt,
       deadlineAt: startedAt + deadlineMs,
       running: undefined,
@@ -172,17 +176,17 @@
     requestId: call.requestId,
     held,
     policy: call.policy,
+    service: call.service,
     caller: call.request.socket.remoteAddress ?? '',
     method: call.request.method ?? 'GET',
     path: call.request.originalUrl,
-    headers: passRequestHeaders(call.request.rawHeaders),
+    headers: callers.passHeaders(call.request.rawHeaders),
     body,
     deadlineAt: call.deadlineAt,
   });
 
   /** The call's own state, with the cluster added if it arrived only now. */
-  const withCluster = async ({ held, policy, deadlineAt }: Call): Promise<Held> => {
-    const { service } = policy;
+  const withCluster = async ({ held, service, deadlineAt }: Call): Promise<Held> => {
     holding.commands.use(service);
     if (held.clusters.has(service) || upstream.queries.hasFreeSlot(service)) {
       return held;
@@ -230,7 +234,8 @@
     } catch (error) {
       const failure = reportOf(error);
       metrics.recordCall('unknown', failure.reason, 0);
-      writeRefusal(response, failure, readRequestId(request) ?? randomUUID(), timer);
+      const requestId = callers.readRequestId(request) ?? randomUUID();
+      writeRefusal(response, callers.refusal(failure, requestId), timer);
       return;
     }
     listener.guard(request, (reason, detail) => {
@@ -251,8 +256,10 @@
     address: options.address,
     timer,
     log: options.log,
+    callers,
+    limits: () => holding.queries.current()?.configuration.callerLimits,
     maxHeaderBytes,
-    idleStopMs,
+    stopTimes: options.stopTimes,
     onCall: handle,
   });
   return listener;
--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -13,7 +13,6 @@
 } from '../../types/calls.js';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
-import { attemptIdHeader, requestIdHeader } from './callHeaders.js';
 
 /** Longest time between two parts of an answer's body before its connection counts as silent. */
 const bodySilenceMs = 5_000;
@@ -26,10 +25,10 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly headTimeoutMs: number;
-  readonly attemptId: string;
-  readonly requestId: string;
-  /** The answer has to echo the attempt id, as answers of nodes do. */
-  readonly expectsAttemptId: boolean;
+  /** Says why the head is not the answer to this request, or undefined if it is. */
+  readonly judgeHead: (status: number, headers: readonly string[]) => string | undefined;
+  /** An answer may be ended by the end of its connection. */
+  readonly acceptsUnframed: boolean;
   readonly listener: AttemptListener;
 }
 
@@ -43,16 +42,12 @@
 const statusesWithoutBody = new Set([204, 304]);
 
 interface ReadHead extends AnswerHead {
-  readonly attemptId: string | undefined;
-  readonly requestId: string | undefined;
   /** The end of the body is marked, so that a cut can be told from the end. */
   readonly isDelimited: boolean;
 }
 
 const readHead = (status: number, raw: readonly Buffer[], method: string): ReadHead => {
   const headers: string[] = [];
-  let attemptId: string | undefined;
-  let requestId: string | undefined;
   let isDelimited = method === 'HEAD' || statusesWithoutBody.has(status);
   for (let index = 0; index + 1 < raw.length; index += 2) {
     const name = raw[index]!.toString('latin1').toLowerCase();
@@ -60,13 +55,9 @@
     headers.push(name, value);
     if (name === 'content-length' || name === 'transfer-encoding') {
       isDelimited = true;
-    } else if (name === attemptIdHeader) {
-      attemptId = value;
-    } else if (name === requestIdHeader) {
-      requestId = value;
     }
   }
-  return { status, headers, attemptId, requestId, isDelimited };
+  return { status, headers, isDelimited };
 };
 
 const errorCode = (error: unknown): string =>
@@ -112,15 +103,12 @@
   const onHead = (status: number, raw: readonly Buffer[]): void => {
     cancelHeadTimeout();
     const head = readHead(status, raw, method);
-    const isOther =
-      (head.attemptId !== undefined && head.attemptId !== options.attemptId) ||
-      (options.expectsAttemptId && head.attemptId === undefined) ||
-      (head.requestId !== undefined && head.requestId !== options.requestId);
-    if (isOther) {
-      fail('answer_mismatch');
+    const mismatch = options.judgeHead(head.status, head.headers);
+    if (mismatch !== undefined) {
+      fail('answer_mismatch', mismatch);
       return;
     }
-    if (!head.isDelimited) {
+    if (!head.isDelimited && !options.acceptsUnframed) {
       fail('upstream_failed', 'the answer has neither content-length nor chunked encoding');
       return;
     }
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
+import type { StopTimes } from '../../types/internal.js';
 import type { Access } from '../operators/access.js';
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
 import {
@@ -17,7 +18,9 @@
   priorityHeader,
   readCallHeaders,
   readRequestId,
+  serviceHeader,
 } from './callHeaders.js';
+import { ownCallers } from './ownCallInterface.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { formatLoad } from './remoteNode.js';
@@ -29,14 +32,13 @@
 
 /** Room for the headers that nodes add to those of a caller. */
 const maxHeaderBytes = 32 * 1_024;
-/** Other nodes end idle connections after 4 s. */
-const idleStopMs = 4_500;
 const defaultDeadlineMs = 30_000;
 const defaultPriority = 50;
 
 export interface ForwardServerOptions {
   readonly address: Address;
   readonly access: Access;
+  readonly stopTimes: StopTimes;
   readonly timer: Timer;
   readonly log: Log;
   readonly upstream: LocalUpstream;
@@ -84,7 +86,7 @@
     let attempt: RunningAttempt | undefined;
 
     const refuse = (failure: AttemptFailureReport) => {
-      writeRefusal(response, failure, requestId, timer, echo());
+      writeRefusal(response, ownCallers.refusal(failure, requestId), timer, echo());
     };
 
     if (access.identify(request.headers.authorization).kind !== 'cluster') {
@@ -102,6 +104,7 @@
           attemptId,
           requestId,
           className,
+          service: single(request, serviceHeader) ?? '',
           caller: single(request, callerHeader) ?? '',
           priority: numberIn(request, priorityHeader, defaultPriority),
           maxWaitMs: numberIn(request, maxWaitHeader, 0),
@@ -144,8 +147,9 @@
     address: options.address,
     timer,
     log: options.log,
+    callers: ownCallers,
     maxHeaderBytes,
-    idleStopMs,
+    stopTimes: options.stopTimes,
     onCall: handle,
   });
   return listener;
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -19,7 +19,7 @@
 } from '../../types/calls.js';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
-import { attemptIdHeader, classHeader, deadlineHeader, requestIdHeader } from './callHeaders.js';
+import type { AnswerVerdict, UpstreamInterface } from '../../types/callInterface.js';
 import { startExchange } from './exchange.js';
 import { createUpstreamPool } from './upstreamPool.js';
 
@@ -31,6 +31,10 @@
   readonly address: string;
   readonly slots: number;
   readonly connections: number;
+  /** Id that the upstream gave itself, if it did. */
+  readonly instance?: string;
+  /** Start of the upstream's process, if it said so, in ms of its own clock. */
+  readonly startedAt?: number;
 }
 
 export interface LocalUpstream {
@@ -75,8 +79,13 @@
   retryAfterSeconds: reason === 'overloaded' ? retryAfterSeconds : undefined,
 });
 
+const refusalByVerdict: Partial<Record<AnswerVerdict, FailureReason>> = {
+  refused: 'overloaded',
+  other_instance: 'no_upstream',
+};
+
 /** Creates the access of a node to the upstream beside it. */
-export const createLocalUpstream = (timer: Timer): LocalUpstream => {
+export const createLocalUpstream = (timer: Timer, upstreams: UpstreamInterface): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let pool: Pool | undefined;
   let admission: Admission | undefined;
@@ -109,23 +118,13 @@
     });
   };
 
-  const headersTo = (request: AttemptRequest): string[] => [
-    ...request.headers,
-    requestIdHeader,
-    request.requestId,
-    classHeader,
-    request.className,
-    attemptIdHeader,
-    request.attemptId,
-    deadlineHeader,
-    String(Math.max(1, Math.floor(request.deadlineAt - timer.now()))),
-  ];
-
   const send = (request: AttemptRequest, listener: AttemptListener): RunningAttempt => {
     const { attemptId } = request;
     let exchange: RunningAttempt | undefined;
     let admittedAt: number | undefined;
     let status = 0;
+    /** Set once the upstream said that it did not run the request. */
+    let isTurnedAway = false;
     let isOver = false;
 
     const finish = (outcome: FinishOutcome['outcome']) => {
@@ -144,17 +143,27 @@
       onHead: (head) => {
         status = head.status;
         isUnreachable = false;
-        listener.onHead(head);
+        const reason = refusalByVerdict[upstreams.judgeAnswer(status, head.headers, request)];
+        if (reason === undefined) {
+          listener.onHead(head);
+          return;
+        }
+        isTurnedAway = true;
+        listener.onFailure(refusedReport(reason));
       },
-      onData: (chunk) => listener.onData(chunk),
+      onData: (chunk) => (isTurnedAway ? true : listener.onData(chunk)),
       onEnd: () => {
-        finish(status === 503 ? 'overloaded' : 'ok');
-        listener.onEnd();
+        finish(isTurnedAway || status === 503 ? 'overloaded' : 'ok');
+        if (!isTurnedAway) {
+          listener.onEnd();
+        }
       },
       onFailure: (failure) => {
         isUnreachable = failure.reason === 'upstream_unreachable';
         finish('failed');
-        listener.onFailure(failure);
+        if (!isTurnedAway) {
+          listener.onFailure(failure);
+        }
       },
     };
 
@@ -167,12 +176,14 @@
         timer,
         method: request.method,
         path: request.path,
-        headers: headersTo(request),
+        headers: upstreams.requestHeaders(request, description?.instance, request.deadlineAt - now),
         body: request.body,
         headTimeoutMs: Math.max(1, headTimeoutMs),
-        attemptId,
-        requestId: request.requestId,
-        expectsAttemptId: false,
+        judgeHead: (answerStatus, headers) =>
+          upstreams.judgeAnswer(answerStatus, headers, request) === 'mismatch'
+            ? 'the answer belongs to another request'
+            : undefined,
+        acceptsUnframed: upstreams.acceptsUnframedAnswer,
         listener: ownListener,
       });
     };
@@ -190,7 +201,8 @@
       listener.onFailure(refusedReport(refusal));
     };
 
-    if (!admission || !pool || isDrained) {
+    const isForOther = request.service !== '' && request.service !== description?.service;
+    if (!admission || !pool || isDrained || isForOther) {
       isOver = true;
       listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream'));
     } else {
@@ -227,14 +239,29 @@
     pool = createUpstreamPool(address, connections);
   };
 
+  const isOtherProcess = (next: UpstreamDescription): boolean =>
+    description !== undefined &&
+    (next.instance !== description.instance ||
+      next.startedAt !== description.startedAt ||
+      next.service !== description.service);
+
   const describe = (next: UpstreamDescription) => {
+    const isOther = isOtherProcess(next);
     const isOtherPool =
-      next.address !== description?.address || next.connections !== description?.connections;
+      isOther ||
+      next.address !== description?.address ||
+      next.connections !== description?.connections;
     if (isOtherPool) {
       replacePool(next.address, next.connections);
     }
     description = next;
     isUnreachable = false;
+    if (isOther) {
+      // What waits was meant for the process that is gone, and what runs there holds no slot here.
+      carryOut(admission?.commands.leave(timer.now()) ?? []);
+      isLeaving = false;
+      admission = undefined;
+    }
     admission ??= createAdmission({ slots: slotsOf(next) });
     carryOut(admission.commands.setLimit(slotsOf(next), timer.now()));
   };
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -8,7 +8,9 @@
 import { createRetryBudgets } from '../../core/calls/retry.js';
 import { formatVersion } from '../../core/agreement/version.js';
 import type { Cluster } from '../../types/public.js';
-import type { Announcer, Held, Holding, LedgerClient } from '../../types/internal.js';
+import type { CallInterface } from '../../types/callInterface.js';
+import type { Announcer, Held, Holding, LedgerClient, StopTimes } from '../../types/internal.js';
+import { createSpread } from '../../core/calls/spread.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
@@ -23,7 +25,8 @@
 import { createNodeLines } from './nodeLines.js';
 import { createRemoteNodes } from './remoteNode.js';
 import type { Address } from '../rpc.js';
-import { createUpstreamAnnouncement } from './upstreamAnnouncement.js';
+import { createUpstreamAnnouncement, type UpstreamAnnouncement } from './upstreamAnnouncement.js';
+import { ownCallInterface } from './ownCallInterface.js';
 import { createNodePools } from './upstreamPool.js';
 
 const housekeepingMs = 1_000;
@@ -33,6 +36,11 @@
   readonly listen: { readonly calls: Address; readonly forward: Address; readonly admin: Address };
   /** Address that other nodes forward calls to. Default: the one that is listened on. */
   readonly advertisedForward?: string;
+  /** What callers and upstreams speak. Default: the product's own interface. */
+  readonly callInterface?: CallInterface;
+  /** Time within which the upstream renews its announcement, in ms. Default: 3 s. */
+  readonly renewWithinMs?: number;
+  readonly stopTimes?: StopTimes;
   readonly access: Access;
   readonly holding: Holding;
   readonly announcer: Announcer;
@@ -52,10 +60,19 @@
 
 export interface NodeRuntime {
   start(): Promise<BoundAddresses>;
+  ready(): CheckState;
+  readonly announcement: UpstreamAnnouncement;
   /** Refuses new work, finishes calls in flight within the limit, then closes. */
   stop(limitMs: number): Promise<void>;
 }
 
+/** Callers usually see within this time that the node is not ready, and keep idle connections. */
+const defaultStopTimes: StopTimes = { acceptMs: 500, idleMs: 2_000 };
+/** Nodes end idle connections to other nodes after 4 s. */
+const forwardIdleMs = 4_500;
+/** Longest wait for the records of at-most-once calls during a stop, in ms. */
+const settleLimitMs = 2_000;
+
 const formatAddress = ({ host, port }: Address): string =>
   host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
 
@@ -67,11 +84,12 @@
 /** Creates a node around its configuration. */
 export const createNodeRuntime = (options: NodeRuntimeOptions): NodeRuntime => {
   const { node, access, holding, metrics, timer, log, random } = options;
+  const { callInterface = ownCallInterface, stopTimes = defaultStopTimes } = options;
   const evidence = createEvidence({ random });
   const budgetOf = createRetryBudgets({ share: retryShare });
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
-  const upstream = createLocalUpstream(timer);
+  const upstream = createLocalUpstream(timer, callInterface.upstreams);
   const pools = createNodePools();
   const remote = createRemoteNodes({
     pools,
@@ -98,6 +116,9 @@
   const calls = createCallServer({
     address: options.listen.calls,
     dataCentre: node.dataCentre,
+    callers: callInterface.callers,
+    stopTimes,
+    spread: createSpread(random),
     timer,
     log: log.part('calls'),
     holding,
@@ -110,6 +131,7 @@
   const forward = createForwardServer({
     address: options.listen.forward,
     access,
+    stopTimes: { ...stopTimes, idleMs: forwardIdleMs },
     timer,
     log: log.part('forward'),
     upstream,
@@ -121,6 +143,7 @@
     node,
     forwardAddress: () => forwardAddress,
     announcer: options.announcer,
+    renewWithinMs: options.renewWithinMs,
     upstream,
     timer,
     log: log.part('upstream'),
@@ -221,11 +244,11 @@
     announcement.withdraw();
     upstream.commands.leave();
     await Promise.all([calls.stop(limitMs), forward.stop(limitMs)]);
-    await Promise.race([atMostOnce.settled(), timer.sleep(Math.min(limitMs, 2_000))]);
+    await Promise.race([atMostOnce.settled(), timer.sleep(Math.min(limitMs, settleLimitMs))]);
     await pools.destroy();
     await upstream.commands.stop();
     await admin.close();
   };
 
-  return { start, stop };
+  return { start, ready, announcement, stop };
 };
--- /dev/null
+++ b/src/plugins/calls/ownCallInterface.ts
@@ -0,0 +1,84 @@
+/**
+ * The product's own interface to callers and upstreams, see docs/calls.md.
+ */
+import { formatVersion } from '../../core/agreement/version.js';
+import { retriedHeader } from '../../core/calls/retry.js';
+import type {
+  CallInterface,
+  CallerInterface,
+  UpstreamInterface,
+} from '../../types/callInterface.js';
+import { failureTable } from '../../utils/failure.js';
+import { refusalBody } from './callAnswers.js';
+import {
+  attemptIdHeader,
+  classHeader,
+  configStaleHeader,
+  configVersionHeader,
+  deadlineHeader,
+  headerIn,
+  passRequestHeaders,
+  readCallHeaders,
+  readRequestId,
+  refusalHeader,
+  requestIdHeader,
+  runHeader,
+} from './callHeaders.js';
+
+export const ownCallers: CallerInterface = {
+  readCall: readCallHeaders,
+  readRequestId,
+  passHeaders: passRequestHeaders,
+  answerHeaders: ({ requestId, version, isStale }) => [
+    requestIdHeader,
+    requestId,
+    configVersionHeader,
+    formatVersion(version),
+    ...(isStale ? [configStaleHeader, 'true'] : []),
+  ],
+  refusal: (failure, requestId) => {
+    const body = refusalBody(failure, requestId);
+    const headers = [
+      'content-type',
+      'application/json',
+      'content-length',
+      String(body.length),
+      requestIdHeader,
+      requestId,
+      refusalHeader,
+      failure.reason,
+      runHeader,
+      failure.run,
+    ];
+    if (failure.retried) {
+      headers.push(retriedHeader, 'true');
+    }
+    if (failure.retryAfterSeconds !== undefined) {
+      headers.push('retry-after', String(failure.retryAfterSeconds));
+    }
+    return { status: failureTable[failure.reason].status, headers, body };
+  },
+};
+
+const ownUpstreams: UpstreamInterface = {
+  requestHeaders: (request, _instance, remainingMs) => [
+    ...request.headers,
+    requestIdHeader,
+    request.requestId,
+    classHeader,
+    request.className,
+    attemptIdHeader,
+    request.attemptId,
+    deadlineHeader,
+    String(Math.max(1, Math.floor(remainingMs))),
+  ],
+  judgeAnswer: (_status, headers, { requestId, attemptId }) => {
+    const isMatch =
+      (headerIn(headers, requestIdHeader) ?? requestId) === requestId &&
+      (headerIn(headers, attemptIdHeader) ?? attemptId) === attemptId;
+    return isMatch ? 'answer' : 'mismatch';
+  },
+  acceptsUnframedAnswer: false,
+};
+
+export const ownCallInterface: CallInterface = { callers: ownCallers, upstreams: ownUpstreams };
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -27,6 +27,7 @@
   refusalHeader,
   requestIdHeader,
   runHeader,
+  serviceHeader,
 } from './callHeaders.js';
 import { startExchange } from './exchange.js';
 import type { NodePools } from './upstreamPool.js';
@@ -93,6 +94,8 @@
       request.attemptId,
       classHeader,
       request.className,
+      serviceHeader,
+      request.service,
       callerHeader,
       request.caller,
       priorityHeader,
@@ -120,9 +123,12 @@
       headers: headersTo(request),
       body: request.body,
       headTimeoutMs: Math.max(1, headTimeoutMs),
-      attemptId: request.attemptId,
-      requestId: request.requestId,
-      expectsAttemptId: true,
+      judgeHead: (_status, headers) =>
+        headerIn(headers, attemptIdHeader) === request.attemptId &&
+        (headerIn(headers, requestIdHeader) ?? request.requestId) === request.requestId
+          ? undefined
+          : 'the answer names another attempt',
+      acceptsUnframed: false,
       listener: {
         onHead: (head) => {
           const load = parseLoad(headerIn(head.headers, loadHeader) ?? '');
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -1,6 +1,7 @@
 /**
- * Announcement of the own upstream: `PUT /upstream` on the admin address. The upstream renews its
- * announcement; when it stops doing so, or refuses connections, its endpoint is withdrawn.
+ * Announcement of the own upstream, by `PUT /upstream` on the admin address or by an adapter. The
+ * upstream renews its announcement; when it stops doing so, or refuses connections, its endpoint is
+ * withdrawn. A report that another one has overtaken changes nothing.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { isIPv4 } from 'node:net';
@@ -18,7 +19,7 @@
 import { parseAddress } from '../rpc.js';
 
 /** Time within which the upstream has to renew its announcement, in ms. */
-const renewWithinMs = 3_000;
+const defaultRenewWithinMs = 3_000;
 const checkPeriodMs = 500;
 const maxAnnouncementBytes = 4 * 1_024;
 /** Longest time for which the answer to `leaving` waits for calls in flight, in ms. */
@@ -37,12 +38,30 @@
 
 type Announcement = z.infer<typeof announcementSchema>;
 
+/** What an upstream says of itself. */
+export interface UpstreamReport {
+  readonly service: string;
+  readonly address: string;
+  readonly slots: number;
+  readonly connections: number;
+  /** `leaving`: no new calls, those in flight go on; `gone`: the same, and it ends by itself. */
+  readonly state: 'ready' | 'leaving' | 'gone';
+  /** Id of the upstream. Default: the name of the node. */
+  readonly instance?: string;
+  /** Start of the upstream's process in ms of its own clock; a later one replaces an earlier one. */
+  readonly startedAt?: number;
+  /** Number of the report, rising from the start of the process. */
+  readonly sequence?: number;
+}
+
 export interface UpstreamAnnouncementOptions {
   readonly node: { readonly name: string; readonly dataCentre: string; readonly region: string };
   /** Address that other nodes use to forward calls to this node. */
   readonly forwardAddress: () => string;
   readonly announcer: Announcer;
   readonly upstream: LocalUpstream;
+  /** Time within which the upstream has to renew its announcement, in ms. Default: 3 s. */
+  readonly renewWithinMs?: number;
   readonly timer: Timer;
   readonly log: Log;
 }
@@ -50,6 +69,8 @@
 export interface UpstreamAnnouncement {
   routes(router: Polka): void;
   start(): void;
+  /** Takes a report. Returns false if a newer one was taken before. Throws `leaving`. */
+  take(report: UpstreamReport): boolean;
   /** Withdraws the endpoint and refuses later announcements of `ready`. */
   withdraw(): void;
   isAnnounced(): boolean;
@@ -97,10 +118,12 @@
   options: UpstreamAnnouncementOptions,
 ): UpstreamAnnouncement => {
   const { node, announcer, upstream, timer, log } = options;
-  const endpointId = node.name;
+  const { renewWithinMs = defaultRenewWithinMs } = options;
   const incarnation = timer.wallClock();
   let sequence = 0;
   let announced: string | undefined;
+  let announcedId = node.name;
+  let newest: UpstreamReport | undefined;
   let renewedAt = 0;
   let isStopping = false;
 
@@ -108,14 +131,15 @@
     if (announced !== undefined) {
       announced = undefined;
       log.info('endpoint withdrawn', { reason });
-      announcer.withdraw(endpointId);
+      announcer.withdraw(announcedId);
     }
   };
 
-  const endpointOf = ({ service, address, slots, connections }: Announcement): Endpoint => {
+  const endpointOf = (report: UpstreamReport): Endpoint => {
+    const { service, address, slots, connections } = report;
     sequence += 1;
     return {
-      id: endpointId,
+      id: idOf(report),
       service,
       dataCentre: node.dataCentre,
       region: node.region,
@@ -130,31 +154,70 @@
     };
   };
 
-  const takeReady = (announcement: Announcement) => {
-    if (isStopping) {
-      throw new Failure('leaving', 'the node is stopping');
-    }
-    const { service, address, slots, connections } = announcement;
-    if (upstream.queries.isLeaving()) {
+  const idOf = ({ instance }: UpstreamReport): string => instance ?? node.name;
+
+  const isOutdated = ({ startedAt = 0, sequence: number = 0 }: UpstreamReport): boolean => {
+    const { startedAt: newestStart = 0, sequence: newestNumber = 0 } = newest ?? {};
+    return startedAt < newestStart || (startedAt === newestStart && number < newestNumber);
+  };
+
+  const resumeIfLeft = (report: UpstreamReport) => {
+    const isSameProcess = report.startedAt === upstream.queries.description()?.startedAt;
+    if (upstream.queries.isLeaving() && isSameProcess) {
       if (upstream.queries.inFlight() > 0) {
         throw new Failure('leaving', 'calls from before have to end first');
       }
       upstream.commands.resume();
     }
+  };
+
+  const takeReady = (report: UpstreamReport) => {
+    if (isStopping) {
+      throw new Failure('leaving', 'the node is stopping');
+    }
+    const { service, address, slots, connections, instance, startedAt } = report;
+    resumeIfLeft(report);
     renewedAt = timer.now();
-    const fields = JSON.stringify([service, address, slots, connections]);
+    const fields = JSON.stringify([service, address, slots, connections, instance, startedAt]);
     if (fields === announced) {
       return;
     }
-    upstream.commands.describe({ service, address, slots, connections });
+    if (announced !== undefined && announcedId !== idOf(report)) {
+      withdraw('another upstream has its place');
+    }
+    upstream.commands.describe({ service, address, slots, connections, instance, startedAt });
     announced = fields;
-    log.info('endpoint announced', { service, address, slots });
-    announcer.announce(endpointOf(announcement));
+    announcedId = idOf(report);
+    log.info('endpoint announced', { endpoint: announcedId, service, address, slots });
+    announcer.announce(endpointOf(report));
   };
 
-  const takeLeaving = async () => {
+  const takeLeaving = () => {
     upstream.commands.leave();
     withdraw('the upstream is leaving');
+  };
+
+  const handlers: Record<UpstreamReport['state'], (report: UpstreamReport) => void> = {
+    ready: takeReady,
+    leaving: takeLeaving,
+    gone: takeLeaving,
+  };
+
+  const takeReport = (report: UpstreamReport): boolean => {
+    if (isOutdated(report)) {
+      log.info('outdated report of an upstream ignored', {
+        endpoint: idOf(report),
+        startedAt: report.startedAt,
+        sequence: report.sequence,
+      });
+      return false;
+    }
+    handlers[report.state](report);
+    newest = report;
+    return true;
+  };
+
+  const waitUntilIdle = async () => {
     const limitAt = timer.now() + leaveLimitMs;
     while (upstream.queries.inFlight() > 0 && timer.now() < limitAt) {
       await timer.sleep(leaveCheckMs);
@@ -166,10 +229,9 @@
       throw new Failure('unauthorized', 'announcements are taken from this instance only');
     }
     const announcement = parseAnnouncement(await readAll(request));
+    takeReport(announcement);
     if (announcement.state === 'leaving') {
-      await takeLeaving();
-    } else {
-      takeReady(announcement);
+      await waitUntilIdle();
     }
     sendJson(response, 200, { renew_within_ms: renewWithinMs });
   };
@@ -189,6 +251,7 @@
         }
       });
     },
+    take: takeReport,
     withdraw: () => {
       isStopping = true;
       withdraw('the node is stopping');
--- a/src/plugins/distribution/controlExchange.ts
+++ b/src/plugins/distribution/controlExchange.ts
@@ -26,6 +26,9 @@
 /** The least of this many round trips counts, so that a busy moment does not. */
 const keptRoundTrips = 20;
 const maxServices = 1_024;
+/** Endpoints of a member that was replaced are kept for this time: longer than a node's lease. */
+const replacedKeepMs = 15_000;
+const maxLearnedDelays = 64;
 
 export interface ControlMember {
   readonly name: string;
@@ -41,7 +44,7 @@
     readonly region: string;
     readonly peerAddress: string;
   };
-  readonly cluster: { readonly name: string; readonly members: readonly ControlMember[] };
+  readonly cluster: { readonly name: string; members(): readonly ControlMember[] };
   readonly incarnation: string;
   readonly access: Access;
   readonly timer: Timer;
@@ -72,6 +75,8 @@
   readonly member: ControlMember;
   readonly logs: Map<string, ClusterLog>;
   readonly roundTrips: number[];
+  /** Aborted when the member is no longer one, or has another address. */
+  readonly ended: AbortController;
   lostAt: number | undefined;
   link: FeedLink | undefined;
 }
@@ -86,19 +91,10 @@
 
 export const createControlExchange = (options: ControlExchangeOptions): ControlExchange => {
   const { control, cluster, access, timer, log, random, metrics } = options;
-  const stopping = new AbortController();
   const learned = new Map<string, number>();
-  let running: Promise<unknown> = Promise.resolve();
-
-  const remotes: Remote[] = cluster.members
-    .filter(({ name }) => name !== control.name)
-    .map((member) => ({
-      member,
-      logs: new Map(),
-      roundTrips: [],
-      lostAt: undefined,
-      link: undefined,
-    }));
+  const running = new Set<Promise<void>>();
+  let isStarted = false;
+  let remotes: Remote[] = [];
 
   const logOf = (remote: Remote, service: string): ClusterLog => {
     const found = remote.logs.get(service) ?? {
@@ -184,7 +180,7 @@
 
   const follow = async (remote: Remote) => {
     let attempt = 0;
-    while (!stopping.signal.aborted) {
+    while (!remote.ended.signal.aborted) {
       remote.link = createLink(remote);
       const outcome = await remote.link.run();
       remote.link = undefined;
@@ -195,20 +191,66 @@
       }
       attempt = wasAttached ? 0 : Math.min(10, attempt + 1);
       const limit = Math.min(maxBackoffMs, minBackoffMs * 2 ** attempt);
-      await timer.sleep(random() * limit, stopping.signal);
+      await timer.sleep(random() * limit, remote.ended.signal);
     }
   };
 
+  const endRemote = (remote: Remote) => {
+    remote.ended.abort();
+    remote.lostAt ??= timer.now();
+    remote.link?.end('no longer a member');
+  };
+
+  const addRemote = (member: ControlMember) => {
+    const remote: Remote = {
+      member,
+      logs: new Map(),
+      roundTrips: [],
+      ended: new AbortController(),
+      lostAt: undefined,
+      link: undefined,
+    };
+    remotes.push(remote);
+    const following = follow(remote).finally(() => running.delete(following));
+    running.add(following);
+  };
+
+  /**
+   * Follows the membership. The endpoints of a member that is gone are kept until its nodes have
+   * attached to other control instances, which then report them.
+   */
+  const followMembers = () => {
+    const members = cluster.members().filter(({ name }) => name !== control.name);
+    const isCurrent = ({ member }: Remote) =>
+      members.some(({ name, address }) => name === member.name && address === member.address);
+    remotes.filter((remote) => !isCurrent(remote)).forEach(endRemote);
+    remotes = remotes.filter(
+      (remote) =>
+        isCurrent(remote) ||
+        (remote.lostAt !== undefined && timer.now() - remote.lostAt < replacedKeepMs),
+    );
+    members
+      .filter(
+        ({ name, address }) =>
+          !remotes.some(({ member }) => member.name === name && member.address === address),
+      )
+      .forEach(addRemote);
+  };
+
   return {
     start: () => {
-      running = Promise.all(remotes.map(follow));
+      isStarted = true;
+      followMembers();
     },
     stop: async () => {
-      stopping.abort();
-      remotes.forEach(({ link }) => link?.end('stopping'));
-      await running;
+      isStarted = false;
+      remotes.forEach(endRemote);
+      await Promise.all(running);
     },
     tick: () => {
+      if (isStarted) {
+        followMembers();
+      }
       remotes
         .filter(({ lostAt }) => lostAt !== undefined && timer.now() - lostAt >= remoteKeepMs)
         .forEach(({ logs }) => logs.clear());
@@ -228,11 +270,9 @@
       return from === to ? 0 : (us ?? 0) / 1_000;
     },
     learnDelays: (delays) => {
-      delays
-        .slice(0, cluster.members.length)
-        .forEach(({ fromDataCentre, toDataCentre, delayUs }) => {
-          learned.set(delayKey(fromDataCentre, toDataCentre), delayUs);
-        });
+      delays.slice(0, maxLearnedDelays).forEach(({ fromDataCentre, toDataCentre, delayUs }) => {
+        learned.set(delayKey(fromDataCentre, toDataCentre), delayUs);
+      });
     },
   };
 };
--- a/src/plugins/distribution/controlFeed.ts
+++ b/src/plugins/distribution/controlFeed.ts
@@ -40,7 +40,7 @@
     readonly region: string;
     readonly peerAddress: string;
   };
-  readonly cluster: { readonly name: string; readonly members: readonly ControlMember[] };
+  readonly cluster: { readonly name: string; members(): readonly ControlMember[] };
   readonly source: ConfigurationSource;
   readonly access: Access;
   readonly timer: Timer;
@@ -166,6 +166,7 @@
     floors: subtree.floors,
     path: () => [control.name],
     rootDataCentre: () => control.dataCentre,
+    controls: () => cluster.members(),
     confirmedAgeMs: () => source.confirmedAgeMs(),
     log: registry.queries.log,
     exported: () => leased.queries.services().map(leased.queries.log),
@@ -208,7 +209,7 @@
     mergeReports([ownStatus(), ...[...remoteStatuses.keys()].map(statusOf)]);
 
   const dataCentres = (): string[] => {
-    const named = [control.dataCentre, ...cluster.members.map(({ dataCentre }) => dataCentre)];
+    const named = [control.dataCentre, ...cluster.members().map(({ dataCentre }) => dataCentre)];
     return [...new Set(named)];
   };
 
--- a/src/plugins/distribution/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -40,7 +40,13 @@
       readonly addresses: readonly string[];
       readonly retryAfterMs: number;
     }
-  | { readonly outcome: 'lost'; readonly reason: string; readonly attached: boolean };
+  | {
+      readonly outcome: 'lost';
+      readonly reason: string;
+      readonly attached: boolean;
+      /** Nothing listens at the address. */
+      readonly isRefused: boolean;
+    };
 
 export interface LinkHandlers {
   welcome(message: Welcome): void;
@@ -97,6 +103,7 @@
   let heardAt = timer.now();
   let endReason = '';
   let redirect: LinkOutcome | undefined;
+  let isRefused = false;
   let reporting = false;
   let reportDue = false;
   let batch: (() => void) | undefined;
@@ -196,13 +203,21 @@
       await readStream();
     } catch (error) {
       endReason ||= describe(error);
+      isRefused = describe(error).includes('ECONNREFUSED');
     }
     cancelSilence();
     cancelReports();
     batch?.();
     abort.abort();
     close();
-    return redirect ?? { outcome: 'lost', reason: endReason, attached: subscriptionId !== '' };
+    return (
+      redirect ?? {
+        outcome: 'lost',
+        reason: endReason,
+        attached: subscriptionId !== '',
+        isRefused,
+      }
+    );
   };
 
   return {
--- a/src/plugins/distribution/feedMessages.ts
+++ b/src/plugins/distribution/feedMessages.ts
@@ -11,6 +11,7 @@
   type ClusterCursor as ClusterCursorMessage,
   type ClusterUpdate,
   type ConfigurationUpdate,
+  type ControlRecord as ControlRecordMessage,
   type EndpointRecord,
   type FeedMessage,
   type NodeVersion as NodeVersionMessage,
@@ -19,7 +20,12 @@
 } from '../../gen/auburnsill/v1/feed_pb.js';
 import type { Endpoint, Version } from '../../types/public.js';
 import type { FleetNode } from '../../types/internal.js';
-import type { BranchReport, NodeVersion, VersionCount } from '../../core/distribution/feed.js';
+import type {
+  BranchReport,
+  ControlAddress,
+  NodeVersion,
+  VersionCount,
+} from '../../core/distribution/feed.js';
 import type { ClusterChange, ClusterCursor } from '../../core/distribution/clusterLog.js';
 import type { ConfigurationChange } from '../../core/distribution/configurationStore.js';
 import { noVersion } from '../../core/agreement/version.js';
@@ -154,6 +160,15 @@
 export const readAddresses = (addresses: readonly string[]): string[] =>
   checkList(addresses, 'addresses').filter((address) => parseAddress(address) !== undefined);
 
+/** Reads control instances; what is not an address is left out. */
+export const readControls = (records: readonly ControlRecordMessage[]): ControlAddress[] =>
+  checkList(records, 'controls')
+    .filter(({ address }) => parseAddress(address) !== undefined)
+    .map(({ address, dataCentre }) => ({
+      address,
+      dataCentre: checkText(dataCentre, 'control.data_centre'),
+    }));
+
 const readCount = (message: VersionCountMessage): VersionCount => ({
   version: readVersion(message.version),
   dataCentre: checkText(message.dataCentre, 'count.data_centre'),
--- a/src/plugins/distribution/feedServer.ts
+++ b/src/plugins/distribution/feedServer.ts
@@ -18,6 +18,7 @@
   createChildAdmission,
   leaseMs,
   type ChildAdmission,
+  type ControlAddress,
   type Floors,
   type NodeVersion,
 } from '../../core/distribution/feed.js';
@@ -58,6 +59,8 @@
   readonly floors: Floors;
   path(): readonly string[];
   rootDataCentre(): string;
+  /** Control instances, as far as they are known here. */
+  controls(): readonly ControlAddress[];
   confirmedAgeMs(): number;
   /** Log of a service, or undefined if nothing is known about it yet. */
   log(service: string): ClusterLog | undefined;
@@ -100,6 +103,8 @@
   readonly cursors: Map<string, ClusterCursor>;
   readonly toldVersions: Map<string, Version>;
   configuration: ConfigurationCursor | undefined;
+  /** Control instances that the subscriber was told last, as text. */
+  toldControls: string;
   beatDue: boolean;
   ended: boolean;
   reportedAt: number;
@@ -120,6 +125,8 @@
   return subscriber;
 };
 
+const controlRecord = ({ address, dataCentre }: ControlAddress) => ({ address, dataCentre });
+
 /** Turns a malformed message into an RPC error with its reason. */
 const guard = <Result>(read: () => Result): Result => {
   try {
@@ -190,6 +197,8 @@
       .map(({ address }) => address)
       .slice(-toldPeers);
 
+  const controlsText = (): string => JSON.stringify(publication.controls().map(controlRecord));
+
   const writeWelcome = (id: string, subscriber: Subscriber): FeedMessage => {
     const floor = floors.queries.floorOf(subscriber.name);
     return writeMessage({
@@ -200,11 +209,12 @@
         floor: floor && writeVersion(floor),
         headVersion: writeVersion(store.queries.newest()?.version ?? noVersion),
         peers: peersFor(subscriber),
+        controls: publication.controls().map(controlRecord),
       },
     });
   };
 
-  const writeHeartbeat = (): FeedMessage =>
+  const writeHeartbeat = (controls: readonly ControlAddress[] = []): FeedMessage =>
     writeMessage({
       case: 'heartbeat',
       value: {
@@ -212,6 +222,7 @@
         headVersion: writeVersion(store.queries.newest()?.version ?? noVersion),
         path: [...publication.path()],
         rootDataCentre: publication.rootDataCentre(),
+        controls: controls.map(controlRecord),
       },
     });
 
@@ -250,7 +261,9 @@
   const nextMessage = (subscription: Subscription): FeedMessage | undefined => {
     if (subscription.beatDue) {
       subscription.beatDue = false;
-      return writeHeartbeat();
+      const isTold = controlsText() === subscription.toldControls;
+      subscription.toldControls = controlsText();
+      return writeHeartbeat(isTold ? [] : publication.controls());
     }
     return nextConfiguration(subscription) ?? nextCluster(subscription);
   };
@@ -267,6 +280,7 @@
       cursors: initialCursors(request),
       toldVersions: new Map(),
       configuration: request.heldVersion && { version: heldVersion, digest: request.heldDigest },
+      toldControls: controlsText(),
       beatDue: true,
       ended: false,
       reportedAt: timer.now(),
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -42,6 +42,7 @@
   readBranchReport,
   readCluster,
   readConfiguration,
+  readControls,
   readNodeVersions,
   readVersion,
   writeCursor,
@@ -70,6 +71,7 @@
   };
   readonly cluster: {
     readonly name: string;
+    /** Control instances of the settings; the data centre is empty if it is not known. */
     readonly control: readonly ControlAddress[];
     readonly peers: readonly string[];
   };
@@ -226,6 +228,7 @@
 
   const onWelcome = (message: Welcome) => {
     raiseFloor(message);
+    choice.commands.learnControls(readControls(message.controls));
     choice.commands.learnPeers(readAddresses(message.peers));
     refusals = 0;
     upward.commands.reset();
@@ -244,6 +247,7 @@
       servedFreshness.commands.confirm(ageMs, now);
     }
     const { path, rootDataCentre } = message;
+    choice.commands.learnControls(readControls(message.controls));
     parents.heard({ headVersion, confirmedAgeMs: ageMs, path, rootDataCentre });
   };
 
@@ -348,6 +352,7 @@
     floors: subtree.floors,
     path: () => parents.path(),
     rootDataCentre: () => parents.rootDataCentre(),
+    controls: () => choice.queries.controls(),
     confirmedAgeMs: () => freshness.queries.ageMs(timer.now()),
     log: clusters.queries.log,
     // Only control instances export endpoints.
@@ -428,9 +433,16 @@
 
   // Before anything is served, other processes are asked which version this node served last.
   const askForFloor = async () => {
-    const { ownControls, peers } = choice.queries;
-    const asked = [...ownControls().slice(0, 1), ...peers()].slice(0, floorProbes);
-    const answers = asked.map(async (address) => raiseFloor((await probe(address))?.welcome));
+    const { ownControls, otherControls, peers } = choice.queries;
+    // Without a control instance of the own data centre, any other one tells which there are.
+    const own = ownControls().slice(0, 1);
+    const controls = own.length > 0 ? own : otherControls();
+    const asked = [...controls, ...peers()].slice(0, floorProbes);
+    const answers = asked.map(async (address) => {
+      const welcome = (await probe(address))?.welcome;
+      raiseFloor(welcome);
+      choice.commands.learnControls(readControls(welcome?.controls ?? []));
+    });
     await Promise.race([Promise.all(answers), timer.sleep(floorWaitMs)]);
   };
 
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -170,6 +170,9 @@
       choice.commands.redirected(outcome.addresses, outcome.retryAfterMs);
       return;
     }
+    if (outcome.isRefused) {
+      choice.commands.refused();
+    }
     if (outcome.attached) {
       log.info('parent lost', { address, reason: outcome.reason });
       metrics?.parentLost(outcome.reason);
--- a/src/plugins/operators/controlSettings.ts
+++ b/src/plugins/operators/controlSettings.ts
@@ -61,6 +61,20 @@
     readonly members: readonly ControlMemberSettings[];
   };
   readonly logLevel: LogLevel;
+  /**
+   * Set if the members find each other: `members` then names this instance alone, and the others
+   * join through the seeds.
+   */
+  readonly discovery?: ControlDiscovery;
+  /** Whether the at-most-once ledger runs here. */
+  readonly hasLedger: boolean;
+}
+
+export interface ControlDiscovery {
+  /** Peer addresses of control instances that were known when the settings were written. */
+  readonly seeds: () => readonly string[];
+  /** The cluster starts for the first time: the first of the seeds founds it. */
+  readonly isFirstStart: boolean;
 }
 
 type Parsed = z.output<typeof settingsSchema>;
@@ -170,5 +184,6 @@
       })),
     },
     logLevel: log.level,
+    hasLedger: true,
   };
 };
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -16,6 +16,8 @@
   readonly attemptId: string;
   readonly requestId: string;
   readonly className: string;
+  /** Service that has to do the work; the endpoint may have changed hands since it was chosen. */
+  readonly service: string;
   readonly caller: string;
   readonly priority: number;
   readonly maxWaitMs: number;
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -4,6 +4,14 @@
  */
 import type { Cluster, Configuration, Endpoint, Finding, Policy, Version } from './public.js';
 
+/** How long a stopping node goes on taking work, in ms. */
+export interface StopTimes {
+  /** New connections are taken for this time, in which callers find out that it is not ready. */
+  readonly acceptMs: number;
+  /** Idle connections of callers stay open for this time. */
+  readonly idleMs: number;
+}
+
 /** Members of a replica group, as held in its log. */
 export interface Member {
   readonly name: string;
--- a/src/types/public.ts
+++ b/src/types/public.ts
@@ -22,14 +22,26 @@
 
 /** How a request is matched to a class when the caller names no class. */
 export interface Match {
+  /** Value of the `host` header, in lower case and without a port. */
+  readonly host?: string;
   readonly method?: string;
   readonly pathPrefix?: string;
 }
 
+/** Part of the calls of a class that goes to one service. */
+export interface WeightedService {
+  readonly service: string;
+  /** Weight from 0; a service of weight 0 gets no calls. */
+  readonly weight: number;
+}
+
 /** Target that an operator declares for one class of work. */
 export interface TrafficClass {
   readonly name: string;
+  /** Service that does the work; the one with the greatest weight if the work is split. */
   readonly service: string;
+  /** Services that share the work by weight. Unset: `service` does all of it. */
+  readonly split?: readonly WeightedService[];
   readonly match: readonly Match[];
   /** Time within which `share` of the answers have to arrive, in ms. */
   readonly answerWithinMs?: number;
@@ -52,6 +64,10 @@
   readonly ratePerSecond?: number;
   /** Expected time that one call occupies a slot, in ms, for the capacity check. */
   readonly workMs?: number;
+  /** Longest time that a caller is kept waiting, in ms. Unset: derived from `answerWithinMs`. */
+  readonly timeoutMs?: number;
+  /** Most endpoints that one call is sent to. Unset: derived from `idempotent`. */
+  readonly maxAttempts?: number;
 }
 
 /** A service that classes refer to. */
@@ -59,6 +75,18 @@
   readonly name: string;
   /** The service has not announced an endpoint yet and is expected to. */
   readonly expected: boolean;
+  /** Connections that one endpoint of the service takes. Unset: what the endpoint announces. */
+  readonly connections?: number;
+}
+
+/** Limits on what callers may send, and on how long they may take. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  /** Time to send the head of a request, in ms. */
+  readonly headerTimeoutMs: number;
+  /** Time for which a connection may be idle between requests, in ms. */
+  readonly idleTimeoutMs: number;
 }
 
 /** An endpoint that an operator has taken out of use. */
@@ -73,6 +101,8 @@
   readonly classes: Readonly<Record<string, TrafficClass>>;
   /** Endpoints that are out of use, by id. Set by drains, not by targets. */
   readonly drains?: Readonly<Record<string, Drain>>;
+  /** Unset: the node's own limits. */
+  readonly callerLimits?: CallerLimits;
 }
 
 /** State that an upstream announces for its endpoint. */
@@ -108,6 +138,7 @@
 export interface Policy {
   readonly className: string;
   readonly service: string;
+  readonly split?: readonly WeightedService[];
   readonly deadlineMs: number;
   readonly attemptTimeoutMs: number;
   /** Attempts for one call, the first one included. */
--- a/src/utils/failure.ts
+++ b/src/utils/failure.ts
@@ -110,6 +110,7 @@
     text: 'no connection to the upstream',
   },
   bad_request: { code: 'E314', status: 400, run: 'not_run', text: 'malformed request' },
+  body_too_large: { code: 'E317', status: 413, run: 'not_run', text: 'the body is too large' },
   cancelled: { code: 'E315', status: 499, run: 'may_have_run', text: 'the caller cancelled' },
   answer_mismatch: {
     code: 'E316',
