Run on the platform through src/platform

The adapter decodes the platform's settings, calls, check-ins and documents once into the product's types.

--- /dev/null
+++ b/scripts/buildPlatform.js
@@ -0,0 +1,28 @@
+/**
+ * Bundles the programs that run on the platform into target/. It calls the bundler's own binary, so
+ * that nothing has to be installed but what the lock file names.
+ */
+import { spawnSync } from 'node:child_process';
+
+const entryPoints = {
+  'auburnsill-control': 'src/platform/control.ts',
+  'auburnsill-node': 'src/platform/node.ts',
+};
+const banner =
+  "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);";
+
+const { status } = spawnSync(
+  'node_modules/esbuild/bin/esbuild',
+  [
+    ...Object.entries(entryPoints).map(([name, file]) => `${name}=${file}`),
+    '--outdir=target',
+    '--bundle',
+    '--platform=node',
+    '--target=node20',
+    '--format=esm',
+    '--log-level=warning',
+    `--banner:js=${banner}`,
+  ],
+  { stdio: 'inherit' },
+);
+process.exitCode = status ?? 1;
--- /dev/null
+++ b/src/platform/arguments.ts
@@ -0,0 +1,18 @@
+/**
+ * Arguments of the platform's programs: `--admin-port PORT`, the port for metrics and health that
+ * the deploy file names.
+ */
+import { parseArgs } from 'node:util';
+import { Failure } from '../utils/failure.js';
+
+const maxPort = 65_535;
+
+/** Reads the port. Throws `invalid_settings`. */
+export const readAdminPort = (): number => {
+  const { values } = parseArgs({ options: { 'admin-port': { type: 'string' } }, strict: false });
+  const port = Number(values['admin-port']);
+  if (!Number.isInteger(port) || port < 1 || port > maxPort) {
+    throw new Failure('invalid_settings', '--admin-port: a port from 1 to 65535');
+  }
+  return port;
+};
--- /dev/null
+++ b/src/platform/callInterface.ts
@@ -0,0 +1,122 @@
+/**
+ * What callers and endpoints of the platform speak: header names and status codes, translated to and
+ * from the product's own calls.
+ */
+import type { IncomingMessage } from 'node:http';
+import { headerIn, passOn } from '../plugins/calls/callHeaders.js';
+import type { AttemptFailureReport } from '../types/calls.js';
+import type { CallInterface, CallerInterface, UpstreamInterface } from '../types/callInterface.js';
+import { Failure, type FailureReason } from '../utils/failure.js';
+
+const requestIdHeader = 'request-id';
+/** Time that is left for the request, in ms. */
+const deadlineHeader = 'deadline-ms';
+/** Id of the endpoint that a request is meant for; any other one refuses it. */
+const instanceHeader = 'expect-instance';
+/** Service on whose machine the request began. */
+const originHeader = 'caller-service';
+/** Marks an answer whose request was not run. */
+const notRunHeader = 'not-executed';
+const otherInstanceStatus = 421;
+
+/** Headers that the node sets itself, whatever the caller sent. */
+const ownRequestHeaders = new Set([deadlineHeader, instanceHeader, originHeader]);
+const requestIdPattern = /^[\x21-\x7e]{1,256}$/;
+const maxDeadlineMs = 24 * 60 * 60 * 1_000;
+
+const singleHeader = ({ headers }: IncomingMessage, name: string): string | undefined => {
+  const value = headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+const readRequestId = (request: IncomingMessage): string | undefined => {
+  const value = singleHeader(request, requestIdHeader);
+  return value !== undefined && requestIdPattern.test(value) ? value : undefined;
+};
+
+const readDeadlineMs = (request: IncomingMessage): number | undefined => {
+  const text = singleHeader(request, deadlineHeader);
+  if (text === undefined) {
+    return undefined;
+  }
+  const value = Number(text);
+  if (Number.isNaN(value)) {
+    throw new Failure('bad_request', `header ${deadlineHeader}: ${text}`);
+  }
+  if (value <= 0) {
+    throw new Failure('deadline_past', `header ${deadlineHeader}: ${text}`);
+  }
+  return Math.min(value, maxDeadlineMs);
+};
+
+/** Statuses for what was not run and should not be sent again as it is. */
+const finalStatuses: Partial<Record<FailureReason, number>> = {
+  unknown_class: 404,
+  bad_request: 400,
+  body_too_large: 413,
+};
+/** Promises that the request has not run and never will. */
+const notRunStatus = 503;
+const mayHaveRunStatus = 502;
+const lateStatus = 504;
+
+const statusOf = ({ reason, run }: AttemptFailureReport): number => {
+  if (run === 'may_have_run') {
+    return reason === 'deadline_exceeded' ? lateStatus : mayHaveRunStatus;
+  }
+  return finalStatuses[reason] ?? notRunStatus;
+};
+
+const createCallers = (service: () => string): CallerInterface => ({
+  readCall: (request) => ({
+    requestId: readRequestId(request),
+    deadlineMs: readDeadlineMs(request),
+    className: undefined,
+    key: undefined,
+  }),
+  readRequestId,
+  passHeaders: (raw) => [...passOn(raw, ownRequestHeaders), originHeader, service()],
+  answerHeaders: () => [],
+  refusal: (failure, requestId) => {
+    const headers = ['content-length', '0'];
+    if (requestId !== '') {
+      headers.push(requestIdHeader, requestId);
+    }
+    const status = statusOf(failure);
+    if (status === notRunStatus && failure.retryAfterSeconds !== undefined) {
+      headers.push('retry-after', failure.retryAfterSeconds.toFixed(3));
+    }
+    return { status, headers, body: Buffer.alloc(0) };
+  },
+});
+
+const upstreams: UpstreamInterface = {
+  requestHeaders: (request, instance, remainingMs) => {
+    const headers = [
+      ...request.headers,
+      deadlineHeader,
+      String(Math.max(1, Math.floor(remainingMs))),
+    ];
+    return instance === undefined ? headers : [...headers, instanceHeader, instance];
+  },
+  judgeAnswer: (status, headers, { requestId }) => {
+    const id = headerIn(headers, requestIdHeader);
+    if (id !== undefined && id !== requestId) {
+      return 'mismatch';
+    }
+    if (status === otherInstanceStatus) {
+      return 'other_instance';
+    }
+    if (headerIn(headers, notRunHeader) !== undefined) {
+      return 'refused';
+    }
+    return id === undefined ? 'mismatch' : 'answer';
+  },
+  acceptsUnframedAnswer: true,
+};
+
+/** Creates the interface of a machine; `service` is that of the endpoint on it. */
+export const createCallInterface = (service: () => string): CallInterface => ({
+  callers: createCallers(service),
+  upstreams,
+});
--- /dev/null
+++ b/src/platform/checkIns.ts
@@ -0,0 +1,157 @@
+/**
+ * Check-ins of the endpoint on this machine, and the platform's question whether the node is ready.
+ * A check-in is decoded once and handed to the product; what cannot be read names no endpoint and
+ * changes nothing.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import polka, { type PolkaRequest } from 'polka';
+import { z } from 'zod';
+import type {
+  UpstreamAnnouncement,
+  UpstreamReport,
+} from '../plugins/calls/upstreamAnnouncement.js';
+import { listenHttp } from '../plugins/httpListen.js';
+import { sendError, sendJson, type CheckState } from '../plugins/operators/adminServer.js';
+import { parseAddress, type Address } from '../plugins/rpc.js';
+import { Failure } from '../utils/failure.js';
+import { formatFinding } from '../utils/findings.js';
+import type { Log } from '../utils/log.js';
+import { checkValue } from '../utils/settings.js';
+import { productName } from './documents.js';
+
+const maxCheckInBytes = 16 * 1_024;
+/** Connections beyond the endpoint's slots: some may be closing while new ones open. */
+const spareConnections = 4;
+
+const checkInSchema = z.object({
+  service: z.string().min(1),
+  address: z.string().refine((text) => parseAddress(text) !== undefined, 'ip:port'),
+  slots: z.int().min(1),
+  state: z.enum(['ready', 'draining']),
+  sequence: z.int().min(0),
+  /** Start of the endpoint's process, in ms since 1970. */
+  born: z.int().min(0),
+});
+
+const departureSchema = z.object({ sequence: z.int().min(0), born: z.int().min(0) });
+
+const states = { ready: 'ready', draining: 'leaving' } as const;
+
+/** Decodes a check-in. Throws `malformed_message` for what another writer sent. */
+export const readCheckIn = (instance: string, value: unknown): UpstreamReport => {
+  const { output, findings } = checkValue(value, 'check-in', checkInSchema);
+  if (!output) {
+    throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
+  }
+  const { service, address, slots, state, sequence, born } = output;
+  return {
+    service: productName(service),
+    address,
+    slots,
+    connections: slots + spareConnections,
+    state: states[state],
+    instance,
+    startedAt: born,
+    sequence,
+  };
+};
+
+const readAll = async (request: IncomingMessage): Promise<string> => {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of request) {
+    parts.push(part as Buffer);
+    bytes += (part as Buffer).length;
+    if (bytes > maxCheckInBytes) {
+      throw new Failure('body_too_large', `more than ${maxCheckInBytes} bytes`);
+    }
+  }
+  return Buffer.concat(parts).toString('utf8');
+};
+
+const parseJson = (text: string): unknown => {
+  try {
+    return text === '' ? {} : JSON.parse(text);
+  } catch (cause) {
+    throw new Failure('malformed_message', 'not JSON', { cause });
+  }
+};
+
+export interface CheckInOptions {
+  readonly control: Address;
+  readonly ready: Address;
+  readonly announcement: UpstreamAnnouncement;
+  readonly isReady: () => CheckState;
+  readonly log: Log;
+}
+
+export interface CheckInServer {
+  listen(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** Creates the servers for check-ins and for readiness. */
+export const createCheckInServer = (options: CheckInOptions): CheckInServer => {
+  const { announcement, log } = options;
+  let latest: UpstreamReport | undefined;
+
+  const take = (report: UpstreamReport) => {
+    if (announcement.take(report)) {
+      latest = report;
+    }
+  };
+
+  const takeCheckIn = async (request: PolkaRequest, response: ServerResponse) => {
+    const instance = request.params.id ?? '';
+    take(readCheckIn(instance, parseJson(await readAll(request))));
+    sendJson(response, 200, {});
+  };
+
+  /** A departure may come without a body: it then means the endpoint that checked in last. */
+  const takeDeparture = async (request: PolkaRequest, response: ServerResponse) => {
+    const instance = request.params.id ?? '';
+    const { output } = checkValue(parseJson(await readAll(request)), 'departure', departureSchema);
+    if (
+      latest &&
+      latest.instance === instance &&
+      (output?.born ?? latest.startedAt) === latest.startedAt
+    ) {
+      take({ ...latest, sequence: output?.sequence ?? latest.sequence, state: 'gone' });
+    }
+    sendJson(response, 200, {});
+  };
+
+  const guard =
+    (handle: (request: PolkaRequest, response: ServerResponse) => Promise<void>) =>
+    (request: PolkaRequest, response: ServerResponse) => {
+      handle(request, response).catch((error: unknown) => {
+        log.warn('check-in not taken', { endpoint: request.params.id, error: String(error) });
+        sendError(response, error);
+      });
+    };
+
+  const controlServer = createServer();
+  const control = polka({ server: controlServer });
+  control.post('/Instances.Heartbeat/:id', guard(takeCheckIn));
+  control.post('/Instances.Deregister/:id', guard(takeDeparture));
+  controlServer.on('request', control.handler);
+
+  const readyServer = createServer((_request, response) => {
+    const { ok, reasons } = options.isReady();
+    sendJson(response, ok ? 200 : 503, { reasons });
+  });
+
+  const servers = [controlServer, readyServer];
+  return {
+    listen: async () => {
+      await listenHttp(controlServer, options.control);
+      await listenHttp(readyServer, options.ready);
+    },
+    close: async () => {
+      servers.forEach((server) => {
+        server.close();
+        server.closeAllConnections();
+      });
+    },
+  };
+};
--- /dev/null
+++ b/src/platform/control.ts
@@ -0,0 +1,57 @@
+/**
+ * The control instance on the platform: the product's control instance with the platform's settings
+ * and its interface for operators.
+ */
+import { startControlInstance } from '../bin/controlInstance.js';
+import { runProgram } from '../bin/runProgram.js';
+import { describeFailure, failStart, programExitCodes } from '../bin/startFailure.js';
+import { createLog } from '../utils/log.js';
+import { createTimer } from '../utils/timer.js';
+import { readAdminPort } from './arguments.js';
+import { readDocument } from './documents.js';
+import { createOperatorServer } from './operatorServer.js';
+import {
+  listenAddress,
+  platformSettingsFile,
+  readPlatformSettings,
+  toControlSettings,
+} from './settings.js';
+import { watchSettings } from './settingsWatch.js';
+
+const main = async () => {
+  const file = platformSettingsFile();
+  const settings = readPlatformSettings(file);
+  const timer = createTimer();
+  const log = createLog(settings.node);
+  const watch = watchSettings(file, settings, timer, log.part('settings'));
+  const instance = await startControlInstance({
+    settings: toControlSettings(settings, readAdminPort(), watch.current),
+    bootstrap: false,
+    timer,
+    log,
+    random: Math.random,
+    adapter: {
+      readDocument,
+      start: ({ documents }) =>
+        createOperatorServer({
+          address: listenAddress(settings, 'control'),
+          documents,
+          log: log.part('operators'),
+        }),
+    },
+    onFatal: (error) => {
+      log.error('ending', { error: describeFailure(error) });
+      // After a disk failure nothing may be sent any more.
+      // eslint-disable-next-line n/no-process-exit
+      process.exit(programExitCodes.failed);
+    },
+  });
+  runProgram({
+    log,
+    stopLimitMs: settings.graceMs,
+    stop: instance.stop,
+    reload: watch.reload,
+  });
+};
+
+main().catch(failStart);
--- /dev/null
+++ b/src/platform/node.ts
@@ -0,0 +1,61 @@
+/**
+ * The node on the platform: the product's node with the platform's settings, calls and check-ins.
+ */
+import { startNodeInstance } from '../bin/nodeInstance.js';
+import { runProgram } from '../bin/runProgram.js';
+import { failStart } from '../bin/startFailure.js';
+import { createLog } from '../utils/log.js';
+import { createTimer } from '../utils/timer.js';
+import { readAdminPort } from './arguments.js';
+import { createCallInterface } from './callInterface.js';
+import { createCheckInServer } from './checkIns.js';
+import {
+  listenAddress,
+  platformSettingsFile,
+  readPlatformSettings,
+  toNodeSettings,
+} from './settings.js';
+import { watchSettings } from './settingsWatch.js';
+
+/** The platform asks each second whether a node is ready and gives up after two misses. */
+const acceptMs = 2_500;
+const idleMs = 500;
+/** Part of the grace that is kept for the end of the feed and of the process, in ms. */
+const endReserveMs = 1_500;
+/** Check-ins that may be missed before an endpoint counts as lost. */
+const missedCheckIns = 3;
+
+const main = async () => {
+  const file = platformSettingsFile();
+  const settings = readPlatformSettings(file);
+  const timer = createTimer();
+  const log = createLog(settings.node);
+  const watch = watchSettings(file, settings, timer, log.part('settings'));
+  const stopLimitMs = settings.graceMs - endReserveMs;
+  const instance = await startNodeInstance({
+    settings: toNodeSettings(settings, readAdminPort()),
+    timer,
+    log,
+    adapter: {
+      callInterface: createCallInterface(() => watch.current().service),
+      stopTimes: { acceptMs, idleMs },
+      renewWithinMs: missedCheckIns * settings.checkInMs,
+      start: ({ ready, announcement }) =>
+        createCheckInServer({
+          control: listenAddress(settings, 'control'),
+          ready: listenAddress(settings, 'ready'),
+          announcement,
+          isReady: ready,
+          log: log.part('checkIns'),
+        }),
+    },
+  });
+  runProgram({
+    log,
+    stopLimitMs: settings.graceMs,
+    stop: () => instance.stop(stopLimitMs),
+    reload: watch.reload,
+  });
+};
+
+main().catch(failStart);
