Make the departure of an upstream final

The departure carried no number, so the late check-in counted as newer. Change: a departure ends that process of the upstream for good, also if it is the first word that is heard of it.

--- /dev/null
+++ b/__tests__/upstreamReports.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createLocalUpstream } from '../src/plugins/calls/localUpstream.js';
+import { ownCallInterface } from '../src/plugins/calls/ownCallInterface.js';
+import {
+  createUpstreamAnnouncement,
+  type UpstreamReport,
+} from '../src/plugins/calls/upstreamAnnouncement.js';
+import type { Endpoint } from '../src/types/public.js';
+import { createSilentLog } from '../src/utils/log.js';
+import { createManualTimer } from '../src/utils/timer.js';
+
+const report = (fields: Partial<UpstreamReport> = {}): UpstreamReport => ({
+  service: 's',
+  address: '127.0.0.1:1',
+  slots: 4,
+  connections: 8,
+  state: 'ready',
+  instance: 'e-1',
+  startedAt: 1_000,
+  sequence: 1,
+  ...fields,
+});
+
+const createFixture = () => {
+  const timer = createManualTimer();
+  const announced: Endpoint[] = [];
+  const withdrawn: string[] = [];
+  const upstream = createLocalUpstream(timer, ownCallInterface.upstreams);
+  const announcement = createUpstreamAnnouncement({
+    node: { name: 'n', dataCentre: 'd', region: 'r' },
+    forwardAddress: () => '127.0.0.1:2',
+    announcer: {
+      announce: (endpoint) => announced.push(endpoint),
+      withdraw: (id) => withdrawn.push(id),
+    },
+    renewWithinMs: 4_500,
+    upstream,
+    timer,
+    log: createSilentLog(),
+  });
+  announcement.start();
+  return { timer, announced, withdrawn, upstream, announcement };
+};
+
+describe('reports of an upstream', () => {
+  it('does not revive an endpoint by a report that its departure has overtaken', () => {
+    const { announcement, upstream, announced, withdrawn } = createFixture();
+    announcement.take(report());
+    announcement.depart('e-1', undefined);
+    assert.equal(announcement.take(report({ sequence: 5 })), false);
+    assert.equal(upstream.queries.hasFreeSlot('s'), false);
+    assert.deepEqual([announced.length, withdrawn], [1, ['e-1']]);
+  });
+
+  it('does not take a report of a process whose departure came first, as after a restart', () => {
+    const { announcement, upstream } = createFixture();
+    announcement.depart('e-1', 1_000);
+    assert.equal(announcement.take(report()), false);
+    assert.equal(upstream.queries.hasFreeSlot('s'), false);
+    assert.equal(announcement.take(report({ startedAt: 1_001 })), true);
+    assert.equal(upstream.queries.hasFreeSlot('s'), true);
+  });
+
+  it('ignores reports of an earlier process and overtaken ones, also by their number', () => {
+    const { announcement, upstream } = createFixture();
+    announcement.take(report({ sequence: 7 }));
+    assert.equal(announcement.take(report({ sequence: 6, state: 'leaving' })), false);
+    assert.equal(upstream.queries.hasFreeSlot('s'), true);
+    announcement.take(report({ instance: 'e-2', startedAt: 2_000, service: 't' }));
+    assert.equal(announcement.take(report({ sequence: 9 })), false);
+    assert.equal(upstream.queries.hasFreeSlot('s'), false);
+    assert.equal(upstream.queries.hasFreeSlot('t'), true);
+  });
+
+  it('takes a new process under the old id, whose numbers begin anew', () => {
+    const { announcement, upstream, withdrawn } = createFixture();
+    announcement.take(report({ sequence: 90 }));
+    announcement.take(report({ sequence: 91, state: 'leaving' }));
+    assert.equal(announcement.take(report({ startedAt: 3_000, sequence: 1 })), true);
+    assert.equal(upstream.queries.hasFreeSlot('s'), true);
+    assert.deepEqual(withdrawn, ['e-1']);
+  });
+
+  it('withdraws an endpoint that stops reporting', () => {
+    const { announcement, timer, withdrawn } = createFixture();
+    announcement.take(report());
+    timer.advance(4_000);
+    assert.deepEqual(withdrawn, []);
+    timer.advance(1_500);
+    assert.deepEqual(withdrawn, ['e-1']);
+  });
+
+  it('refuses a call for another service than the one that the upstream has now', () => {
+    const { announcement, upstream } = createFixture();
+    announcement.take(report({ service: 't' }));
+    const failures: string[] = [];
+    upstream.commands.send(
+      {
+        attemptId: 'a',
+        requestId: 'r',
+        className: 'c',
+        service: 's',
+        caller: 'x',
+        priority: 1,
+        maxWaitMs: 0,
+        method: 'GET',
+        path: '/',
+        headers: [],
+        body: { kind: 'none' },
+        deadlineAt: 1_000,
+        headTimeoutMs: 1_000,
+      },
+      {
+        onHead: () => undefined,
+        onData: () => true,
+        onEnd: () => undefined,
+        onFailure: ({ reason, run }) => failures.push(`${reason} ${run}`),
+      },
+    );
+    assert.deepEqual(failures, ['no_upstream not_run']);
+  });
+});
--- a/src/platform/checkIns.ts
+++ b/src/platform/checkIns.ts
@@ -33,7 +33,7 @@
   born: z.int().min(0),
 });
 
-const departureSchema = z.object({ sequence: z.int().min(0), born: z.int().min(0) });
+const departureSchema = z.object({ born: z.int().min(0) });
 
 const states = { ready: 'ready', draining: 'leaving' } as const;
 
@@ -93,31 +93,17 @@
 /** Creates the servers for check-ins and for readiness. */
 export const createCheckInServer = (options: CheckInOptions): CheckInServer => {
   const { announcement, log } = options;
-  let latest: UpstreamReport | undefined;
-
-  const take = (report: UpstreamReport) => {
-    if (announcement.take(report)) {
-      latest = report;
-    }
-  };
-
   const takeCheckIn = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
-    take(readCheckIn(instance, parseJson(await readAll(request))));
+    announcement.take(readCheckIn(instance, parseJson(await readAll(request))));
     sendJson(response, 200, {});
   };
 
-  /** A departure may come without a body: it then means the endpoint that checked in last. */
+  /** A departure may come without a body: it then means the process that checked in last. */
   const takeDeparture = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
     const { output } = checkValue(parseJson(await readAll(request)), 'departure', departureSchema);
-    if (
-      latest &&
-      latest.instance === instance &&
-      (output?.born ?? latest.startedAt) === latest.startedAt
-    ) {
-      take({ ...latest, sequence: output?.sequence ?? latest.sequence, state: 'gone' });
-    }
+    announcement.depart(instance, output?.born);
     sendJson(response, 200, {});
   };
 
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -25,6 +25,8 @@
 /** Longest time for which the answer to `leaving` waits for calls in flight, in ms. */
 const leaveLimitMs = 30_000;
 const leaveCheckMs = 20;
+/** Ended upstreams that are remembered; one at a time has its place beside a node. */
+const maxDeparted = 64;
 const maxSlots = 10_000;
 
 const announcementSchema = z.strictObject({
@@ -44,8 +46,8 @@
   readonly address: string;
   readonly slots: number;
   readonly connections: number;
-  /** `leaving`: no new calls, those in flight go on; `gone`: the same, and it ends by itself. */
-  readonly state: 'ready' | 'leaving' | 'gone';
+  /** `leaving`: no new calls, those in flight go on. */
+  readonly state: 'ready' | 'leaving';
   /** Id of the upstream. Default: the name of the node. */
   readonly instance?: string;
   /** Start of the upstream's process in ms of its own clock; a later one replaces an earlier one. */
@@ -71,6 +73,11 @@
   start(): void;
   /** Takes a report. Returns false if a newer one was taken before. Throws `leaving`. */
   take(report: UpstreamReport): boolean;
+  /**
+   * Takes the last word of an upstream. Reports of that process which arrive later change nothing;
+   * `startedAt` is undefined if the upstream did not say which of its processes ends.
+   */
+  depart(instance: string, startedAt: number | undefined): void;
   /** Withdraws the endpoint and refuses later announcements of `ready`. */
   withdraw(): void;
   isAnnounced(): boolean;
@@ -124,6 +131,8 @@
   let announced: string | undefined;
   let announcedId = node.name;
   let newest: UpstreamReport | undefined;
+  /** Start of the last process of an upstream that ended, by the id of the upstream. */
+  const departed = new Map<string, number>();
   let renewedAt = 0;
   let isStopping = false;
 
@@ -156,7 +165,11 @@
 
   const idOf = ({ instance }: UpstreamReport): string => instance ?? node.name;
 
-  const isOutdated = ({ startedAt = 0, sequence: number = 0 }: UpstreamReport): boolean => {
+  const isOutdated = (report: UpstreamReport): boolean => {
+    const { startedAt = 0, sequence: number = 0 } = report;
+    if ((departed.get(idOf(report)) ?? -1) >= startedAt) {
+      return true;
+    }
     const { startedAt: newestStart = 0, sequence: newestNumber = 0 } = newest ?? {};
     return startedAt < newestStart || (startedAt === newestStart && number < newestNumber);
   };
@@ -200,7 +213,19 @@
   const handlers: Record<UpstreamReport['state'], (report: UpstreamReport) => void> = {
     ready: takeReady,
     leaving: takeLeaving,
-    gone: takeLeaving,
+  };
+
+  const depart = (instance: string, startedAt: number | undefined) => {
+    const isPresent = newest !== undefined && idOf(newest) === instance;
+    const ended = startedAt ?? (isPresent ? newest?.startedAt : undefined) ?? 0;
+    departed.set(instance, Math.max(ended, departed.get(instance) ?? 0));
+    if (departed.size > maxDeparted) {
+      departed.delete(departed.keys().next().value!);
+    }
+    if (isPresent && (newest?.startedAt ?? 0) <= ended) {
+      log.info('upstream has ended', { endpoint: instance, startedAt: ended });
+      takeLeaving();
+    }
   };
 
   const takeReport = (report: UpstreamReport): boolean => {
@@ -252,6 +277,7 @@
       });
     },
     take: takeReport,
+    depart,
     withdraw: () => {
       isStopping = true;
       withdraw('the node is stopping');
