Choose endpoints by predicted wait and cost of the way; add a stand-in of the platform

Change: the wait is predicted from the endpoint's own load and work time, counting what was sent since its last report, and is weighed against the way, which for large answers is dear.

--- /dev/null
+++ b/__tests__/support/platform.ts
@@ -0,0 +1,349 @@
+/**
+ * Stand-in of the platform: machines on loopback addresses of their own, settings files, the real
+ * programs as processes, endpoints that check in, callers and an operator. Written from the
+ * platform's published pages; small on purpose.
+ */
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { Agent, request, type IncomingHttpHeaders } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join, resolve as resolvePath } from 'node:path';
+import { createManagedProcess, type ManagedProcess } from './managedProcess.js';
+import {
+  startPlatformEndpoint,
+  type EndpointOptions,
+  type PlatformEndpoint,
+} from './platformEndpoint.js';
+import { waitFor } from './waitFor.js';
+
+const ports = { outbound: 8001, inbound: 8002, ready: 8003, control: 8004, app: 8005, admin: 9464 };
+const internalPorts = '7380,7395';
+/** Loopback hosts of one deployment: 127.A.B.1 to 127.A.B.254, with A and B from the process id. */
+const networkOf = (offset: number): string => {
+  const number = (process.pid * 7 + offset) % (200 * 250);
+  return `127.${20 + Math.floor(number / 250)}.${number % 250}`;
+};
+let deployments = 0;
+
+export interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+}
+
+export interface CallOptions {
+  readonly method?: string;
+  readonly path: string;
+  readonly host: string;
+  readonly id: string;
+  readonly deadlineMs?: number;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly agent?: Agent;
+  readonly signal?: AbortSignal;
+}
+
+/** Sends one request and resolves with the whole answer; rejects if it breaks. */
+export const sendRequest = (address: string, options: CallOptions): Promise<Answer> =>
+  new Promise((resolve, reject) => {
+    const [host, port] = address.split(':');
+    const { method = 'GET', path, id, deadlineMs = 2_000, body, agent, signal } = options;
+    const headers = {
+      host: options.host,
+      'request-id': id,
+      'deadline-ms': String(deadlineMs),
+      ...options.headers,
+    };
+    const sent = request({ host, port, method, path, headers, agent, signal }, (response) => {
+      const parts: Buffer[] = [];
+      response.on('data', (part: Buffer) => parts.push(part));
+      response.on('end', () => {
+        if (!response.complete) {
+          reject(new Error('the answer broke off'));
+          return;
+        }
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(parts).toString(),
+        });
+      });
+      response.on('error', reject);
+    });
+    sent.on('error', reject);
+    sent.end(body);
+  });
+
+export interface RouteOptions {
+  readonly name: string;
+  readonly host?: string;
+  readonly prefix: string;
+  readonly kind?: 'safe' | 'unsafe' | 'download';
+  readonly service?: string;
+  readonly weights?: Readonly<Record<string, number>>;
+  readonly timeoutMs?: number;
+  readonly aimMs?: number;
+  readonly priority?: number;
+  readonly attempts?: number;
+}
+
+/** Document of the platform for routes to services. */
+export const documentOf = (version: number, base: number, routes: readonly RouteOptions[]) => {
+  const services = new Set(
+    routes.flatMap(({ service, weights = {} }) => [
+      ...(service === undefined ? [] : [service]),
+      ...Object.keys(weights),
+    ]),
+  );
+  return {
+    version,
+    base_version: base,
+    resources: [
+      ...routes.map((route) => ({
+        type: 'routes',
+        metadata: { name: route.name },
+        spec: {
+          host: route.host ?? 'mesh.example',
+          path_prefix: route.prefix,
+          route_type: route.kind ?? 'safe',
+          timeout_ms: route.timeoutMs ?? 2_000,
+          target_latency_ms: route.aimMs ?? 500,
+          priority: route.priority ?? 1,
+          ...(route.service !== undefined && { service: route.service }),
+          ...(route.weights && {
+            weighted_services: Object.entries(route.weights).map(([service, weight]) => ({
+              service,
+              weight,
+            })),
+          }),
+          max_attempts: route.attempts ?? 2,
+        },
+      })),
+      ...[...services].map((name) => ({
+        type: 'services',
+        metadata: { name },
+        spec: { health_path: '/health', max_connections: 110, protocol: 'h1', tls: false },
+      })),
+      {
+        type: 'limits',
+        metadata: {},
+        spec: {
+          max_header_bytes: 16_384,
+          max_body_bytes: 67_108_864,
+          header_timeout_ms: 3_000,
+          idle_timeout_ms: 15_000,
+        },
+      },
+    ],
+  };
+};
+
+interface Machine {
+  readonly name: string;
+  readonly ip: string;
+  readonly dataCentre: string;
+  readonly process: ManagedProcess;
+}
+
+export interface NodeMachine extends Machine {
+  readonly outbound: string;
+  readonly ready: string;
+  readonly control: string;
+  readonly service: string;
+  endpoint: PlatformEndpoint | undefined;
+}
+
+export interface PlatformOptions {
+  readonly dataCentres: readonly {
+    readonly name: string;
+    /** Services of the endpoints, one machine each. */
+    readonly services: readonly string[];
+  }[];
+  readonly endpoint?: Partial<EndpointOptions>;
+  readonly nodeArgs?: readonly string[];
+  /** Control instances besides the one in each data centre. */
+  readonly extraControls?: number;
+}
+
+/** Starts control instances, nodes and endpoints, and waits until operators are served. */
+export const startPlatform = async (options: PlatformOptions) => {
+  const folder = mkdtempSync(join(tmpdir(), 'auburnsill-platform-'));
+  deployments += 1;
+  const network = networkOf(deployments);
+  let hosts = 0;
+  const controls: Machine[] = [];
+  const nodes: NodeMachine[] = [];
+
+  const nextIp = (): string => {
+    hosts += 1;
+    return `${network}.${hosts}`;
+  };
+
+  const seeds = () =>
+    controls
+      .slice(0, 3)
+      .map(({ ip }) => `${ip}:${ports.control}`)
+      .join(',');
+
+  const writeSettings = (
+    machine: Pick<Machine, 'name' | 'ip' | 'dataCentre'>,
+    lines: readonly string[],
+    seedList = seeds(),
+  ) => {
+    writeFileSync(
+      join(folder, `${machine.name}.conf`),
+      [
+        `node=${machine.name}`,
+        `ip=${machine.ip}`,
+        `zone=${machine.dataCentre}`,
+        'region=here',
+        `internal_ports=${internalPorts}`,
+        `seeds=${seedList}`,
+        'heartbeat_ms=300',
+        'bounds=drain_ms=2000,grace_s=6',
+        'limits.of_a_later_kind=7',
+        ...lines,
+        '',
+      ].join('\n'),
+    );
+  };
+
+  const createProcess = (name: string, script: string, extraArgs: readonly string[] = []) =>
+    createManagedProcess({
+      name,
+      args: [...extraArgs, resolvePath('dist', script), '--admin-port', String(ports.admin)],
+      cwd: folder,
+      env: { AUBURNSILL_BOOT: join(folder, `${name}.conf`) },
+    });
+
+  const writeControlSettings = (machine: Machine, isFirstStart: boolean, seedList?: string) => {
+    const data = join(folder, `${machine.name}.data`);
+    mkdirSync(data, { recursive: true });
+    writeSettings(
+      machine,
+      [
+        `listen.control=${machine.ip}:${ports.control}`,
+        `data_dir=${data}`,
+        `bootstrap=${isFirstStart}`,
+      ],
+      seedList,
+    );
+  };
+
+  const addControl = (dataCentre: string): Machine => {
+    const ip = nextIp();
+    const name = `core-${controls.length + 1}`;
+    const machine = { name, ip, dataCentre, process: createProcess(name, 'platform-control.js') };
+    controls.push(machine);
+    return machine;
+  };
+
+  const addNode = (dataCentre: string, service: string): NodeMachine => {
+    const ip = nextIp();
+    const name = `node-${nodes.length + 1}`;
+    const machine: NodeMachine = {
+      name,
+      ip,
+      dataCentre,
+      service,
+      outbound: `${ip}:${ports.outbound}`,
+      ready: `${ip}:${ports.ready}`,
+      control: `${ip}:${ports.control}`,
+      endpoint: undefined,
+      process: createProcess(name, 'platform-node.js', options.nodeArgs),
+    };
+    nodes.push(machine);
+    writeSettings(machine, [
+      ...(['outbound', 'inbound', 'ready', 'control'] as const).map(
+        (kind) => `listen.${kind}=${ip}:${ports[kind]}`,
+      ),
+      'bootstrap=true',
+      `app_addr=${ip}:${ports.app}`,
+      `service=${service}`,
+    ]);
+    machine.process.start();
+    return machine;
+  };
+
+  let endpoints = 0;
+  const startEndpoint = async (machine: NodeMachine, fields: Partial<EndpointOptions> = {}) => {
+    endpoints += 1;
+    const endpoint = await startPlatformEndpoint({
+      host: machine.ip,
+      port: ports.app,
+      control: machine.control,
+      service: machine.service,
+      dataCentre: machine.dataCentre,
+      id: `i-${endpoints}`,
+      ...options.endpoint,
+      ...fields,
+    });
+    Object.assign(machine, { endpoint });
+    return endpoint;
+  };
+
+  /** Sends an operator's call to a control instance and follows redirects. */
+  const operate = async (
+    path: string,
+    { method = 'GET', body, at = controls[0]!.ip }: { method?: string; body?: string; at?: string },
+  ): Promise<Answer> => {
+    let address = `${at}:${ports.control}`;
+    for (let hops = 0; hops < 3; hops += 1) {
+      const answer = await sendRequest(address, { method, path, host: address, id: 'op', body });
+      if (answer.status !== 307) {
+        return answer;
+      }
+      address = new URL(String(answer.headers.location)).host;
+    }
+    throw new Error('too many redirects');
+  };
+
+  const put = (document: unknown, at?: string): Promise<Answer> =>
+    operate('/Config.Put', { method: 'POST', body: JSON.stringify(document), at });
+
+  const isReady = async (machine: NodeMachine): Promise<boolean> =>
+    (await sendRequest(machine.ready, { path: '/ready', host: 'x', id: 'ready' })).status === 200;
+
+  const stop = async () => {
+    await Promise.all(nodes.map(({ endpoint }) => endpoint?.stop()));
+    await Promise.all([...nodes, ...controls].map((machine) => machine.process.end('SIGKILL')));
+    rmSync(folder, { recursive: true, force: true });
+  };
+
+  options.dataCentres.forEach(({ name }) => addControl(name));
+  for (let extra = 0; extra < (options.extraControls ?? 0); extra += 1) {
+    addControl(options.dataCentres[extra % options.dataCentres.length]!.name);
+  }
+  controls.forEach((machine) => {
+    writeControlSettings(machine, true);
+    machine.process.start();
+  });
+  options.dataCentres.forEach(({ name, services }) =>
+    services.forEach((service) => addNode(name, service)),
+  );
+  await Promise.all(nodes.map((machine) => startEndpoint(machine)));
+
+  return {
+    folder,
+    controls,
+    nodes,
+    put,
+    get: (at?: string) => operate('/Config.Get', { at }),
+    isReady,
+    startEndpoint,
+    addControl,
+    addNode,
+    seeds,
+    writeControlSettings,
+    call: (machine: NodeMachine, call: CallOptions) => sendRequest(machine.outbound, call),
+    /** Puts a document until it is accepted. */
+    accept: (document: unknown) =>
+      waitFor(async () => (await put(document)).status === 200, { what: 'acceptance' }),
+    allReady: () =>
+      waitFor(async () => (await Promise.all(nodes.map(isReady))).every(Boolean), {
+        what: 'readiness of all nodes',
+      }),
+    stop,
+  };
+};
+
+export type Platform = Awaited<ReturnType<typeof startPlatform>>;
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,8 @@
   auburnsill: 'src/bin/auburnsill.ts',
   'auburnsill-control': 'src/bin/control.ts',
   'auburnsill-node': 'src/bin/node.ts',
+  'platform-control': 'src/platform/control.ts',
+  'platform-node': 'src/platform/node.ts',
   'stand-in-upstream': 'standins/upstream.ts',
 };
 
--- a/src/core/calls/admission.ts
+++ b/src/core/calls/admission.ts
@@ -117,6 +117,8 @@
   const states = new Map<string, ClassState>();
   const running = new Map<string, RunningCall>();
   const waitingClass = new Map<string, ClassState>();
+  /** Average time that a call occupies its slot, over all classes. */
+  let workMs: number | undefined;
   let isLeaving = false;
   let earliestEnd = Infinity;
   /** When calls that leave free slots to other classes are looked at again. */
@@ -335,6 +337,7 @@
 
   const learn = ({ state }: RunningCall, latencyMs: number, now: number): void => {
     const { className, usualMs } = state;
+    workMs = workMs === undefined ? latencyMs : workMs + usualWeight * (latencyMs - workMs);
     state.usualMs =
       usualMs === undefined ? latencyMs : usualMs + usualWeight * (latencyMs - usualMs);
     if (isAdaptive) {
@@ -378,7 +381,7 @@
       limit,
       inFlight: () => running.size,
       waiting: () => waitingClass.size,
-      load: () => ({ inFlight: running.size, limit: limit(), waiting: waitingClass.size }),
+      load: () => ({ inFlight: running.size, limit: limit(), waiting: waitingClass.size, workMs }),
       classes: () =>
         [...states.values()].map(({ className, inFlight, line }) => ({
           className,
--- a/src/core/calls/endpointRank.ts
+++ b/src/core/calls/endpointRank.ts
@@ -27,14 +27,22 @@
 const halve = (ageMs: number, halfLifeMs: number): number =>
   0.5 ** (Math.max(0, ageMs) / halfLifeMs);
 
+/** Part of its slots from which an endpoint works more slowly. */
+const crowdedAbove = 0.6;
+/** Time that an endpoint with all slots in use takes longer, as a part of its usual time. */
+const crowdedSlowdown = 0.5;
+/** Keeps calls spread among endpoints with free slots: a part of the time for a full endpoint. */
+const spreadWeight = 0.05;
+
 /** Calls that the endpoint's slots hold or that wait for them, as far as this node knows. */
 export const outstandingCalls = (known: EndpointEvidence | undefined, now: number): number => {
   if (!known) {
     return 0;
   }
-  const { load, loadAt, inFlight } = known;
+  const { load, loadAt, inFlight, startedSinceLoad } = known;
   const reported = load ? (load.inFlight + load.waiting) * halve(now - loadAt, loadHalfLifeMs) : 0;
-  return Math.max(inFlight, reported);
+  // Without what was sent since, all calls between two reports go to the same endpoint.
+  return Math.max(inFlight, reported + Math.min(startedSinceLoad, inFlight));
 };
 
 /** Calls that the endpoint works on at a time. */
@@ -42,6 +50,10 @@
   Math.max(1, Math.min(slots, known?.load?.limit ?? slots));
 
 const latencyOf = (known: EndpointEvidence | undefined, usualMs: number, now: number): number => {
+  // The endpoint's own figure leaves out the wait for a slot, which is predicted from its load.
+  if (known?.load?.workMs !== undefined) {
+    return known.load.workMs;
+  }
   if (known?.latencyMs === undefined) {
     return usualMs;
   }
@@ -73,7 +85,8 @@
 /** Middle of the latencies of the endpoints, in ms: what an unknown endpoint is assumed to take. */
 export const usualLatencyMs = (evidence: Evidence, endpoints: readonly Endpoint[]): number => {
   const known = endpoints
-    .map(({ id }) => evidence.queries.of(id)?.latencyMs)
+    .map(({ id }) => evidence.queries.of(id))
+    .map((state) => state?.load?.workMs ?? state?.latencyMs)
     .filter((latencyMs) => latencyMs !== undefined)
     .sort((a, b) => a - b);
   return known[Math.floor((known.length - 1) / 2)] ?? unknownLatencyMs;
@@ -87,8 +100,12 @@
   now: number,
 ): number => {
   const latencyMs = withSilence(latencyOf(known, usualMs, now), known, now);
-  const queue = (outstandingCalls(known, now) + 1) / capacityOf(endpoint, known);
-  return (latencyMs * queue) / answerShare(known, now) ** 2;
+  const capacity = capacityOf(endpoint, known);
+  const outstanding = outstandingCalls(known, now);
+  const waits = Math.max(0, outstanding + 1 - capacity) / capacity;
+  const busy = Math.min(1, outstanding / capacity);
+  const slowdown = crowdedSlowdown * Math.max(0, busy - crowdedAbove) + spreadWeight * busy;
+  return (latencyMs * (1 + waits + slowdown)) / answerShare(known, now) ** 2;
 };
 
 /** Share of its calls that an endpoint gets while it warms up, from 0.1 to 1. */
--- a/src/core/calls/evidence.ts
+++ b/src/core/calls/evidence.ts
@@ -20,6 +20,8 @@
   readonly inFlight: number;
   readonly limit: number;
   readonly waiting: number;
+  /** Time that a call occupies a slot there, on average, in ms; unset before the first answer. */
+  readonly workMs?: number;
 }
 
 export interface AttemptEnd {
@@ -44,6 +46,8 @@
   readonly inFlight: number;
   readonly load: EndpointLoad | undefined;
   readonly loadAt: number;
+  /** Attempts that this node has started since the last report of the load. */
+  readonly startedSinceLoad: number;
   /** Share of attempts that the endpoint refused, as an exponentially weighted average. */
   readonly refusedShare: number;
   readonly refusedAt: number;
@@ -83,6 +87,7 @@
   inFlight: 0,
   load: undefined,
   loadAt: 0,
+  startedSinceLoad: 0,
   refusedShare: 0,
   refusedAt: now,
   firstSeenAt: now,
@@ -151,6 +156,7 @@
   const recordStart = (endpointId: string, now: number): void => {
     const state = stateOf(endpointId, now);
     state.inFlight += 1;
+    state.startedSinceLoad += 1;
     state.silentSince ??= now;
     startAttempt(state.ejection, now);
   };
@@ -169,7 +175,7 @@
   };
 
   const recordLoad = (endpointId: string, load: EndpointLoad, now: number): void => {
-    Object.assign(stateOf(endpointId, now), { load, loadAt: now });
+    Object.assign(stateOf(endpointId, now), { load, loadAt: now, startedSinceLoad: 0 });
   };
 
   const retain = (service: string, endpointIds: readonly string[], now: number): void => {
--- a/src/core/calls/routing.ts
+++ b/src/core/calls/routing.ts
@@ -1,11 +1,12 @@
 /**
  * Choice of the endpoint for one attempt: power of two choices on predicted time among the
- * endpoints that are ready and not ejected, nearest data centre first.
+ * endpoints that are ready and not ejected, for each distance; of these the one that is cheapest
+ * with the way to it.
  */
 import type { Cluster, Endpoint, Policy } from '../../types/public.js';
 import { predictedMs, usualLatencyMs, warmShare } from './endpointRank.js';
 import type { Evidence } from './evidence.js';
-import { chooseTier, groupByDistance, type Home } from './routingTiers.js';
+import { groupByDistance, wayCostMs, type Home } from './routingTiers.js';
 
 export type { Home } from './routingTiers.js';
 
@@ -14,6 +15,8 @@
   readonly evidence: Evidence;
   readonly policy: Policy;
   readonly home: Home;
+  /** Usual size of an answer of the class, in bytes. Default: 0. */
+  readonly answerBytes?: number;
   /** Endpoints that this call was already sent to. */
   readonly exclude: ReadonlySet<string>;
   /** Returns a number in [0, 1). */
@@ -84,28 +87,49 @@
   return picked;
 };
 
-const chooseOfTwo = (tier: readonly Endpoint[], choice: EndpointChoice): Endpoint | undefined => {
+type Cost = (endpoint: Endpoint) => number;
+
+const chooseOfTwo = (
+  tier: readonly Endpoint[],
+  choice: EndpointChoice,
+  cost: Cost,
+): Endpoint | undefined => {
   const first = pickWarm(tier, choice);
   const others = tier.filter((endpoint) => endpoint !== first);
   const second = others.length > 0 ? pickWarm(others, choice) : undefined;
   if (!first || !second) {
     return first;
   }
-  const { evidence, now } = choice;
-  const usualMs = usualLatencyMs(evidence, tier);
-  const cost = (endpoint: Endpoint) =>
-    predictedMs(endpoint, evidence.queries.of(endpoint.id), usualMs, now);
   return cost(second) < costMargin * cost(first) ? second : first;
 };
 
+const chooseOfTiers = (
+  inUse: readonly Endpoint[],
+  choice: EndpointChoice,
+): Endpoint | undefined => {
+  const { evidence, home, answerBytes = 0, now } = choice;
+  const usualMs = usualLatencyMs(evidence, inUse);
+  const cost: Cost = (endpoint) =>
+    predictedMs(endpoint, evidence.queries.of(endpoint.id), usualMs, now);
+  let cheapest: { readonly endpoint: Endpoint; readonly costMs: number } | undefined;
+  groupByDistance(inUse, home).forEach(({ distance, endpoints }) => {
+    const endpoint = chooseOfTwo(endpoints, choice, cost);
+    const costMs = endpoint ? cost(endpoint) + wayCostMs(distance, answerBytes) : Infinity;
+    if (endpoint && costMs < (cheapest?.costMs ?? Infinity)) {
+      cheapest = { endpoint, costMs };
+    }
+  });
+  return cheapest?.endpoint;
+};
+
 /** Chooses an endpoint that was not tried yet, or returns undefined if none is left. */
 export const chooseEndpoint = (choice: EndpointChoice): Endpoint | undefined => {
-  const { cluster, evidence, home, exclude, random, now } = choice;
+  const { cluster, evidence, exclude, now } = choice;
   const ready = readyOf(cluster);
   const probe = dueForProbe(ready, choice);
   if (probe) {
     return probe;
   }
   const inUse = endpointsInUse(ready, evidence, now).filter(({ id }) => !exclude.has(id));
-  return chooseOfTwo(chooseTier(groupByDistance(inUse, home), evidence, random, now), choice);
+  return chooseOfTiers(inUse, choice);
 };
--- a/src/core/calls/routingTiers.ts
+++ b/src/core/calls/routingTiers.ts
@@ -1,10 +1,9 @@
 /**
- * Nearest data centre first: endpoints are grouped into tiers by distance, and a tier that is busy
- * hands a part of its calls to the next one.
+ * Endpoints by distance, and what the way to them costs. The cost is weighed against the time that
+ * a call is predicted to take at an endpoint, so that a nearer one is kept as long as the wait there
+ * is worth less than the way.
  */
 import type { Cluster, Endpoint } from '../../types/public.js';
-import { capacityOf, outstandingCalls } from './endpointRank.js';
-import type { Evidence } from './evidence.js';
 
 /** Where the choosing node stands. */
 export interface Home {
@@ -12,54 +11,44 @@
   readonly region: string;
 }
 
-/** Share of its slots that the nearest tier uses before calls spill over. */
-export const spillOverAbove = 0.8;
+export type Distance = 'here' | 'other_data_centre' | 'other_region';
 
-const distanceOf = ({ dataCentre, region }: Endpoint, home: Home): number => {
-  if (dataCentre === home.dataCentre) {
-    return 0;
-  }
-  return region === home.region ? 1 : 2;
+/** Time for the way there and back, in ms: twice a usual one-way delay, rounded up. */
+const wayMs: Readonly<Record<Distance, number>> = {
+  here: 0,
+  other_data_centre: 5,
+  other_region: 100,
 };
 
-/** Endpoints by distance, nearest first; tiers without endpoints are left out. */
-export const groupByDistance = (
-  endpoints: Cluster['endpoints'],
-  home: Home,
-): (readonly Endpoint[])[] =>
-  [0, 1, 2]
-    .map((distance) => endpoints.filter((endpoint) => distanceOf(endpoint, home) === distance))
-    .filter((tier) => tier.length > 0);
+/**
+ * Bytes between data centres that are worth one ms of waiting. At this rate an answer of 2 KB goes
+ * to another data centre for a wait of 4 ms, and one of 100 KB for a wait of 200 ms.
+ */
+export const bytesPerMs = 500;
 
-const busyShare = (tier: readonly Endpoint[], evidence: Evidence, now: number): number => {
-  let outstanding = 0;
-  let capacity = 0;
-  tier.forEach((endpoint) => {
-    const known = evidence.queries.of(endpoint.id);
-    outstanding += outstandingCalls(known, now);
-    capacity += capacityOf(endpoint, known);
-  });
-  return outstanding / capacity;
-};
+export interface Tier {
+  readonly distance: Distance;
+  readonly endpoints: readonly Endpoint[];
+}
 
-/** Share of calls that leave a tier: what exceeds 80%, less the more the next tier is busy too. */
-export const spillShare = (busy: number, nextBusy: number): number =>
-  busy <= spillOverAbove || nextBusy >= busy
-    ? 0
-    : ((busy - spillOverAbove) / busy) * (1 - nextBusy / busy);
+const distances = Object.keys(wayMs) as Distance[];
 
-/** Picks the tier for one call. */
-export const chooseTier = (
-  tiers: readonly (readonly Endpoint[])[],
-  evidence: Evidence,
-  random: () => number,
-  now: number,
-): readonly Endpoint[] => {
-  const [tier = [], ...further] = tiers;
-  const [next] = further;
-  if (!next) {
-    return tier;
+const distanceOf = ({ dataCentre, region }: Endpoint, home: Home): Distance => {
+  if (dataCentre === home.dataCentre) {
+    return 'here';
   }
-  const share = spillShare(busyShare(tier, evidence, now), busyShare(next, evidence, now));
-  return share > 0 && random() < share ? chooseTier(further, evidence, random, now) : tier;
+  return region === home.region ? 'other_data_centre' : 'other_region';
 };
+
+/** Endpoints by distance, nearest first; tiers without endpoints are left out. */
+export const groupByDistance = (endpoints: Cluster['endpoints'], home: Home): readonly Tier[] =>
+  distances
+    .map((distance) => ({
+      distance,
+      endpoints: endpoints.filter((endpoint) => distanceOf(endpoint, home) === distance),
+    }))
+    .filter(({ endpoints: found }) => found.length > 0);
+
+/** Cost of the way for an answer of a size, in ms. */
+export const wayCostMs = (distance: Distance, answerBytes: number): number =>
+  distance === 'here' ? 0 : wayMs[distance] + answerBytes / bytesPerMs;
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -13,6 +13,7 @@
   type RetryBudget,
   type RetryDecision,
 } from '../../core/calls/retry.js';
+import { createAnswerSizes } from '../../core/calls/answerSizes.js';
 import { chooseEndpoint } from '../../core/calls/routing.js';
 import type {
   AnswerHead,
@@ -116,6 +117,7 @@
 export const createCallRunner = (options: CallRunnerOptions): CallRunner => {
   const { home, timer, random, upstream, remote, evidence } = options;
   const attemptPrefix = randomUUID();
+  const sizes = createAnswerSizes();
   let attemptCount = 0;
 
   const nextAttemptId = (): string => {
@@ -132,6 +134,7 @@
     let attempts = 0;
     let mayHaveRun = false;
     let isOver = false;
+    let answeredBytes = 0;
     let cancelHedge: Cancel | undefined;
 
     const recordEnd = ({ endpointId, startedAt }: Attempt, outcome: AttemptOutcome) => {
@@ -251,9 +254,13 @@
         [...active].filter((other) => other !== attempt).forEach(abortAttempt);
         listener.onHead(head);
       },
-      onData: (chunk) => (winner === attempt ? listener.onData(chunk) : true),
+      onData: (chunk) => {
+        answeredBytes += chunk.length;
+        return winner === attempt ? listener.onData(chunk) : true;
+      },
       onEnd: () => {
         active.delete(attempt);
+        sizes.commands.record(policy.className, answeredBytes);
         recordEnd(attempt, outcomeOfStatus(attempt.status));
         if (winner === attempt && end()) {
           listener.onEnd();
@@ -280,7 +287,8 @@
     });
 
     const chooseRemote = (cluster: Cluster): Endpoint | undefined => {
-      const choice = { cluster, evidence, policy, home, random, now: timer.now() };
+      const answerBytes = sizes.queries.usualBytes(policy.className);
+      const choice = { cluster, evidence, policy, home, answerBytes, random, now: timer.now() };
       return (
         chooseEndpoint({ ...choice, exclude: excluded }) ??
         chooseEndpoint({ ...choice, exclude: noExclusion })
@@ -295,9 +303,12 @@
       }
       const ownId = upstream.queries.description()?.instance ?? home.name;
       const isLocal =
-        upstream.queries.hasFreeSlot(plan.service) &&
+        upstream.queries.isQuiet(plan.service) &&
         !excluded.has(ownId) &&
         !evidence.queries.isEjected(ownId, now);
+      if (upstream.queries.description()) {
+        evidence.commands.recordLoad(ownId, upstream.queries.load(), now);
+      }
       const cluster = isLocal ? undefined : plan.held.clusters.get(plan.service);
       const endpoint = cluster && chooseRemote(cluster);
       const isHedge = active.size > 0;
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -23,6 +23,8 @@
 import { startExchange } from './exchange.js';
 import { createUpstreamPool } from './upstreamPool.js';
 
+/** Part of the slots below which an endpoint works at its full speed. */
+const quietBelow = 0.5;
 /** Wait that a refused caller is told, in seconds. */
 const retryAfterSeconds = 1;
 
@@ -54,6 +56,8 @@
     isLeaving(): boolean;
     /** True if a call of the service would be admitted at once. */
     hasFreeSlot(service: string): boolean;
+    /** True if so few slots are in use that no other endpoint can be a better choice. */
+    isQuiet(service: string): boolean;
     load(): EndpointLoad;
     inFlight(): number;
     /** True if the last attempt to reach the upstream found nothing that takes connections. */
@@ -277,6 +281,15 @@
     admission = description && createAdmission({ slots: slotsOf(description) });
   };
 
+  /** Part of the slots that are in use; infinite if calls of the service cannot start at once. */
+  const inFlightShare = (service: string): number => {
+    const takesCalls = !isLeaving && !isDrained && description?.service === service;
+    if (!takesCalls || !admission || admission.queries.waiting() > 0) {
+      return Infinity;
+    }
+    return admission.queries.inFlight() / Math.max(1, admission.queries.limit());
+  };
+
   return {
     commands: {
       describe,
@@ -294,13 +307,8 @@
     queries: {
       description: () => description,
       isLeaving: () => isLeaving,
-      hasFreeSlot: (service) =>
-        !isLeaving &&
-        !isDrained &&
-        description?.service === service &&
-        admission !== undefined &&
-        admission.queries.waiting() === 0 &&
-        admission.queries.inFlight() < admission.queries.limit(),
+      hasFreeSlot: (service) => inFlightShare(service) < 1,
+      isQuiet: (service) => inFlightShare(service) < quietBelow,
       load: () => admission?.queries.load() ?? noLoad,
       inFlight: () => entries.size,
       isUnreachable: () => isUnreachable,
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -43,17 +43,20 @@
   readonly onLoad: (endpointId: string, load: EndpointLoad) => void;
 }
 
-/** Parses `x-load`: in flight, limit and waiting, separated by commas. */
+/** Parses `x-load`: in flight, limit, waiting and, if it is known, the work in ms. */
 export const parseLoad = (text: string): EndpointLoad | undefined => {
-  const [inFlight, limit, waiting] = text.split(',').map(Number);
-  return [inFlight, limit, waiting].every((value) => Number.isSafeInteger(value) && value! >= 0)
-    ? { inFlight: inFlight!, limit: limit!, waiting: waiting! }
-    : undefined;
+  const [inFlight, limit, waiting, workMs] = text.split(',').map(Number);
+  const isCount = (value: number | undefined) => Number.isSafeInteger(value) && value! >= 0;
+  if (![inFlight, limit, waiting].every(isCount)) {
+    return undefined;
+  }
+  const load = { inFlight: inFlight!, limit: limit!, waiting: waiting! };
+  return isCount(workMs) ? { ...load, workMs } : load;
 };
 
 /** Text form of a load for `x-load`. */
-export const formatLoad = ({ inFlight, limit, waiting }: EndpointLoad): string =>
-  `${inFlight},${limit},${waiting}`;
+export const formatLoad = ({ inFlight, limit, waiting, workMs }: EndpointLoad): string =>
+  [inFlight, limit, waiting, ...(workMs === undefined ? [] : [Math.round(workMs)])].join(',');
 
 const readRefusal = ({ headers }: AnswerHead): AttemptFailureReport | undefined => {
   const reason = headerIn(headers, refusalHeader);
