--- /dev/null
+++ b/__tests__/platformAdapter.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { IncomingMessage } from 'node:http';
+import { createCallInterface } from '../src/platform/callInterface.js';
+import { readCheckIn } from '../src/platform/checkIns.js';
+import { productName, readDocument } from '../src/platform/documents.js';
+import {
+  parsePlatformSettings,
+  peerSeeds,
+  toControlSettings,
+  toNodeSettings,
+} from '../src/platform/settings.js';
+import type { AttemptRequest } from '../src/types/calls.js';
+import { FindingsError } from '../src/utils/findings.js';
+import { documentOf } from './support/platform.js';
+
+const settingsText = [
+  'node=core-gent-1',
+  'ip=10.1.0.42',
+  'zone=depot-gent',
+  'region=oost-vlaanderen',
+  'zones.depot-gent=oost-vlaanderen',
+  'listen.control=10.1.0.42:8144',
+  'internal_ports=7380,7395',
+  'seeds=10.1.0.42:8144,10.2.0.43:8144',
+  'bootstrap=true',
+  'data_dir=/data/my-core',
+  'heartbeat_ms=1500',
+  'bounds=drain_ms=2000,grace_s=8,recovery_s=15',
+  'something.later=1',
+].join('\n');
+
+describe('settings of the platform', () => {
+  it('reads what the product needs and ignores fields that it does not know', () => {
+    const settings = parsePlatformSettings(settingsText, 'local.conf');
+    assert.equal(settings.graceMs, 8_000);
+    assert.deepEqual(peerSeeds(settings), ['10.1.0.42:7380', '10.2.0.43:7380']);
+    const control = toControlSettings(settings, 9464, () => settings);
+    assert.equal(control.cluster.members[0]?.address, '10.1.0.42:7380');
+    assert.equal(control.discovery?.isFirstStart, true);
+    const node = toNodeSettings(settings, 9464);
+    assert.deepEqual(
+      node.cluster.control.map(({ address }) => address),
+      ['10.1.0.42:7380', '10.2.0.43:7380'],
+    );
+  });
+
+  it('reports every problem with its line, so that one start shows them all', () => {
+    const text =
+      'node=n\nbroken line\nip=10.0.0.1\nlisten.control=nowhere\nseeds=a,b\ninternal_ports=x\n';
+    assert.throws(
+      () => parsePlatformSettings(text, 'f'),
+      (error: unknown) => {
+        assert.ok(error instanceof FindingsError);
+        assert.deepEqual(
+          error.findings.map(({ place }) => place),
+          [
+            'f: line 2',
+            'f: line 4: listen.control',
+            'f: line 6: internal_ports',
+            'f: line 5: seeds',
+            'f: zone',
+          ],
+        );
+        return true;
+      },
+    );
+  });
+});
+
+describe('documents of the platform', () => {
+  const valid = documentOf(7, 5, [
+    { name: 'r-1', prefix: '/a/', service: 's1', kind: 'unsafe', priority: 0, attempts: 3 },
+    { name: 'r-2', prefix: '/', weights: { s1: 90, 'S 2': 10 }, aimMs: 400, timeoutMs: 1_000 },
+  ]);
+
+  it('become the classes, services and limits of the product', () => {
+    const { number, baseNumber, configuration } = readDocument(JSON.stringify(valid));
+    assert.deepEqual([number, baseNumber], [7, 5]);
+    const { 'r-1': first, 'r-2': second } = configuration.classes;
+    assert.deepEqual(
+      [first?.idempotent, first?.atMostOnce, first?.maxAttempts, first?.service],
+      [false, false, 3, 's1'],
+    );
+    assert.ok(first!.importance > second!.importance);
+    assert.deepEqual(second?.match, [{ host: 'mesh.example', pathPrefix: '/' }]);
+    assert.deepEqual([second?.answerWithinMs, second?.timeoutMs], [400, 1_000]);
+    assert.deepEqual(second?.split, [
+      { service: 's1', weight: 90 },
+      { service: productName('S 2'), weight: 10 },
+    ]);
+    assert.equal(configuration.services.s1?.connections, 110);
+    assert.equal(configuration.callerLimits?.idleTimeoutMs, 15_000);
+  });
+
+  const route = (fields: Record<string, unknown>) => {
+    const document = documentOf(7, 5, [{ name: 'r-1', prefix: '/a/', service: 's1' }]);
+    Object.assign(document.resources[0]!.spec, fields);
+    return JSON.stringify(document);
+  };
+  const invalid: Record<string, string> = {
+    'cut short': JSON.stringify(valid).slice(0, -20),
+    'an empty host': route({ host: '' }),
+    'an unknown service': route({ service: 'other' }),
+    'a timeout over ten minutes': route({ timeout_ms: 600_001 }),
+    'weights that add up to 0': route({ weighted_services: [{ service: 's1', weight: 0 }] }),
+    'no version': JSON.stringify({ ...valid, version: undefined }),
+    'a field of another type': route({ path_prefix: 7 }),
+  };
+  Object.entries(invalid).forEach(([name, text]) =>
+    it(`are refused with ${name}`, () => {
+      assert.throws(() => readDocument(text), { reason: 'malformed_message' });
+    }),
+  );
+});
+
+describe('check-ins of the platform', () => {
+  const checkIn = {
+    service: 'huvo11a',
+    address: '10.128.0.9:8080',
+    zone: 'lagos-a',
+    version: 'v1',
+    slots: 18,
+    state: 'draining',
+    cold_remaining_ms: 0,
+    sequence: 4,
+    born: 1_790_000_000_000,
+  };
+
+  it('are decoded into reports of an upstream', () => {
+    const { state, slots, instance, startedAt, sequence } = readCheckIn('i-1', checkIn);
+    assert.deepEqual(
+      [state, slots, instance, startedAt, sequence],
+      ['leaving', 18, 'i-1', 1_790_000_000_000, 4],
+    );
+  });
+
+  it('of another writer name no endpoint', () => {
+    const others = [
+      {},
+      [],
+      null,
+      { ...checkIn, state: 'resting' },
+      { ...checkIn, born: undefined },
+      { ...checkIn, slots: '18' },
+    ];
+    others.forEach((value) =>
+      assert.throws(() => readCheckIn('i-1', value), { reason: 'malformed_message' }),
+    );
+  });
+});
+
+describe('calls of the platform', () => {
+  const { callers, upstreams } = createCallInterface(() => 'own-service');
+  const call = (headers: Record<string, string>) =>
+    callers.readCall({ headers } as unknown as IncomingMessage);
+  const request = {
+    requestId: 'r',
+    attemptId: 'a',
+    headers: ['x', 'y'],
+  } as unknown as AttemptRequest;
+
+  it('carry id and time limit, and lose the headers that the node sets itself', () => {
+    const { requestId, deadlineMs } = call({ 'request-id': 'r', 'deadline-ms': '850.5' });
+    assert.deepEqual([requestId, deadlineMs], ['r', 850.5]);
+    assert.throws(() => call({ 'deadline-ms': '0' }), { reason: 'deadline_past' });
+    assert.throws(() => call({ 'deadline-ms': 'soon' }), { reason: 'bad_request' });
+    const passed = callers.passHeaders([
+      'Request-Id',
+      'r',
+      'Caller-Service',
+      'x',
+      'Expect-Instance',
+      'i',
+      'Connection',
+      'close',
+      'A',
+      'b',
+    ]);
+    assert.deepEqual(passed, ['request-id', 'r', 'a', 'b', 'caller-service', 'own-service']);
+  });
+
+  it('reach the endpoint with its id and the time that is left', () => {
+    assert.deepEqual(upstreams.requestHeaders(request, 'i-1', 99.7), [
+      'x',
+      'y',
+      'deadline-ms',
+      '99',
+      'expect-instance',
+      'i-1',
+    ]);
+  });
+
+  it('promise that a request was not run only where that is known', () => {
+    const status = (
+      reason:
+        | 'overloaded'
+        | 'bad_request'
+        | 'deadline_exceeded'
+        | 'upstream_failed'
+        | 'no_configuration'
+        | 'unknown_class',
+      run: 'not_run' | 'may_have_run',
+    ) => callers.refusal({ reason, run, retried: false }, 'r').status;
+    assert.equal(status('overloaded', 'not_run'), 503);
+    assert.equal(status('no_configuration', 'not_run'), 503);
+    assert.equal(status('unknown_class', 'not_run'), 404);
+    assert.equal(status('bad_request', 'not_run'), 400);
+    assert.equal(status('overloaded', 'may_have_run'), 502);
+    assert.equal(status('bad_request', 'may_have_run'), 502);
+    assert.equal(status('upstream_failed', 'may_have_run'), 502);
+    assert.equal(status('deadline_exceeded', 'may_have_run'), 504);
+  });
+
+  it('take an answer only with the id of their request', () => {
+    const judge = (status: number, headers: string[]) =>
+      upstreams.judgeAnswer(status, headers, request);
+    assert.equal(judge(200, ['request-id', 'r']), 'answer');
+    assert.equal(judge(200, ['request-id', 'q']), 'mismatch');
+    assert.equal(judge(200, []), 'mismatch');
+    assert.equal(judge(503, ['not-executed', '1']), 'refused');
+    assert.equal(judge(503, ['not-executed', '1', 'request-id', 'q']), 'mismatch');
+    assert.equal(judge(421, ['instance-id', 'i-2']), 'other_instance');
+    assert.equal(judge(500, ['request-id', 'r']), 'answer');
+  });
+});
