--- a/__tests__/routes.test.ts
+++ b/__tests__/routes.test.ts
@@ -87,6 +87,24 @@
     });
   });
 
+  it('shares the unchanged entries of successive configurations, which are written once', () => {
+    const classes = { ...shop.classes, orders: { ...shop.classes.orders!, maxAttempts: 5 } };
+    const delta = diffConfigurations(shop, { ...shop, classes });
+    assert.deepEqual(Object.keys(delta.classes.set), ['orders']);
+    const sent = decodeDelta(encodeDelta(delta), delta.baseDigest, delta.resultDigest);
+    const applied = applyDelta(shop, sent);
+    assert.equal(applied.classes.stock, shop.classes.stock);
+    assert.equal(applied.classes.orders?.maxAttempts, 5);
+  });
+
+  it('refuses a delta that takes away a service in use, or sets an entry of another form', () => {
+    const withoutService = { ...shop, services: { shop: shop.services.shop! } };
+    const delta = diffConfigurations(shop, withoutService);
+    assert.throws(() => applyDelta(shop, delta), { reason: 'malformed_message' });
+    const malformed = { ...delta, services: { set: { shop: { name: 7 } }, removed: [] } };
+    assert.throws(() => applyDelta(shop, malformed), { reason: 'malformed_message' });
+  });
+
   it('refuses a class that names both a service and a split, or neither', () => {
     const { findings } = parseTargets(
       '[class.a]\nservice = "s"\nsplit = { s = 1 }\n[class.b]\n[class.c]\nsplit = { s = 0 }\n',
--- a/src/core/distribution/delta.ts
+++ b/src/core/distribution/delta.ts
@@ -7,12 +7,13 @@
 import type { Configuration } from '../../types/public.js';
 import { Failure } from '../../utils/failure.js';
 import {
-  decodeConfiguration,
+  checkChangedEntries,
+  checkServiceNames,
   digestConfiguration,
-  encodeConfiguration,
+  entryText,
 } from '../operators/configuration.js';
 
-type Records = Readonly<Record<string, unknown>>;
+type Records = Readonly<Record<string, object>>;
 
 interface RecordsDelta {
   /** Entries that are new or changed. */
@@ -33,7 +34,7 @@
 }
 
 const recordsDeltaSchema = z.strictObject({
-  set: z.record(z.string(), z.unknown()),
+  set: z.record(z.string(), z.looseObject({})),
   removed: z.array(z.string()),
 });
 
@@ -50,17 +51,13 @@
 export const sha256 = (data: Uint8Array | string): Uint8Array =>
   new Uint8Array(createHash('sha256').update(data).digest());
 
-const canonicalText = (configuration: Configuration): string =>
-  new TextDecoder().decode(encodeConfiguration(configuration));
-
 const settingsOf = ({ callerLimits }: Configuration): Records =>
   callerLimits === undefined ? {} : { callerLimits };
 
 const diffRecords = (base: Records, next: Records): RecordsDelta => ({
   set: Object.fromEntries(
     Object.entries(next).filter(
-      ([key, value]) =>
-        !Object.hasOwn(base, key) || JSON.stringify(base[key]) !== JSON.stringify(value),
+      ([key, value]) => !Object.hasOwn(base, key) || entryText(base[key]!) !== entryText(value),
     ),
   ),
   removed: Object.keys(base).filter((key) => !Object.hasOwn(next, key)),
@@ -70,22 +67,27 @@
 export const diffConfigurations = (
   base: Configuration,
   next: Configuration,
-): ConfigurationDelta => {
-  // The canonical form orders the keys, so that equal entries have equal text.
-  const from = JSON.parse(canonicalText(base)) as Configuration;
-  const to = JSON.parse(canonicalText(next)) as Configuration;
-  return {
-    baseDigest: digestConfiguration(base),
-    resultDigest: digestConfiguration(next),
-    services: diffRecords(from.services, to.services),
-    classes: diffRecords(from.classes, to.classes),
-    drains: diffRecords(from.drains ?? {}, to.drains ?? {}),
-    settings: diffRecords(settingsOf(from), settingsOf(to)),
-  };
-};
+): ConfigurationDelta => ({
+  baseDigest: digestConfiguration(base),
+  resultDigest: digestConfiguration(next),
+  services: diffRecords(base.services, next.services),
+  classes: diffRecords(base.classes, next.classes),
+  drains: diffRecords(base.drains ?? {}, next.drains ?? {}),
+  settings: diffRecords(settingsOf(base), settingsOf(next)),
+});
 
-const applyRecords = (base: Records, { set, removed }: RecordsDelta): Records =>
-  Object.fromEntries(Object.entries({ ...base, ...set }).filter(([key]) => !removed.includes(key)));
+/** Entries that did not change stay the same objects, whose canonical texts are known. */
+const applyRecords = <Entry extends object>(
+  base: Readonly<Record<string, Entry>>,
+  set: Readonly<Record<string, Entry>>,
+  removed: readonly string[],
+): Record<string, Entry> => {
+  const result = { ...base, ...set };
+  removed.forEach((key) => {
+    delete result[key];
+  });
+  return result;
+};
 
 /**
  * Applies a delta. Throws a Failure with `bad_update` if the digest of the base or of the result
@@ -95,13 +97,23 @@
   if (!equalBytes(digestConfiguration(base), delta.baseDigest)) {
     throw new Failure('bad_update', 'the delta has another base');
   }
-  const merged = {
-    services: applyRecords(base.services, delta.services),
-    classes: applyRecords(base.classes, delta.classes),
-    drains: applyRecords(base.drains ?? {}, delta.drains),
-    ...applyRecords(settingsOf(base), delta.settings),
+  const { services, classes, drains, settings } = delta;
+  const changed = checkChangedEntries({
+    services: services.set,
+    classes: classes.set,
+    drains: drains.set,
+    ...settings.set,
+  });
+  const merged = applyRecords(base.drains ?? {}, changed.drains, drains.removed);
+  const keptLimits = settings.removed.includes('callerLimits') ? undefined : base.callerLimits;
+  const callerLimits = changed.callerLimits ?? keptLimits;
+  const result: Configuration = {
+    services: applyRecords(base.services, changed.services, services.removed),
+    classes: applyRecords(base.classes, changed.classes, classes.removed),
+    ...(Object.keys(merged).length > 0 && { drains: merged }),
+    ...(callerLimits && { callerLimits }),
   };
-  const result = decodeConfiguration(encodeConfiguration(merged as Configuration));
+  checkServiceNames(result);
   if (!equalBytes(digestConfiguration(result), delta.resultDigest)) {
     throw new Failure('bad_update', 'the result of the delta has another digest');
   }
--- a/src/core/distribution/holding.ts
+++ b/src/core/distribution/holding.ts
@@ -84,7 +84,7 @@
       return 'below_floor';
     }
     const services = routedServices(stored.configuration);
-    const routedBefore = held ? routedServices(held.configuration) : new Set<string>();
+    const routedBefore: ReadonlySet<string> = held ? routedServices(held.configuration) : new Set();
     const awaited = new Set([...services].filter((service) => !routedBefore.has(service)));
     awaited.forEach((service) => usedAt.set(service, now));
     staged = {
--- a/src/core/distribution/parentChoice.ts
+++ b/src/core/distribution/parentChoice.ts
@@ -5,6 +5,8 @@
  */
 export const minBackoffMs = 100;
 export const maxBackoffMs = 5_000;
+/** A parent that went silent is left out for this time: most freezes and cuts last longer. */
+const avoidSilentMs = 3_000;
 /** Longest delay after an attempt at an address where nothing listens. */
 const maxRefusedBackoffMs = 400;
 const maxControls = 64;
@@ -51,6 +53,8 @@
     learnPeers(addresses: readonly string[]): void;
     /** Takes the control instances that a parent named; those of the settings are kept besides. */
     learnControls(controls: readonly ControlAddress[]): void;
+    /** The parent has gone silent: it is frozen or cut off, maybe for a short time only. */
+    silent(address: string, now: number): void;
     /** Nothing listens at the parent that was tried: the attempt has cost it nothing. */
     refused(): void;
   };
@@ -65,8 +69,10 @@
 
 type Tier = 'own' | 'peers' | 'other';
 
+// Another control instance comes before the peers: nodes that have lost the same parent would
+// otherwise attach to each other, with nothing above them. It sends a herd on to its own children.
 // Peers come twice, since in an outage of the source they are the ones that answer.
-const tierOrder: readonly Tier[] = ['own', 'peers', 'own', 'peers', 'other', 'peers'];
+const tierOrder: readonly Tier[] = ['own', 'other', 'peers', 'own', 'peers', 'other'];
 
 export const createParentChoice = (options: ParentChoiceOptions): ParentChoice => {
   const { dataCentre, ownAddress, random } = options;
@@ -190,6 +196,9 @@
           .map(({ address }) => ({ address, dataCentre: '' }));
         controls = [...named, ...seeds];
       },
+      silent: (address, now) => {
+        avoidUntil.set(address, Math.max(avoidUntil.get(address) ?? 0, now + avoidSilentMs));
+      },
       refused: () => {
         wasRefused = true;
       },
--- a/src/core/operators/configuration.ts
+++ b/src/core/operators/configuration.ts
@@ -4,9 +4,12 @@
 export { parseTargets, maxTargetBytes } from './targets.js';
 export { checkConfiguration } from './configurationChecks.js';
 export {
+  checkChangedEntries,
+  checkServiceNames,
   decodeConfiguration,
   digestConfiguration,
   encodeConfiguration,
+  entryText,
 } from './configurationCodec.js';
 export { diffLines } from './configurationDiff.js';
 export { matchClass, type CallShape } from '../calls/classMatching.js';
--- a/src/core/operators/configurationCodec.ts
+++ b/src/core/operators/configurationCodec.ts
@@ -75,18 +75,60 @@
     'a class names a service that is missing',
   );
 
-const sortKeys = (_: string, value: unknown): unknown =>
-  typeof value === 'object' && value !== null && !Array.isArray(value)
-    ? Object.fromEntries(Object.entries(value).sort(([a], [b]) => Number(a > b) - Number(a < b)))
-    : value;
+/** Canonical texts by value: entries are shared by successive configurations and never change. */
+const texts = new WeakMap<object, string>();
 
-/** Without drains the key is absent, so that there is one form for each configuration. */
-const normalise = ({ drains = {}, ...targets }: Configuration): Configuration =>
-  Object.keys(drains).length === 0 ? targets : { ...targets, drains };
+const writeObject = (value: object): string => {
+  const parts: string[] = [];
+  Object.keys(value)
+    .sort()
+    .forEach((key) => {
+      const item = (value as Record<string, unknown>)[key];
+      if (item !== undefined) {
+        parts.push(`${JSON.stringify(key)}:${writeValue(item)}`);
+      }
+    });
+  return `{${parts.join(',')}}`;
+};
+
+const writeValue = (value: unknown): string => {
+  if (typeof value !== 'object' || value === null) {
+    return JSON.stringify(value);
+  }
+  return Array.isArray(value) ? `[${value.map(writeValue).join(',')}]` : writeObject(value);
+};
+
+/** Canonical text of one entry of a configuration: JSON with sorted keys. */
+export const entryText = (entry: object): string => {
+  const known = texts.get(entry);
+  if (known !== undefined) {
+    return known;
+  }
+  const text = writeObject(entry);
+  texts.set(entry, text);
+  return text;
+};
+
+const writeEntries = (entries: Readonly<Record<string, object>>): string => {
+  const parts = Object.keys(entries)
+    .sort()
+    .map((key) => `${JSON.stringify(key)}:${entryText(entries[key]!)}`);
+  return `{${parts.join(',')}}`;
+};
+
+/** Without drains or limits the key is absent, so that there is one form for each configuration. */
+const canonicalText = ({ services, classes, drains = {}, callerLimits }: Configuration): string =>
+  [
+    '{',
+    ...(callerLimits ? [`"callerLimits":${entryText(callerLimits)},`] : []),
+    `"classes":${writeEntries(classes)},`,
+    ...(Object.keys(drains).length === 0 ? [] : [`"drains":${writeEntries(drains)},`]),
+    `"services":${writeEntries(services)}}`,
+  ].join('');
 
 /** Encodes a configuration in its canonical form. */
 export const encodeConfiguration = (configuration: Configuration): Uint8Array =>
-  new TextEncoder().encode(JSON.stringify(normalise(configuration), sortKeys));
+  new TextEncoder().encode(canonicalText(configuration));
 
 const parseJson = (bytes: Uint8Array): unknown => {
   try {
@@ -107,6 +149,48 @@
   return result.data;
 };
 
+const digests = new WeakMap<Configuration, Uint8Array>();
+
 /** SHA-256 of the canonical form. */
-export const digestConfiguration = (configuration: Configuration): Uint8Array =>
-  createHash('sha256').update(encodeConfiguration(configuration)).digest();
+export const digestConfiguration = (configuration: Configuration): Uint8Array => {
+  const known = digests.get(configuration);
+  if (known) {
+    return known;
+  }
+  const digest = createHash('sha256').update(canonicalText(configuration)).digest();
+  digests.set(configuration, digest);
+  return digest;
+};
+
+const changedSchema = z.object({
+  services: z.record(name, serviceSchema).refine(isNamedByKey, 'a service is not named by its key'),
+  classes: z.record(name, classSchema).refine(isNamedByKey, 'a class is not named by its key'),
+  drains: z
+    .record(name, z.strictObject({ name }))
+    .refine(isNamedByKey, 'a drain is not named by its key'),
+  callerLimits: callerLimitsSchema.optional(),
+});
+
+/** Entries of a change that replace those of its base; the rest of the base was checked before. */
+export type ChangedEntries = z.output<typeof changedSchema>;
+
+/** Checks the entries of a change. Throws a Failure with `malformed_message`. */
+export const checkChangedEntries = (entries: unknown): ChangedEntries => {
+  const result = changedSchema.safeParse(entries);
+  if (!result.success) {
+    const issue = result.error.issues[0];
+    const place = issue?.path.join('.') ?? '';
+    throw new Failure('malformed_message', `change: ${place}: ${issue?.message}`);
+  }
+  return result.data;
+};
+
+/** Throws a Failure with `malformed_message` if a class names a service that is missing. */
+export const checkServiceNames = ({ services, classes }: Configuration): void => {
+  const isMissing = (service: string) => !Object.hasOwn(services, service);
+  Object.values(classes).forEach(({ name: className, service, split }) => {
+    if (isMissing(service) || split?.some((part) => isMissing(part.service))) {
+      throw new Failure('malformed_message', `class ${className} names a service that is missing`);
+    }
+  });
+};
--- a/src/core/operators/policyDerivation.ts
+++ b/src/core/operators/policyDerivation.ts
@@ -67,6 +67,7 @@
 export const derivePolicy = (
   trafficClass: TrafficClass,
   siblings: readonly TrafficClass[] = [trafficClass],
+  importanceOfAll = totalImportance(siblings),
 ): Policy => {
   const { name, service, split, importance, atMostOnce, idempotent, maxAttempts } = trafficClass;
   const hedgeMs = hedgeAfterMs(trafficClass);
@@ -80,7 +81,7 @@
     retryShare,
     priority: importance,
     maxWaitMs: maxWaitMs(trafficClass),
-    slotShare: importance / totalImportance(siblings),
+    slotShare: importance / importanceOfAll,
     ...(hedgeMs !== undefined && { hedgeAfterMs: hedgeMs }),
     atMostOnce,
     idempotent,
@@ -97,17 +98,15 @@
 /** Derives the policies of all classes, by class name. */
 export const derivePolicies = ({ classes }: Configuration): Map<string, Policy> => {
   const all = Object.values(classes);
-  // Grouped once: with hundreds of classes a search for each class's siblings is quadratic.
-  const byService = new Map<string, TrafficClass[]>();
-  all.forEach((trafficClass) => {
-    const siblings = byService.get(trafficClass.service) ?? [];
-    siblings.push(trafficClass);
-    byService.set(trafficClass.service, siblings);
+  // Summed up once: with hundreds of classes a sum over each class's siblings is quadratic.
+  const totals = new Map<string, number>();
+  all.forEach(({ service, importance }) => {
+    totals.set(service, (totals.get(service) ?? 0) + importance);
   });
   return new Map(
     all.map((trafficClass) => [
       trafficClass.name,
-      derivePolicy(trafficClass, byService.get(trafficClass.service)),
+      derivePolicy(trafficClass, [], totals.get(trafficClass.service)),
     ]),
   );
 };
--- a/src/core/operators/services.ts
+++ b/src/core/operators/services.ts
@@ -9,9 +9,18 @@
 export const servicesOf = ({ service, split }: Work): readonly string[] =>
   split === undefined ? [service] : [...new Set(split.map((part) => part.service))];
 
+const routed = new WeakMap<Configuration, ReadonlySet<string>>();
+
 /** All services that a configuration routes calls to. */
-export const routedServices = ({ classes }: Configuration): Set<string> =>
-  new Set(Object.values(classes).flatMap(servicesOf));
+export const routedServices = (configuration: Configuration): ReadonlySet<string> => {
+  const known = routed.get(configuration);
+  if (known) {
+    return known;
+  }
+  const services = new Set(Object.values(configuration.classes).flatMap(servicesOf));
+  routed.set(configuration, services);
+  return services;
+};
 
 /** Picks a service in proportion to the weights; `position` is a number in [0, 1). */
 export const pickService = ({ service, split }: Work, position: number): string => {
--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -29,6 +29,8 @@
   readonly judgeHead: (status: number, headers: readonly string[]) => string | undefined;
   /** An answer may be ended by the end of its connection. */
   readonly acceptsUnframed: boolean;
+  /** True while a reset of the connection is being handled, see `UpstreamPool`. */
+  readonly isResetting?: () => boolean;
   readonly listener: AttemptListener;
 }
 
@@ -71,6 +73,7 @@
   let abortRequest: ((error?: Error) => void) | undefined;
   let resumeAnswer: (() => void) | undefined;
   let isSent = false;
+  let isFramed = true;
   let isOver = false;
 
   const finish = (): boolean => {
@@ -112,6 +115,7 @@
       fail('upstream_failed', 'the answer has neither content-length nor chunked encoding');
       return;
     }
+    isFramed = head.isDelimited;
     listener.onHead(head);
   };
 
@@ -133,6 +137,10 @@
     },
     onData: (chunk) => (isOver ? true : listener.onData(chunk)),
     onComplete: () => {
+      if (!isFramed && options.isResetting?.()) {
+        fail('upstream_failed', 'the connection was reset before the end of the answer');
+        return;
+      }
       if (finish()) {
         listener.onEnd();
       }
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -2,7 +2,6 @@
  * The upstream beside this node: what it announced, its slots and the pool of connections to it.
  * Only this module sends calls to it, each under a slot of the admission.
  */
-import type { Pool } from 'undici';
 import {
   createAdmission,
   type Admission,
@@ -21,7 +20,7 @@
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AnswerVerdict, UpstreamInterface } from '../../types/callInterface.js';
 import { startExchange } from './exchange.js';
-import { createUpstreamPool } from './upstreamPool.js';
+import { createUpstreamPool, type UpstreamPool } from './upstreamPool.js';
 
 /** Part of the slots below which an endpoint works at its full speed. */
 const quietBelow = 0.5;
@@ -91,7 +90,7 @@
 /** Creates the access of a node to the upstream beside it. */
 export const createLocalUpstream = (timer: Timer, upstreams: UpstreamInterface): LocalUpstream => {
   let description: UpstreamDescription | undefined;
-  let pool: Pool | undefined;
+  let upstreamPool: UpstreamPool | undefined;
   let admission: Admission | undefined;
   let isLeaving = false;
   let isDrained = false;
@@ -176,7 +175,8 @@
       admittedAt = now;
       const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
       exchange = startExchange({
-        dispatcher: pool!,
+        dispatcher: upstreamPool!.pool,
+        isResetting: upstreamPool!.isResetting,
         timer,
         method: request.method,
         path: request.path,
@@ -206,7 +206,7 @@
     };
 
     const isForOther = request.service !== '' && request.service !== description?.service;
-    if (!admission || !pool || isDrained || isForOther) {
+    if (!admission || !upstreamPool || isDrained || isForOther) {
       isOver = true;
       listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream'));
     } else {
@@ -239,8 +239,8 @@
   };
 
   const replacePool = (address: string, connections: number) => {
-    pool?.close().catch(() => undefined);
-    pool = createUpstreamPool(address, connections);
+    upstreamPool?.pool.close().catch(() => undefined);
+    upstreamPool = createUpstreamPool(address, connections);
   };
 
   const isOtherProcess = (next: UpstreamDescription): boolean =>
@@ -301,7 +301,7 @@
       send,
       stop: async () => {
         cancelTick?.();
-        await pool?.destroy();
+        await upstreamPool?.pool.destroy();
       },
     },
     queries: {
--- a/src/plugins/calls/upstreamPool.ts
+++ b/src/plugins/calls/upstreamPool.ts
@@ -3,7 +3,8 @@
  * in all of them. Connections to nodes are few and end after a short idle time, since a node that
  * is cut off leaves them silent.
  */
-import { Pool } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Pool } from 'undici';
 
 const connectTimeoutMs = 1_000;
 const upstreamIdleMs = 4_000;
@@ -18,19 +19,50 @@
 /** A node that is only slow must not have its connections replaced at each timeout. */
 const minRenewalMs = 1_000;
 
-const createPool = (address: string, connections: number, idleMs: number, maxHeadBytes: number) =>
-  new Pool(`http://${address}`, {
-    connections,
-    pipelining: 1,
-    connect: { timeout: connectTimeoutMs },
-    keepAliveTimeout: idleMs,
-    keepAliveMaxTimeout: idleMs,
-    maxHeaderSize: maxHeadBytes,
-  });
+const poolOptions = (connections: number, idleMs: number, maxHeadBytes: number): Pool.Options => ({
+  connections,
+  pipelining: 1,
+  connect: { timeout: connectTimeoutMs },
+  keepAliveTimeout: idleMs,
+  keepAliveMaxTimeout: idleMs,
+  maxHeaderSize: maxHeadBytes,
+});
+
+export interface UpstreamPool {
+  readonly pool: Pool;
+  /**
+   * True while a reset of a connection is being handled. undici takes a reset for the end of an
+   * answer that has no length, but what came before it may be only a part.
+   */
+  isResetting(): boolean;
+}
 
 /** Creates the pool to the upstream beside the node. */
-export const createUpstreamPool = (address: string, connections: number): Pool =>
-  createPool(address, connections, upstreamIdleMs, maxUpstreamHeadBytes);
+export const createUpstreamPool = (address: string, connections: number): UpstreamPool => {
+  let resetting = false;
+  const connect = buildConnector({ timeout: connectTimeoutMs });
+  const watch = (socket: Socket) => {
+    // The first listener of the error runs before undici's own.
+    socket.prependListener('error', () => {
+      resetting = true;
+      process.nextTick(() => {
+        resetting = false;
+      });
+    });
+  };
+  const pool = new Pool(`http://${address}`, {
+    ...poolOptions(connections, upstreamIdleMs, maxUpstreamHeadBytes),
+    connect: (options, callback) =>
+      connect(options, (...results) => {
+        const [, socket] = results;
+        if (socket) {
+          watch(socket);
+        }
+        callback(...results);
+      }),
+  });
+  return { pool, isResetting: () => resetting };
+};
 
 export interface NodePools {
   /** Pool to the forward address of a node. */
@@ -52,7 +84,10 @@
       known.usedAt = now;
       return known.pool;
     }
-    const pool = createPool(forwardAddress, nodeConnections, nodeIdleMs, maxNodeHeadBytes);
+    const pool = new Pool(
+      `http://${forwardAddress}`,
+      poolOptions(nodeConnections, nodeIdleMs, maxNodeHeadBytes),
+    );
     pools.set(forwardAddress, { pool, createdAt: now, usedAt: now });
     return pool;
   };
--- a/src/plugins/distribution/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -31,7 +31,9 @@
 const reportPeriodMs = 3_000;
 /** Changes that arrive within this time go into one report. */
 const reportBatchMs = 100;
-const probeTimeoutMs = 2_000;
+const probeTimeoutMs = 1_000;
+/** A parent that is there greets a child within this time, also while it is busy. */
+const greetingMs = 1_000;
 
 /** How a subscription ended. */
 export type LinkOutcome =
@@ -46,6 +48,8 @@
       readonly attached: boolean;
       /** Nothing listens at the address. */
       readonly isRefused: boolean;
+      /** Nothing was heard from the parent for too long. */
+      readonly isSilent: boolean;
     };
 
 export interface LinkHandlers {
@@ -104,6 +108,7 @@
   let endReason = '';
   let redirect: LinkOutcome | undefined;
   let isRefused = false;
+  let isSilent = false;
   let reporting = false;
   let reportDue = false;
   let batch: (() => void) | undefined;
@@ -192,7 +197,9 @@
   const run = async (): Promise<LinkOutcome> => {
     heardAt = timer.now();
     const cancelSilence = timer.every(heartbeatMs / 2, () => {
-      if (timer.now() - heardAt > silenceMs) {
+      const limitMs = subscriptionId === '' ? greetingMs : silenceMs;
+      if (timer.now() - heardAt > limitMs) {
+        isSilent = true;
         end('silent');
       }
     });
@@ -216,6 +223,7 @@
         reason: endReason,
         attached: subscriptionId !== '',
         isRefused,
+        isSilent,
       }
     );
   };
--- a/src/plugins/distribution/feedServer.ts
+++ b/src/plugins/distribution/feedServer.ts
@@ -47,7 +47,8 @@
   writeVersion,
 } from './feedMessages.js';
 
-export const heartbeatMs = 1_000;
+/** Three missed ones count as silence: a node has to hear of a change within 2 s, also after it. */
+export const heartbeatMs = 500;
 const maxServices = 1_024;
 /** Peers that a child is told, to attach to when this parent is lost. */
 const toldPeers = 8;
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -173,6 +173,9 @@
     if (outcome.isRefused) {
       choice.commands.refused();
     }
+    if (outcome.isSilent) {
+      choice.commands.silent(address, timer.now());
+    }
     if (outcome.attached) {
       log.info('parent lost', { address, reason: outcome.reason });
       metrics?.parentLost(outcome.reason);
