Leave a parent that is behind, catch up without reading every change, confirm what ran before a node

Changes are now applied by the numbers that their entry names, and a configuration is built when it is first used. The first report of an upstream that is older than the process now waits for a second one. - The bounds of the test of a parent that is cut off are tightened from 10 s and 3 s to 1.5 s and 1 s: the users' bound for a change is 2 s.

--- a/__tests__/feedCore.test.ts
+++ b/__tests__/feedCore.test.ts
@@ -5,10 +5,10 @@
 import { createChildAdmission, maxChildren } from '../src/core/distribution/childAdmission.js';
 import { applyChange, changeSince, digestEndpoints } from '../src/core/distribution/clusterLog.js';
 import { createFloors, floorLifeMs } from '../src/core/distribution/floors.js';
-import { confirmationLeaseMs, createFreshness } from '../src/core/distribution/freshness.js';
+import { createFreshness } from '../src/core/distribution/freshness.js';
 import { createNodeClusters } from '../src/core/distribution/nodeClusters.js';
 import { createParentChoice, maxBackoffMs } from '../src/core/distribution/parentChoice.js';
-import { createParentHealth } from '../src/core/distribution/parentHealth.js';
+import { createParentHealth, staleParentMs } from '../src/core/distribution/parentHealth.js';
 import { createRegistry, massHoldMs, settleMs } from '../src/core/distribution/registry.js';
 import { maxLaggards, mergeReports } from '../src/core/distribution/reports.js';
 import { createSubtree } from '../src/core/distribution/subtree.js';
@@ -167,14 +167,14 @@
     const health = createParentHealth('self', 'dc-a');
     health.commands.judge({ ...beat, headVersion: at(1) }, at(1), 0);
     assert.equal(health.queries.searchReason(0), undefined);
-    const old = { ...beat, headVersion: at(1), confirmedAgeMs: confirmationLeaseMs + 1 };
+    const old = { ...beat, headVersion: at(1), confirmedAgeMs: staleParentMs + 1 };
     health.commands.judge(old, at(1), 0);
     assert.equal(health.queries.searchReason(0), 'detached');
     health.commands.judge({ ...beat, headVersion: at(1), rootDataCentre: 'dc-b' }, at(1), 0);
     assert.equal(health.queries.searchReason(0), 'foreign');
     health.commands.judge({ ...beat, headVersion: at(1), rootDataCentre: '' }, at(1), 0);
-    assert.equal(health.queries.searchReason(2_999), undefined);
-    assert.equal(health.queries.searchReason(3_000), 'detached');
+    assert.equal(health.queries.searchReason(999), undefined);
+    assert.equal(health.queries.searchReason(1_000), 'detached');
   });
 });
 
--- a/__tests__/support/feedFleet.ts
+++ b/__tests__/support/feedFleet.ts
@@ -95,6 +95,7 @@
   return {
     head: () => head,
     at: (version) => kept.get(formatVersion(version)),
+    isCurrent: () => true,
     confirmedAgeMs: () => ageMs,
     onChange: (listener) => {
       listeners.add(listener);
--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -103,6 +103,15 @@
     assert.equal(outcome?.end, 'upstream_failed may_have_run');
   });
 
+  it('without a length are broken also if the reset comes together with the last data', async () => {
+    for (let round = 0; round < 20; round += 1) {
+      const [outcome] = await sendTo((socket) => {
+        socket.write(`${head('r1')}a part`, () => socket.resetAndDestroy());
+      });
+      assert.equal(outcome?.end, 'upstream_failed may_have_run', `round ${round}`);
+    }
+  });
+
   it('that break off before their length are broken', async () => {
     const [outcome] = await sendTo((socket) =>
       socket.end(`${head('r1', 'Content-Length: 9')}part`),
--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -22,8 +22,8 @@
   ...fields,
 });
 
-const createFixture = () => {
-  const timer = createManualTimer();
+const createFixture = (startMs = 0) => {
+  const timer = createManualTimer(startMs);
   const announced: Endpoint[] = [];
   const withdrawn: string[] = [];
   const upstream = createLocalUpstream(timer, ownCallInterface.upstreams);
@@ -82,6 +82,21 @@
     assert.deepEqual(withdrawn, ['e-1']);
   });
 
+  it('waits for a second report of an upstream that ran before this process did', () => {
+    const { announcement, upstream } = createFixture(50_000);
+    announcement.take(report({ sequence: 7 }));
+    assert.equal(upstream.queries.hasFreeSlot('s'), false, 'it may have left meanwhile');
+    announcement.take(report({ sequence: 6 }));
+    assert.equal(upstream.queries.hasFreeSlot('s'), false, 'another late one');
+    announcement.take(report({ sequence: 8 }));
+    assert.equal(upstream.queries.hasFreeSlot('s'), true);
+    const other = createFixture(50_000);
+    other.announcement.take(report({ sequence: 7 }));
+    other.announcement.take(report({ sequence: 9, state: 'leaving' }));
+    other.announcement.take(report({ sequence: 8 }));
+    assert.equal(other.upstream.queries.hasFreeSlot('s'), false);
+  });
+
   it('withdraws an endpoint that stops reporting', () => {
     const { announcement, timer, withdrawn } = createFixture();
     announcement.take(report());
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -6,8 +6,10 @@
 import {
   createAcceptance,
   type AppliedChange,
+  type Document,
   type DocumentReader,
 } from '../core/agreement/acceptance.js';
+import { staleParentMs } from '../core/distribution/parentHealth.js';
 import { createLedger, type LedgerResult } from '../core/agreement/ledger.js';
 import { createAccess } from '../plugins/operators/access.js';
 import { createAdminServer, type CheckState } from '../plugins/operators/adminServer.js';
@@ -96,6 +98,17 @@
 
 type GroupName = keyof Groups;
 
+/** The leader reads a document when it arrives and again when it is in force. */
+const rememberNewest = (readDocument: DocumentReader): DocumentReader => {
+  let newest: { readonly text: string; readonly document: Document } | undefined;
+  return (text) => {
+    if (newest?.text !== text) {
+      newest = { text, document: readDocument(text) };
+    }
+    return newest.document;
+  };
+};
+
 /** Starts a control instance and resolves once it listens. */
 export const startControlInstance = async ({
   settings,
@@ -114,7 +127,8 @@
   const metrics = createMetrics();
   const controlMetrics = createControlMetrics(metrics);
   const access = createAccess({ clusterToken: cluster.token, operators: cluster.operators });
-  const acceptance = createAcceptance({ readDocument: adapter?.readDocument });
+  const readDocument = adapter && rememberNewest(adapter.readDocument);
+  const acceptance = createAcceptance({ readDocument });
   const ledger = createLedger();
 
   const storage = await openStorage(settings.folder, {
@@ -196,6 +210,11 @@
       const ageMs = groups.configuration?.queries.confirmedAgeMs() ?? Infinity;
       return Math.min(Math.round(ageMs), Number.MAX_SAFE_INTEGER);
     },
+    isCurrent: () => {
+      const { queries } = groups.configuration ?? {};
+      const isVoter = queries?.role() === 'leader' || queries?.role() === 'follower';
+      return isVoter && (queries?.confirmedAgeMs() ?? Infinity) <= staleParentMs;
+    },
     onChange: (listener) => {
       headListeners.add(listener);
       return () => headListeners.delete(listener);
@@ -386,7 +405,7 @@
     feed.start();
     extension = adapter?.start({
       documents: createDocumentChanges({
-        readDocument: adapter.readDocument,
+        readDocument: readDocument!,
         group: started.configuration,
         acceptance,
         // A change that one disk alone holds is lost with it.
--- a/src/core/agreement/acceptance.ts
+++ b/src/core/agreement/acceptance.ts
@@ -43,6 +43,9 @@
 export interface DocumentChange {
   readonly changeId: string;
   readonly text: string;
+  /** Numbers that the text names, so that applying the change does not have to read all of it. */
+  readonly number: number;
+  readonly baseNumber: number;
   /** Time of day at the leader, in ms. */
   readonly proposedAtMs: number;
 }
@@ -103,6 +106,7 @@
   readonly acceptedAtMs: number;
   /** Number of the newest document that is part of it; 0 if none is. */
   readonly documentNumber: number;
+  readonly drains: Configuration['drains'];
 }
 
 export interface Acceptance {
@@ -116,7 +120,7 @@
     /** What the change would lead to now, without an entry. */
     judge(change: Change): AppliedChange | undefined;
     /** The same for a document that was read. */
-    judgeDocument(change: DocumentChange, document: Document): AppliedChange | undefined;
+    judgeDocument(change: DocumentChange): AppliedChange | undefined;
   };
 }
 
@@ -136,7 +140,8 @@
 interface Snapshot {
   readonly records: readonly ChangeRecord[];
   readonly configurations: readonly (Omit<StoredConfiguration, 'digest' | 'configuration'> & {
-    configuration: string;
+    /** Unset for a document, whose text is the whole of it. */
+    readonly configuration?: string;
   })[];
 }
 
@@ -222,6 +227,24 @@
   throw new Failure('malformed_message', 'documents are not read here');
 };
 
+type StoredFields = Omit<StoredConfiguration, 'configuration' | 'digest'>;
+
+/**
+ * A configuration that is built when it is first asked for: a replica that catches up applies
+ * hundreds of changes, and only the newest one is used.
+ */
+const storeLazily = (fields: StoredFields, load: () => Configuration): StoredConfiguration => {
+  let configuration: Configuration | undefined;
+  const get = (): Configuration => {
+    configuration ??= load();
+    return configuration;
+  };
+  return Object.defineProperties({ ...fields } as StoredConfiguration, {
+    configuration: { get },
+    digest: { get: () => digestConfiguration(get()) },
+  });
+};
+
 /** Newest configurations, as many as the bounds on their number and size allow. */
 const boundKept = (configurations: readonly StoredConfiguration[]): StoredConfiguration[] => {
   let bytes = 0;
@@ -272,66 +295,54 @@
     }
   };
 
+  const push = (fields: StoredFields, load: () => Configuration): ChangeResult => {
+    configurations = boundKept([...configurations, storeLazily(fields, load)]);
+    return { outcome: 'accepted', version: fields.version };
+  };
+
   const accept = (
     {
       configuration,
       targets,
-      proposedAtMs,
+      proposedAtMs: acceptedAtMs,
     }: Pick<Command, 'configuration' | 'targets' | 'proposedAtMs'>,
     version: Version,
-    documentNumber = head()?.documentNumber ?? 0,
   ): ChangeResult => {
-    const digest = digestConfiguration(configuration);
     const current = head();
-    const isSameDocument = current?.documentNumber === documentNumber;
-    if (
-      current &&
-      isSameDocument &&
-      Buffer.compare(current.digest, digest) === 0 &&
-      current.targets === targets
-    ) {
+    const digest = digestConfiguration(configuration);
+    if (current && Buffer.compare(current.digest, digest) === 0 && current.targets === targets) {
       return { outcome: 'unchanged', version: current.version };
     }
-    const acceptedAtMs = proposedAtMs;
-    configurations = boundKept([
-      ...configurations,
-      { version, configuration, digest, targets, acceptedAtMs, documentNumber },
-    ]);
-    return { outcome: 'accepted', version };
+    const { documentNumber = 0 } = current ?? {};
+    const { drains } = configuration;
+    return push({ version, targets, acceptedAtMs, documentNumber, drains }, () => configuration);
   };
 
   const decideTargets = (command: Command, version: Version): ChangeResult => {
-    const { drains } = head()?.configuration ?? {};
+    const { drains } = head() ?? {};
     const configuration = { ...command.configuration, drains };
     return conflictOf(command) ?? accept({ ...command, configuration }, version);
   };
 
-  const documentConflictOf = ({ number, baseNumber }: Document): ChangeResult | undefined => {
+  const documentConflictOf = (change: DocumentChange): ChangeResult | undefined => {
+    const { number, baseNumber } = change;
     const current = head()?.documentNumber ?? 0;
     return baseNumber === current && number > current
       ? undefined
       : { outcome: 'refused', reason: 'version_conflict', version: headVersion() };
   };
 
+  /** The leader has read the document before it proposed it, so that it can be read later. */
+  const loadDocument = (text: string, drains: Configuration['drains']) => () => ({
+    ...readDocument(text).configuration,
+    ...(drains && { drains }),
+  });
+
   const decideDocument = (change: DocumentChange, version: Version): ChangeResult => {
-    let document: Document;
-    try {
-      document = readDocument(change.text);
-    } catch (error) {
-      // The leader reads a document before it proposes it: only another version of this program
-      // can differ.
-      if (!(error instanceof Failure)) {
-        throw error;
-      }
-      return { outcome: 'refused', reason: 'malformed_message', version: headVersion() };
-    }
-    const { drains } = head()?.configuration ?? {};
-    const configuration = { ...document.configuration, drains };
-    const { text: targets, proposedAtMs } = change;
-    return (
-      documentConflictOf(document) ??
-      accept({ configuration, targets, proposedAtMs }, version, document.number)
-    );
+    const { text: targets, proposedAtMs: acceptedAtMs, number: documentNumber } = change;
+    const { drains } = head() ?? {};
+    const fields = { version, targets, acceptedAtMs, documentNumber, drains };
+    return documentConflictOf(change) ?? push(fields, loadDocument(targets, drains));
   };
 
   const decideDrain = (drain: DrainChange, version: Version): ChangeResult => {
@@ -387,10 +398,13 @@
   const snapshot = (): Uint8Array => {
     const content: Snapshot = {
       records: [...records.values()],
-      configurations: configurations.map(({ digest: _digest, configuration, ...stored }) => ({
-        ...stored,
-        configuration: decodeText(encodeConfiguration(configuration)),
-      })),
+      configurations: configurations.map((stored) => {
+        const { version, targets, acceptedAtMs, documentNumber, drains } = stored;
+        const fields = { version, targets, acceptedAtMs, documentNumber, drains };
+        return documentNumber > 0
+          ? fields
+          : { ...fields, configuration: decodeText(encodeConfiguration(stored.configuration)) };
+      }),
     };
     return encodeText(JSON.stringify(content));
   };
@@ -401,11 +415,14 @@
         ? { records: [], configurations: [] }
         : (JSON.parse(decodeText(data)) as Snapshot);
     records = new Map(content.records.map((record) => [record.changeId, record]));
-    configurations = content.configurations.map((stored) => {
-      const configuration = decodeConfiguration(encodeText(stored.configuration));
-      const { documentNumber = 0 } = stored;
-      const digest = digestConfiguration(configuration);
-      return { ...stored, documentNumber, configuration, digest };
+    configurations = content.configurations.map(({ configuration: text, ...stored }) => {
+      const { documentNumber = 0, drains } = stored;
+      return storeLazily(
+        { ...stored, documentNumber },
+        text === undefined
+          ? loadDocument(stored.targets, drains)
+          : () => decodeConfiguration(encodeText(text)),
+      );
     });
   };
 
@@ -422,9 +439,9 @@
         const conflict = conflictOf(change);
         return replay ?? (conflict && { result: conflict, replayed: false });
       },
-      judgeDocument: (change, document) => {
+      judgeDocument: (change) => {
         const replay = replayOf(decidedDocument(change));
-        const conflict = documentConflictOf(document);
+        const conflict = documentConflictOf(change);
         return replay ?? (conflict && { result: conflict, replayed: false });
       },
     },
--- a/src/core/distribution/parentHealth.ts
+++ b/src/core/distribution/parentHealth.ts
@@ -5,14 +5,18 @@
  */
 import type { Version } from '../../types/public.js';
 import { maxPathLength } from './childAdmission.js';
-import { confirmationLeaseMs } from './freshness.js';
 import { isNewer } from '../agreement/version.js';
 
 /** A parent that is behind is left after this time; doubled each time, up to the maximum. */
 const minLagMs = 3_000;
 const maxLagMs = 60_000;
 /** How long a parent without a control instance above it is tolerated before others are probed. */
-const unrootedMs = 3_000;
+const unrootedMs = 1_000;
+/**
+ * Age of the last confirmation above which a better parent is looked for: three times the period in
+ * which a leader asks its quorum, and enough time left to hear of a change within 2 s.
+ */
+export const staleParentMs = 1_500;
 
 /** What a parent says in a heartbeat. */
 export interface ParentBeat {
@@ -85,7 +89,7 @@
           return undefined;
         }
         const isUnrooted = unrootedSince !== undefined && now - unrootedSince >= unrootedMs;
-        if (isUnrooted || lastBeat.confirmedAgeMs > confirmationLeaseMs) {
+        if (isUnrooted || lastBeat.confirmedAgeMs > staleParentMs) {
           return 'detached';
         }
         const isForeign = lastBeat.rootDataCentre !== '' && lastBeat.rootDataCentre !== dataCentre;
--- a/src/plugins/agreement/joining.ts
+++ b/src/plugins/agreement/joining.ts
@@ -59,6 +59,7 @@
   const { self, incarnation, group, timer, log } = options;
   let told: readonly string[] = [];
   let isAsking = false;
+  let wasTaken = false;
 
   const isSettled = (): boolean => {
     const { members, confirmedAgeMs, role } = group.queries;
@@ -86,9 +87,11 @@
     );
     const given = answers.filter((answer) => answer !== undefined);
     told = [...new Set(given.flatMap(({ addresses }) => addresses))];
-    if (given.some(({ outcome }) => outcome === 'member')) {
-      log.info('joined the cluster', { group: self.group });
+    const isTaken = given.some(({ outcome }) => outcome === 'member');
+    if (isTaken && !wasTaken) {
+      log.info('taken into the cluster', { group: self.group });
     }
+    wasTaken = isTaken;
   };
 
   return timer.every(joinPeriodMs, () => {
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -25,6 +25,10 @@
 /** Longest time for which the answer to `leaving` waits for calls in flight, in ms. */
 const leaveLimitMs = 30_000;
 const leaveCheckMs = 20;
+/** An upstream that started together with this process is no older one, in ms. */
+const olderMarginMs = 1_000;
+/** Reports are late by seconds at most; after this time one of them is enough, in ms. */
+const lateReportsMs = 10_000;
 /** Ended upstreams that are remembered; one at a time has its place beside a node. */
 const maxDeparted = 64;
 const maxSlots = 10_000;
@@ -127,10 +131,13 @@
   const { node, announcer, upstream, timer, log } = options;
   const { renewWithinMs = defaultRenewWithinMs } = options;
   const incarnation = timer.wallClock();
+  const beganAt = timer.now();
   let sequence = 0;
   let announced: string | undefined;
   let announcedId = node.name;
   let newest: UpstreamReport | undefined;
+  /** Report of an upstream that was there before this process; see `isConfirmed`. */
+  let unconfirmed: UpstreamReport | undefined;
   /** Start of the last process of an upstream that ended, by the id of the upstream. */
   const departed = new Map<string, number>();
   let renewedAt = 0;
@@ -174,6 +181,22 @@
     return startedAt < newestStart || (startedAt === newestStart && number < newestNumber);
   };
 
+  /**
+   * An upstream that ran before this process may have left meanwhile, with one of its earlier
+   * reports still on the way. It is believed once a later report says the same.
+   */
+  const isConfirmed = (report: UpstreamReport): boolean => {
+    const { startedAt, sequence: number = 0 } = report;
+    const isOlder = startedAt !== undefined && startedAt < incarnation - olderMarginMs;
+    if (newest !== undefined || !isOlder || timer.now() - beganAt > lateReportsMs) {
+      return true;
+    }
+    const isRepeated =
+      unconfirmed?.startedAt === startedAt && number > (unconfirmed?.sequence ?? 0);
+    unconfirmed = report;
+    return isRepeated;
+  };
+
   const resumeIfLeft = (report: UpstreamReport) => {
     const isSameProcess = report.startedAt === upstream.queries.description()?.startedAt;
     if (upstream.queries.isLeaving() && isSameProcess) {
@@ -237,6 +260,9 @@
       });
       return false;
     }
+    if (report.state === 'ready' && !isConfirmed(report)) {
+      return true;
+    }
     handlers[report.state](report);
     newest = report;
     return true;
--- a/src/plugins/calls/upstreamPool.ts
+++ b/src/plugins/calls/upstreamPool.ts
@@ -41,13 +41,21 @@
 export const createUpstreamPool = (address: string, connections: number): UpstreamPool => {
   let resetting = false;
   const connect = buildConnector({ timeout: connectTimeoutMs });
+  const noteReset = () => {
+    resetting = true;
+    process.nextTick(() => {
+      resetting = false;
+    });
+  };
   const watch = (socket: Socket) => {
-    // The first listener of the error runs before undici's own.
-    socket.prependListener('error', () => {
-      resetting = true;
-      process.nextTick(() => {
-        resetting = false;
-      });
+    // Listeners that are prepended run before undici's own.
+    socket.prependListener('error', noteReset);
+    socket.prependListener('end', () => {
+      // libuv reports a reset that follows data at once as an end. Only a connection that was reset
+      // has no peer any more; the address is asked for here first, since Node.js keeps it.
+      if (socket.remoteAddress === undefined) {
+        noteReset();
+      }
     });
   };
   const pool = new Pool(`http://${address}`, {
--- a/src/plugins/distribution/controlFeed.ts
+++ b/src/plugins/distribution/controlFeed.ts
@@ -165,7 +165,8 @@
     store,
     floors: subtree.floors,
     path: () => [control.name],
-    rootDataCentre: () => control.dataCentre,
+    // An instance that is behind is no root: its children would be behind with it.
+    rootDataCentre: () => (source.isCurrent() ? control.dataCentre : ''),
     controls: () => cluster.members(),
     confirmedAgeMs: () => source.confirmedAgeMs(),
     log: registry.queries.log,
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -4,10 +4,10 @@
  * cut off from the source.
  */
 import type { Version } from '../../types/public.js';
-import { confirmationLeaseMs } from '../../core/distribution/freshness.js';
 import type { ParentChoice } from '../../core/distribution/parentChoice.js';
 import {
   createParentHealth,
+  staleParentMs,
   type ParentBeat,
   type ParentHealth,
 } from '../../core/distribution/parentHealth.js';
@@ -22,13 +22,17 @@
 const noParentWaitMs = 1_000;
 /** An attachment that lasted this long starts the reconnect delays anew. */
 const settledMs = 5_000;
-/** Mean time between searches for a better parent. */
+/** Mean time between searches for a control instance of the own data centre. */
 const searchPeriodMs = 3_000;
+/** Mean time before the first search while the parent is cut off; it doubles with each search. */
+const detachedSearchMs = 200;
+const maxDetachedSearchMs = 3_000;
 /** Searches that a node at path length 1 makes for each one that a node further down makes. */
 const maxSearchFactor = 4;
 /** A node on the feed of another data centre asks its own control instance this much less often. */
 const foreignSearchFactor = 4;
 const maxProbes = 3;
+const searchCheckMs = 250;
 
 export interface ParentLoopOptions {
   readonly name: string;
@@ -68,6 +72,8 @@
   let running: Promise<void> = Promise.resolve();
   let searching = false;
   let nextSearchAt = 0;
+  /** Searches since the parent was last found to be good. */
+  let searches = 0;
 
   const path = (): readonly string[] => [...(health.queries.beat()?.path ?? []), name];
   const rootDataCentre = (): string => health.queries.beat()?.rootDataCentre ?? '';
@@ -100,7 +106,7 @@
     if (isNewer(options.newest(), head)) {
       return false;
     }
-    const isFresh = ageMs <= confirmationLeaseMs && heartbeat.rootDataCentre !== '';
+    const isFresh = ageMs <= staleParentMs && heartbeat.rootDataCentre !== '';
     return health.queries.searchReason(timer.now()) === 'foreign'
       ? isFresh && heartbeat.rootDataCentre === dataCentre
       : isFresh || isNewer(head, options.newest());
@@ -140,16 +146,22 @@
 
   // A node further down searches less often, since a node above it usually solves it for both.
   const searchDelayMs = (): number => {
-    const factor =
-      health.queries.searchReason(timer.now()) === 'foreign'
-        ? foreignSearchFactor
-        : Math.min(maxSearchFactor, Math.max(1, path().length - 1));
-    return searchPeriodMs * factor * (0.5 + random());
+    if (health.queries.searchReason(timer.now()) === 'foreign') {
+      return searchPeriodMs * foreignSearchFactor * (0.5 + random());
+    }
+    const factor = Math.min(maxSearchFactor, Math.max(1, path().length - 1));
+    const periodMs = Math.min(maxDetachedSearchMs, detachedSearchMs * 2 ** Math.min(searches, 10));
+    return periodMs * factor * (0.5 + random());
   };
 
   const searchIfDue = () => {
     const now = timer.now();
-    if (searching || !link || !health.queries.searchReason(now)) {
+    if (!health.queries.searchReason(now)) {
+      searches = 0;
+      nextSearchAt = 0;
+      return;
+    }
+    if (searching || !link) {
       return;
     }
     if (nextSearchAt === 0 || now < nextSearchAt) {
@@ -157,6 +169,7 @@
       return;
     }
     searching = true;
+    searches += 1;
     nextSearchAt = now + searchDelayMs();
     search()
       .catch((error: unknown) => log.warn('search for a parent failed', { error: String(error) }))
@@ -212,7 +225,7 @@
 
   return {
     start: () => {
-      cancels.push(timer.every(500, searchIfDue));
+      cancels.push(timer.every(searchCheckMs, searchIfDue));
       running = loop();
     },
     stop: async () => {
--- a/src/plugins/operators/documentChanges.ts
+++ b/src/plugins/operators/documentChanges.ts
@@ -102,8 +102,8 @@
     return applied ? outcomeOf(applied) : { outcome: 'unknown' };
   };
 
-  const decide = async (change: DocumentChange, document: Document): Promise<DocumentOutcome> => {
-    const judged = acceptance.queries.judgeDocument(change, document);
+  const decide = async (change: DocumentChange): Promise<DocumentOutcome> => {
+    const judged = acceptance.queries.judgeDocument(change);
     if (judged) {
       return outcomeOf(judged);
     }
@@ -127,9 +127,11 @@
     if ('outcome' in document) {
       return document;
     }
-    const change = { changeId: idOf(text), text, proposedAtMs: timer.wallClock() };
+    const { number, baseNumber } = document;
+    const proposedAtMs = timer.wallClock();
+    const change = { changeId: idOf(text), text, number, baseNumber, proposedAtMs };
     try {
-      return (await asLeader(() => decide(change, document))) ?? notHere();
+      return (await asLeader(() => decide(change))) ?? notHere();
     } catch (error) {
       if (!(error instanceof Failure)) {
         throw error;
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -88,6 +88,8 @@
   /** Configuration of an older version that is still kept, as base of a delta. */
   at(version: Version): Configuration | undefined;
   confirmedAgeMs(): number;
+  /** False while this instance is cut off from the quorum, or has not caught up with it yet. */
+  isCurrent(): boolean;
   onChange(listener: () => void): () => void;
 }
 
