Do not pause an answer that its connection ends

Such an answer is no longer paused. The test was seen to fail (the file's process ended by the same assertion).

--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -17,6 +17,7 @@
 const sendTo = async (
   script: (socket: Socket, requestNumber: number) => void,
   calls = 1,
+  takesMore = true,
 ): Promise<Outcome[]> => {
   const sockets = new Set<Socket>();
   let requests = 0;
@@ -67,7 +68,7 @@
         },
         onData: (chunk) => {
           outcome.body += chunk.toString();
-          return true;
+          return takesMore;
         },
         onEnd: () => {
           outcome.end = 'whole';
@@ -112,6 +113,18 @@
     }
   });
 
+  it('without a length do not end the process if the caller takes them slowly', async () => {
+    const [outcome] = await sendTo(
+      (socket) => {
+        socket.write(`${head('r1')}a part`);
+        setTimeout(() => socket.end('the rest'), 50);
+      },
+      1,
+      false,
+    );
+    assert.deepEqual(outcome, { status: 200, body: 'a partthe rest', end: 'whole' });
+  });
+
   it('that break off before their length are broken', async () => {
     const [outcome] = await sendTo((socket) =>
       socket.end(`${head('r1', 'Content-Length: 9')}part`),
--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -135,7 +135,11 @@
       }
       return true;
     },
-    onData: (chunk) => (isOver ? true : listener.onData(chunk)),
+    onData: (chunk) => {
+      const takesMore = isOver || listener.onData(chunk);
+      // undici 7 ends the process by an assertion if a paused answer is ended by its connection.
+      return takesMore || !isFramed;
+    },
     onComplete: () => {
       if (!isFramed && options.isResetting?.()) {
         fail('upstream_failed', 'the connection was reset before the end of the answer');
