--- /dev/null
+++ b/__tests__/documents.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  createAcceptance,
+  encodeDocument,
+  type Acceptance,
+  type DocumentReader,
+} from '../src/core/agreement/acceptance.js';
+import { Failure } from '../src/utils/failure.js';
+import { configurationOf } from './support/feedFleet.js';
+
+/** Documents of the tests: `number base class`. */
+const createReader = () => {
+  let reads = 0;
+  const readDocument: DocumentReader = (text) => {
+    reads += 1;
+    const [number, baseNumber, name] = text.split(' ');
+    if (name === undefined) {
+      throw new Failure('malformed_message', text);
+    }
+    const configuration = configurationOf([name]);
+    return { number: Number(number), baseNumber: Number(baseNumber), configuration };
+  };
+  return { readDocument, reads: () => reads };
+};
+
+const createLog = (acceptance: Acceptance, startIndex = 0) => {
+  let index = startIndex;
+  return (text: string) => {
+    index += 1;
+    const [number, baseNumber] = text.split(' ').map(Number);
+    const change = {
+      changeId: text,
+      text,
+      number: number!,
+      baseNumber: baseNumber!,
+      proposedAtMs: 0,
+    };
+    const payload = encodeDocument(change);
+    return acceptance.machine.apply({ term: 1, index, payload });
+  };
+};
+
+const outcomes = (put: (text: string) => { result: { outcome: string } }, texts: string[]) =>
+  texts.map((text) => put(text).result.outcome);
+
+describe('documents with numbers of the operators', () => {
+  it('are accepted on the number in force only, so that of two on one base one wins', () => {
+    const put = createLog(createAcceptance(createReader()));
+    assert.deepEqual(outcomes(put, ['3 0 a', '7 3 b', '7 3 c', '8 3 d', '9 7 e', '9 9 f']), [
+      'accepted',
+      'accepted',
+      'refused',
+      'refused',
+      'accepted',
+      'refused',
+    ]);
+  });
+
+  it('are acknowledged again after others were accepted, and after a snapshot', () => {
+    const reader = createReader();
+    const acceptance = createAcceptance(reader);
+    const put = createLog(acceptance);
+    outcomes(put, ['1 0 a', '2 1 b', '5 2 c']);
+    assert.deepEqual(put('2 1 b'), { ...put('2 1 b'), replayed: true });
+    const restored = createAcceptance(reader);
+    restored.machine.restore(acceptance.machine.snapshot());
+    const putAgain = createLog(restored, 100);
+    assert.deepEqual(outcomes(putAgain, ['1 0 a', '5 2 c', '4 2 x', '6 5 d']), [
+      'accepted',
+      'accepted',
+      'refused',
+      'accepted',
+    ]);
+    assert.equal(restored.queries.head()?.targets, '6 5 d');
+  });
+
+  it('that came too early are accepted once the document that they build on is there', () => {
+    const put = createLog(createAcceptance(createReader()));
+    assert.deepEqual(outcomes(put, ['4 2 b', '2 0 a', '4 2 b']), [
+      'refused',
+      'accepted',
+      'accepted',
+    ]);
+  });
+
+  it('are read only where they are used, so that a replica catches up with a day quickly', () => {
+    const reader = createReader();
+    const acceptance = createAcceptance(reader);
+    const put = createLog(acceptance);
+    for (let number = 1; number <= 200; number += 1) {
+      put(`${number} ${number - 1} c${number}`);
+    }
+    assert.equal(reader.reads(), 0);
+    assert.deepEqual(Object.keys(acceptance.queries.head()!.configuration.classes), ['class-c200']);
+    assert.equal(reader.reads(), 1);
+  });
+});
--- /dev/null
+++ b/__tests__/platformControl.process.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { rmSync } from 'node:fs';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { documentOf, startPlatform, type Platform } from './support/platform.js';
+import { waitFor } from './support/waitFor.js';
+
+const routes = [{ name: 'r-look', prefix: '/look/', service: 'alpha' }];
+const host = 'mesh.example';
+
+describe('control instances on the platform', () => {
+  let platform: Platform;
+  let version = 0;
+  let ids = 0;
+
+  const put = async (step: number, at?: string) => {
+    const next = documentOf(version + step, version, [
+      ...routes,
+      { name: 'r-new', prefix: `/v${version + step}/`, service: 'alpha' },
+    ]);
+    await waitFor(async () => (await platform.put(next, at)).status === 200, {
+      limitMs: 10_000,
+      what: `acceptance of ${version + step}`,
+    });
+    version += step;
+    return next;
+  };
+
+  /** Resolves once the instance says that it has a vote, in lines after the first `since`. */
+  const hasVote = ({ process: program, name }: Platform['controls'][number], since = 0) =>
+    waitFor(
+      () =>
+        program
+          .output()
+          .slice(since)
+          .some((line) => line.includes('"role":"follower"')),
+      { limitMs: 15_000, what: `the vote of ${name}` },
+    );
+
+  const isInForce = async () => {
+    ids += 1;
+    const path = `/v${version}/`;
+    const [machine] = platform.nodes;
+    return (await platform.call(machine!, { path, host, id: `c-${ids}` })).status === 200;
+  };
+
+  const readAt = async (ip: string) => {
+    const answer = await platform.get(ip);
+    return answer.status === 200 ? JSON.parse(answer.body).version : answer.status;
+  };
+
+  before(async () => {
+    platform = await startPlatform({
+      dataCentres: [
+        { name: 'a', services: ['alpha'] },
+        { name: 'b', services: [] },
+        { name: 'c', services: [] },
+      ],
+    });
+    await put(1);
+    await platform.allReady();
+  });
+  after(() => platform.stop());
+
+  it('serve reads and changes at each of them', async () => {
+    for (const { ip } of platform.controls) {
+      await put(2, ip);
+      assert.equal(await readAt(ip), version);
+    }
+    await waitFor(isInForce, { limitMs: 2_000 });
+  });
+
+  it('take one with an empty disk at its old address back as a voter, without an operator', async () => {
+    const machine = platform.controls[1]!;
+    await machine.process.end('SIGKILL');
+    rmSync(join(platform.folder, `${machine.name}.data`), { recursive: true });
+    platform.writeControlSettings(machine, false);
+    const since = machine.process.output().length;
+    machine.process.start();
+    await put(1, platform.controls[2]!.ip);
+    // With the third one gone, changes need the vote of the one that was emptied.
+    await hasVote(machine, since);
+    await platform.controls[2]!.process.end('SIGKILL');
+    await put(1);
+    platform.writeControlSettings(platform.controls[2]!, false);
+    platform.controls[2]!.process.start();
+    await waitFor(isInForce, { limitMs: 5_000 });
+  });
+
+  it('replace one that is lost for good by one at an address that nobody was told of', async () => {
+    const lost = platform.controls[0]!;
+    await waitFor(async () => (await readAt(platform.controls[2]!.ip)) === version);
+    const seeds = platform.seeds();
+    await lost.process.end('SIGKILL');
+    const successor = platform.addControl('a');
+    platform.writeControlSettings(successor, false, seeds);
+    successor.process.start();
+    await hasVote(successor);
+    await put(1, successor.ip);
+    // Two voters of three are enough once the lost one is removed, 3 s after it went silent.
+    await waitFor(
+      () => {
+        const changes = successor.process.output().filter((line) => line.includes('membership'));
+        return changes.at(-1)?.includes(lost.ip) === false;
+      },
+      { limitMs: 10_000, what: 'the removal of the lost instance' },
+    );
+    await platform.controls[1]!.process.end('SIGKILL');
+    await put(1, successor.ip);
+    assert.equal(await readAt(successor.ip), version);
+    await waitFor(isInForce, { limitMs: 5_000 });
+  });
+
+  it('refuse at once, changing nothing, where no quorum can be reached', async () => {
+    const [, , third, successor] = platform.controls;
+    await third!.process.end('SIGKILL');
+    await waitFor(async () => (await readAt(successor!.ip)) === 503, { limitMs: 5_000 });
+    const startedAt = performance.now();
+    const next = documentOf(version + 1, version, routes);
+    assert.equal((await platform.put(next, successor!.ip)).status, 503);
+    assert.ok(performance.now() - startedAt < 1_000);
+  });
+});
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -295,6 +295,16 @@
     }
   };
 
+  let knownMembers = '';
+  const logMembership = () => {
+    const members = groups.configuration?.queries.members() ?? [];
+    const text = members.map(({ name, kind }) => `${name} ${kind}`).join(', ');
+    if (text !== knownMembers) {
+      knownMembers = text;
+      log.info('membership', { members: text });
+    }
+  };
+
   const startGroups = async (): Promise<Groups> => {
     const storages = logs;
     const [configurationLog, ledgerLog] = await Promise.all([
@@ -309,6 +319,7 @@
     );
     groups.configuration = configuration;
     configuration.onChange(notifyHead);
+    configuration.onChange(logMembership);
     configuration.start();
     if (storages.ledger && ledgerLog) {
       groups.ledger = createGroup('ledger', ledger.machine, storages.ledger, ledgerLog);
