--- a/scripts/buildPlatform.js
+++ b/scripts/buildPlatform.js
@@ -21,6 +21,9 @@
     '--target=node20',
     '--format=esm',
     '--log-level=warning',
+    // The source stays in memory; names are kept for stack traces.
+    '--minify-whitespace',
+    '--minify-syntax',
     `--banner:js=${banner}`,
   ],
   { stdio: 'inherit' },
--- a/src/cli/connectionSettings.ts
+++ b/src/cli/connectionSettings.ts
@@ -4,7 +4,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseAddress } from '../plugins/rpc.js';
 import { FindingsError } from '../utils/findings.js';
 import { readSettings } from '../utils/settings.js';
--- a/src/cli/report/reportData.ts
+++ b/src/cli/report/reportData.ts
@@ -2,7 +2,7 @@
  * Data of the service-level burn report: the snapshots of the nodes, compared with the targets.
  */
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   burnReport,
   mergeBurn,
--- a/src/core/distribution/delta.ts
+++ b/src/core/distribution/delta.ts
@@ -3,7 +3,7 @@
  * are checked, so that a delta is applied whole or not at all.
  */
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Configuration } from '../../types/public.js';
 import { Failure } from '../../utils/failure.js';
 import {
--- a/src/core/operators/configurationCodec.ts
+++ b/src/core/operators/configurationCodec.ts
@@ -3,7 +3,7 @@
  * bytes and an equal digest on every process.
  */
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Configuration } from '../../types/public.js';
 import { Failure } from '../../utils/failure.js';
 import { namePattern } from './targets.js';
--- a/src/core/operators/targets.ts
+++ b/src/core/operators/targets.ts
@@ -2,7 +2,7 @@
  * Targets as operators write them: TOML to a configuration. All problems are collected with their
  * place and reported together.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   CallerLimits,
   Configuration,
--- a/src/platform/checkIns.ts
+++ b/src/platform/checkIns.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import polka, { type PolkaRequest } from 'polka';
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   UpstreamAnnouncement,
   UpstreamReport,
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -3,7 +3,7 @@
  * document's own bytes are what is stored and read back.
  */
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Document } from '../core/agreement/acceptance.js';
 import { formatFinding } from '../utils/findings.js';
 import { checkValue } from '../utils/settings.js';
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { isIPv4 } from 'node:net';
 import type { Polka, PolkaRequest } from 'polka';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Announcer } from '../../types/internal.js';
 import type { Endpoint } from '../../types/public.js';
 import { Failure } from '../../utils/failure.js';
--- a/src/plugins/operators/controlSettings.ts
+++ b/src/plugins/operators/controlSettings.ts
@@ -3,7 +3,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { dirname, resolve } from 'node:path';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Finding } from '../../types/public.js';
 import { FindingsError } from '../../utils/findings.js';
 import type { LogLevel } from '../../utils/log.js';
--- a/src/plugins/operators/nodeSettings.ts
+++ b/src/plugins/operators/nodeSettings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of a node, see docs/design.md.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseAddress } from '../rpc.js';
 import { readTokenFile } from './tokenFile.js';
 import { readSettings } from '../../utils/settings.js';
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -3,7 +3,7 @@
  */
 import { readFileSync } from 'node:fs';
 import { parse as parseToml, TomlError } from 'smol-toml';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Finding } from '../types/public.js';
 import { FindingsError } from './findings.js';
 
