--- a/src/platform/checkIns.ts
+++ b/src/platform/checkIns.ts
@@ -3,7 +3,7 @@
  * A check-in is decoded once and handed to the product; what cannot be read names no endpoint and
  * changes nothing.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { createServer, type ServerResponse } from 'node:http';
 import polka, { type PolkaRequest } from 'polka';
 import * as z from 'zod';
 import type {
@@ -12,6 +12,7 @@
 } from '../plugins/calls/upstreamAnnouncement.js';
 import { listenHttp } from '../plugins/httpListen.js';
 import { sendError, sendJson, type CheckState } from '../plugins/operators/adminServer.js';
+import { parseJsonText, readText } from '../plugins/readText.js';
 import { parseAddress, type Address } from '../plugins/rpc.js';
 import { Failure } from '../utils/failure.js';
 import { formatFinding } from '../utils/findings.js';
@@ -56,27 +57,6 @@
   };
 };
 
-const readAll = async (request: IncomingMessage): Promise<string> => {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of request) {
-    parts.push(part as Buffer);
-    bytes += (part as Buffer).length;
-    if (bytes > maxCheckInBytes) {
-      throw new Failure('body_too_large', `more than ${maxCheckInBytes} bytes`);
-    }
-  }
-  return Buffer.concat(parts).toString('utf8');
-};
-
-const parseJson = (text: string): unknown => {
-  try {
-    return text === '' ? {} : JSON.parse(text);
-  } catch (cause) {
-    throw new Failure('malformed_message', 'not JSON', { cause });
-  }
-};
-
 export interface CheckInOptions {
   readonly control: Address;
   readonly ready: Address;
@@ -95,14 +75,17 @@
   const { announcement, log } = options;
   const takeCheckIn = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
-    announcement.take(readCheckIn(instance, parseJson(await readAll(request))));
+    announcement.take(
+      readCheckIn(instance, parseJsonText(await readText(request, maxCheckInBytes))),
+    );
     sendJson(response, 200, {});
   };
 
   /** A departure may come without a body: it then means the process that checked in last. */
   const takeDeparture = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
-    const { output } = checkValue(parseJson(await readAll(request)), 'departure', departureSchema);
+    const text = await readText(request, maxCheckInBytes);
+    const { output } = checkValue(text && parseJsonText(text), 'departure', departureSchema);
     announcement.depart(instance, output?.born);
     sendJson(response, 200, {});
   };
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import * as z from 'zod';
 import type { Document } from '../core/agreement/acceptance.js';
+import { parseJsonText } from '../plugins/readText.js';
 import { formatFinding } from '../utils/findings.js';
 import { checkValue } from '../utils/settings.js';
 import { Failure } from '../utils/failure.js';
@@ -180,17 +181,9 @@
     }
   });
 
-const parseJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text);
-  } catch (cause) {
-    throw new Failure('malformed_message', 'the document is not JSON', { cause });
-  }
-};
-
 /** Reads a document. Throws a Failure that names every problem in it. */
 export const readDocument = (text: string): Document => {
-  const { output, findings } = checkValue(parseJson(text), 'document', documentSchema);
+  const { output, findings } = checkValue(parseJsonText(text), 'document', documentSchema);
   if (!output) {
     throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
   }
--- a/src/platform/operatorServer.ts
+++ b/src/platform/operatorServer.ts
@@ -11,27 +11,14 @@
   DocumentOutcome,
   NotHere,
 } from '../plugins/operators/documentChanges.js';
+import { readText } from '../plugins/readText.js';
 import { parseAddress, type Address } from '../plugins/rpc.js';
-import { Failure } from '../utils/failure.js';
 import type { Log } from '../utils/log.js';
 
 /** A deployment of hundreds of routes has documents of some hundred KiB. */
 const maxDocumentBytes = 8 * 1024 * 1024;
 const unavailableRetrySeconds = '0.2';
 
-const readAll = async (request: IncomingMessage): Promise<string> => {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of request) {
-    parts.push(part as Buffer);
-    bytes += (part as Buffer).length;
-    if (bytes > maxDocumentBytes) {
-      throw new Failure('change_too_large', `more than ${maxDocumentBytes} bytes`);
-    }
-  }
-  return Buffer.concat(parts).toString('utf8');
-};
-
 export interface OperatorServerOptions {
   readonly address: Address;
   readonly documents: DocumentChanges;
@@ -71,7 +58,7 @@
   };
 
   const put = async (request: IncomingMessage, response: ServerResponse, path: string) => {
-    const outcome = await documents.commands.submit(await readAll(request));
+    const outcome = await documents.commands.submit(await readText(request, maxDocumentBytes));
     log.info('document answered', { outcome: outcome.outcome });
     const send = senders[outcome.outcome] as (
       to: ServerResponse,
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -16,6 +16,7 @@
 import type { Timer } from '../../utils/timer.js';
 import { sendError, sendJson } from '../operators/adminServer.js';
 import type { LocalUpstream } from './localUpstream.js';
+import { readText } from '../readText.js';
 import { parseAddress } from '../rpc.js';
 
 /** Time within which the upstream has to renew its announcement, in ms. */
@@ -87,19 +88,6 @@
   isAnnounced(): boolean;
 }
 
-const readAll = async (request: IncomingMessage): Promise<string> => {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of request) {
-    parts.push(part as Buffer);
-    bytes += (part as Buffer).length;
-    if (bytes > maxAnnouncementBytes) {
-      throw new Failure('bad_request', `more than ${maxAnnouncementBytes} bytes`);
-    }
-  }
-  return Buffer.concat(parts).toString('utf8');
-};
-
 const parseAnnouncement = (text: string): Announcement => {
   let value: unknown;
   try {
@@ -279,7 +267,9 @@
     if (!isOwnInstance(request)) {
       throw new Failure('unauthorized', 'announcements are taken from this instance only');
     }
-    const announcement = parseAnnouncement(await readAll(request));
+    const announcement = parseAnnouncement(
+      await readText(request, maxAnnouncementBytes, 'bad_request'),
+    );
     takeReport(announcement);
     if (announcement.state === 'leaving') {
       await waitUntilIdle();
