--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -125,6 +125,18 @@
     assert.deepEqual(outcome, { status: 200, body: 'a partthe rest', end: 'whole' });
   });
 
+  it('that close their connection do not end the process if the caller takes them slowly', async () => {
+    const [outcome] = await sendTo(
+      (socket) => {
+        socket.write(`${head('r1', 'Connection: close', 'Content-Length: 12')  }a part`);
+        setTimeout(() => socket.end('the re'), 50);
+      },
+      1,
+      false,
+    );
+    assert.deepEqual(outcome, { status: 200, body: 'a partthe re', end: 'whole' });
+  });
+
   it('that break off before their length are broken', async () => {
     const [outcome] = await sendTo((socket) =>
       socket.end(`${head('r1', 'Content-Length: 9')}part`),
--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -13,6 +13,7 @@
 } from '../../types/calls.js';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
+import { headerIn } from './callHeaders.js';
 
 /** Longest time between two parts of an answer's body before its connection counts as silent. */
 const bodySilenceMs = 5_000;
@@ -74,6 +75,7 @@
   let resumeAnswer: (() => void) | undefined;
   let isSent = false;
   let isFramed = true;
+  let canPause = true;
   let isOver = false;
 
   const finish = (): boolean => {
@@ -116,6 +118,8 @@
       return;
     }
     isFramed = head.isDelimited;
+    // undici 7 ends the process by an assertion if the connection of a paused answer ends.
+    canPause = isFramed && !headerIn(head.headers, 'connection')?.toLowerCase().includes('close');
     listener.onHead(head);
   };
 
@@ -137,8 +141,7 @@
     },
     onData: (chunk) => {
       const takesMore = isOver || listener.onData(chunk);
-      // undici 7 ends the process by an assertion if a paused answer is ended by its connection.
-      return takesMore || !isFramed;
+      return takesMore || !canPause;
     },
     onComplete: () => {
       if (!isFramed && options.isResetting?.()) {
