--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -128,7 +128,7 @@
   it('that close their connection do not end the process if the caller takes them slowly', async () => {
     const [outcome] = await sendTo(
       (socket) => {
-        socket.write(`${head('r1', 'Connection: close', 'Content-Length: 12')  }a part`);
+        socket.write(`${head('r1', 'Connection: close', 'Content-Length: 12')}a part`);
         setTimeout(() => socket.end('the re'), 50);
       },
       1,
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,9 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'src/gen/**', 'coverage/**', 'journal/**', 'target/**'] },
+  {
+    ignores: ['dist/**', 'node_modules/**', 'src/gen/**', 'coverage/**', 'journal/**', 'target/**'],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
