--- a/__tests__/documents.test.ts
+++ b/__tests__/documents.test.ts
@@ -6,7 +6,10 @@
   type Acceptance,
   type DocumentReader,
 } from '../src/core/agreement/acceptance.js';
+import { createDocumentChanges } from '../src/plugins/operators/documentChanges.js';
 import { Failure } from '../src/utils/failure.js';
+import { createSilentLog } from '../src/utils/log.js';
+import { createManualTimer } from '../src/utils/timer.js';
 import { configurationOf } from './support/feedFleet.js';
 
 /** Documents of the tests: `number base class`. */
@@ -44,7 +47,41 @@
 const outcomes = (put: (text: string) => { result: { outcome: string } }, texts: string[]) =>
   texts.map((text) => put(text).result.outcome);
 
+/** The service of a leader whose proposals end as `propose` says. */
+const createService = (propose: () => Promise<never>) =>
+  createDocumentChanges({
+    group: {
+      commands: { propose, changeMembers: async () => undefined, stop: async () => undefined },
+      queries: {
+        role: () => 'leader',
+        leader: () => undefined,
+        members: () => [],
+        commitIndex: () => 0,
+        confirmRead: async () => undefined,
+        confirmedAgeMs: () => 0,
+        contactAgeMs: () => 0,
+        matchIndex: () => 0,
+      },
+    },
+    acceptance: createAcceptance(createReader()),
+    readDocument: createReader().readDocument,
+    minVoters: 0,
+    timer: createManualTimer(),
+    log: createSilentLog(),
+  });
+
 describe('documents with numbers of the operators', () => {
+  it('that are too large are refused as such: another instance would refuse them, too', async () => {
+    const service = createService(() => Promise.reject(new Failure('change_too_large', '2 MiB')));
+    const { outcome } = await service.commands.submit('1 0 a');
+    assert.equal(outcome, 'invalid');
+  });
+
+  it('whose leader was lost after the append have an unknown outcome, never a refusal', async () => {
+    const service = createService(() => Promise.reject(new Failure('outcome_unknown')));
+    assert.deepEqual(await service.commands.submit('1 0 a'), { outcome: 'unknown' });
+  });
+
   it('are accepted on the number in force only, so that of two on one base one wins', () => {
     const put = createLog(createAcceptance(createReader()));
     assert.deepEqual(outcomes(put, ['3 0 a', '7 3 b', '7 3 c', '8 3 d', '9 7 e', '9 9 f']), [
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -17,6 +17,8 @@
  * the token tells this deployment's processes from strangers that connect by mistake.
  */
 const clusterToken = 'auburnsill-on-platform';
+/** Period of check-ins where the settings do not name it, in ms: that of the platform's sample. */
+const defaultCheckInMs = 1_500;
 /** Grace of a stop where the bounds do not name it, in s: that of the platform's sample. */
 const defaultGraceSeconds = 6;
 
@@ -111,7 +113,7 @@
   if (seeds.some((seed) => parseAddress(seed) === undefined)) {
     report('seeds', 'not a list of addresses', 'ip:port, separated by commas');
   }
-  const checkInMs = Number(optional('heartbeat_ms') || '1500');
+  const checkInMs = Number(optional('heartbeat_ms') || defaultCheckInMs);
   if (!(checkInMs > 0)) {
     report('heartbeat_ms', 'not a duration', 'milliseconds above 0');
   }
--- a/src/plugins/operators/documentChanges.ts
+++ b/src/plugins/operators/documentChanges.ts
@@ -82,7 +82,8 @@
       await queries.confirmRead();
       return await step();
     } catch (error) {
-      if (error instanceof Failure && error.run === 'not_run') {
+      const isNotLeading = error instanceof Failure && error.run === 'not_run';
+      if (isNotLeading && error.reason !== 'change_too_large') {
         log.info('document not taken', { reason: error.reason });
         return undefined;
       }
@@ -136,6 +137,9 @@
       if (!(error instanceof Failure)) {
         throw error;
       }
+      if (error.run === 'not_run') {
+        return { outcome: 'invalid', message: error.message };
+      }
       log.warn('outcome of a document unknown', { change: change.changeId, reason: error.reason });
       return { outcome: 'unknown' };
     }
