Manage HTTP/2 sessions ourselves: no error of a session ends a process, no stop hangs

Cause: connect-node's session manager takes its listeners off a session that it leaves while the session's error is still to come. Second cause: a server's stop waited for the peer to close its side of a connection; the grace destroyed sessions only. Ruled out: a destroyed session inside `ready()`, by 6,000 calls to peers that reset, end or are aborted. Change: sessions of our own with a listener for errors until the end, a limit for opening (2 s; it had none), pings while RPCs are open; a stop destroys sockets after its grace.

--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -6,16 +6,15 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
 import { isIP, type Socket } from 'node:net';
 import type { ConnectRouter, Interceptor, Transport } from '@connectrpc/connect';
-import {
-  connectNodeAdapter,
-  createConnectTransport,
-  Http2SessionManager,
-} from '@connectrpc/connect-node';
+import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
 import { Failure } from '../utils/failure.js';
+import { createRpcSessions } from './rpcSessions.js';
 
 /** Largest message that a process accepts, in bytes. */
 export const maxMessageBytes = 4 * 1024 * 1024;
 const maxSessions = 512;
+/** The first packet of a connection that was lost on the way is sent again after 1 s. */
+const openTimeoutMs = 2_000;
 const pingIntervalMs = 2_000;
 const pingTimeoutMs = 3_000;
 const idleConnectionTimeoutMs = 60_000;
@@ -107,7 +106,8 @@
     close: (graceMs) =>
       new Promise((resolve) => {
         const deadline = setTimeout(() => {
-          sessions.forEach((session) => session.destroy());
+          // A session that was closed leaves its socket open until the peer closes its side.
+          sockets.forEach((socket) => socket.destroy());
         }, graceMs);
         server.close(() => {
           clearTimeout(deadline);
@@ -131,14 +131,11 @@
   callTimeoutMs: number = defaultCallTimeoutMs,
 ): RpcTransport => {
   const baseUrl = `http://${address}`;
-  const sessionManager = new Http2SessionManager(baseUrl, {
+  const sessionManager = createRpcSessions(baseUrl, {
+    openMs: openTimeoutMs,
     pingIntervalMs,
     pingTimeoutMs,
-    // With pings on idle connections, connect-node 2.1.2 pings a session that was destroyed while
-    // its streams close, and the exception ends the process. An idle connection is verified by a
-    // ping before its next use in any case.
-    pingIdleConnection: false,
-    idleConnectionTimeoutMs,
+    idleMs: idleConnectionTimeoutMs,
   });
   const transport = createConnectTransport({
     baseUrl,
--- a/src/utils/timer.ts
+++ b/src/utils/timer.ts
@@ -50,25 +50,33 @@
       signal?.addEventListener('abort', onAbort.current, { once: true });
     });
 
-/** Creates the timer of a process, based on the system's clocks. */
-export const createTimer = (): Timer => {
+export interface TimerOptions {
+  /** Whether subscriptions keep the process alive. Default: true. */
+  readonly keepsProcess?: boolean;
+}
+
+/** Creates a timer that is based on the system's clocks. */
+export const createTimer = ({ keepsProcess = true }: TimerOptions = {}): Timer => {
   const cancels = new Set<Cancel>();
+  const release = (handle: NodeJS.Timeout) => (keepsProcess ? handle : handle.unref());
 
   const after: Timer['after'] = (delayMs, listener) => {
     const cancel = () => {
       clearTimeout(handle);
       cancels.delete(cancel);
     };
-    const handle = setTimeout(() => {
-      cancels.delete(cancel);
-      listener();
-    }, delayMs);
+    const handle = release(
+      setTimeout(() => {
+        cancels.delete(cancel);
+        listener();
+      }, delayMs),
+    );
     cancels.add(cancel);
     return cancel;
   };
 
   const every: Timer['every'] = (periodMs, listener) => {
-    const handle = setInterval(listener, periodMs);
+    const handle = release(setInterval(listener, periodMs));
     const cancel = () => {
       clearInterval(handle);
       cancels.delete(cancel);
