Close a listening socket only after a turn of the loop without new connections

Cause of the known red in the rolling restart: the reset calls were on new connections of which nothing had been read (reused=false, bytes read 0, at the moment of the close), in every one of the traces. The kernel had taken them and the process had not; closing the listening socket resets them. Ruled out: kept connections, as the list of known reds said. What is left is the time between the last look and the close, so the test stays in the list of known reds.

--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -26,6 +26,10 @@
 /** A peer that takes no byte of its answer for this long has gone silent. */
 const defaultPeerSilenceMs = 30_000;
 const stopCheckMs = 20;
+/** A turn of the event loop without other work takes less than this, in ms. */
+const quietTurnMs = 0.2;
+/** Turns of the event loop that a stop waits for a quiet one, against peers that never pause. */
+const maxTurns = 200;
 
 /** Called when the peer breaks its request while the call runs; answers and ends the call. */
 export type OnBroken = (reason: FailureReason, detail: string) => void;
@@ -56,6 +60,11 @@
   stop(limitMs: number): Promise<void>;
 }
 
+const nextTurn = () =>
+  new Promise<void>((resolve) => {
+    setImmediate(resolve);
+  });
+
 const brokenStatus: Record<string, number> = {
   HPE_HEADER_OVERFLOW: 431,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -69,6 +78,7 @@
   const running = new Map<Socket, ServerResponse>();
   let draining = false;
   let lastActiveAt = 0;
+  let accepted = 0;
 
   const server: HttpServer = createServer({
     maxHeaderSize: options.maxHeaderBytes,
@@ -113,6 +123,7 @@
   });
 
   server.on('connection', (socket: Socket) => {
+    accepted += 1;
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
@@ -163,6 +174,21 @@
     lastActiveAt = timer.now();
   };
 
+  /**
+   * Resolves right after a short turn of the event loop that found no new connection. Closing the
+   * listening socket resets the connections that the kernel holds and this process has not seen.
+   */
+  const untilAllAccepted = async () => {
+    for (let turn = 0; turn < maxTurns; turn += 1) {
+      const before = accepted;
+      const startedAt = timer.now();
+      await nextTurn();
+      if (turn > 0 && accepted === before && timer.now() - startedAt < quietTurnMs) {
+        return;
+      }
+    }
+  };
+
   const isQuiet = (): boolean =>
     running.size === 0 &&
     (sockets.size === 0 || timer.now() - lastActiveAt >= options.stopTimes.idleMs);
@@ -172,6 +198,7 @@
     const limitAt = timer.now() + limitMs;
     drain();
     await timer.sleep(Math.min(acceptMs, limitMs));
+    await untilAllAccepted();
     // Closes the listening socket only: an open connection may be about to get a request.
     NetServer.prototype.close.call(server);
     while (!isQuiet() && timer.now() < limitAt) {
