Start a call only after connections were looked at once more

On a node short of processor time the end of a connection is read one turn of the loop after its request, so the node sent the request on first.

--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -18,6 +18,7 @@
 import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
+import { createCallStarts } from './callStarts.js';
 import type { CallMetrics } from './callMetrics.js';
 import type {
   CallListener as OutcomeListener,
@@ -79,6 +80,7 @@
 /** Creates the server of a node's calls address. */
 export const createCallServer = (options: CallServerOptions): CallListener => {
   const { timer, holding, upstream, runner, metrics, callers } = options;
+  const starts = createCallStarts(timer);
 
   const answerHeaders = ({ held, requestId }: Call): string[] =>
     callers.answerHeaders({
@@ -249,7 +251,11 @@
       });
     });
     response.once('close', () => cancel(call));
-    run(call).catch((error: unknown) => refuse(call, reportOf(error)));
+    starts.add(() => {
+      if (!call.isOver) {
+        run(call).catch((error: unknown) => refuse(call, reportOf(error)));
+      }
+    });
   };
 
   const listener = createCallListener({
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -20,6 +20,7 @@
   readRequestId,
   serviceHeader,
 } from './callHeaders.js';
+import { createCallStarts } from './callStarts.js';
 import { ownCallers } from './ownCallInterface.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import type { LocalUpstream } from './localUpstream.js';
@@ -73,6 +74,7 @@
 /** Creates the server of a node's forward address. */
 export const createForwardServer = (options: ForwardServerOptions): CallListener => {
   const { access, timer, upstream } = options;
+  const starts = createCallStarts(timer);
 
   const handle = (request: PolkaRequest, response: ServerResponse) => {
     const requestId = readRequestId(request) ?? '';
@@ -84,8 +86,10 @@
       formatLoad(upstream.queries.load()),
     ];
     let attempt: RunningAttempt | undefined;
+    let isOver = false;
 
     const refuse = (failure: AttemptFailureReport) => {
+      isOver = true;
       writeRefusal(response, ownCallers.refusal(failure, requestId), timer, echo());
     };
 
@@ -132,15 +136,21 @@
       refuse({ reason, run, detail, retried: false });
     });
     response.once('close', () => {
+      isOver = true;
       if (!response.writableFinished) {
         attempt?.abort();
       }
     });
-    try {
-      attempt = start();
-    } catch (error) {
-      refuse(reportOf(error));
-    }
+    starts.add(() => {
+      if (isOver) {
+        return;
+      }
+      try {
+        attempt = start();
+      } catch (error) {
+        refuse(reportOf(error));
+      }
+    });
   };
 
   const listener = createCallListener({
