Look for a source that is back within half a second, however long it was gone

During the outage nodes attach to each other, and a node that found no source doubled the time between its searches up to 3 s (4.5 s with jitter, four times that further down the tree). Change: the searches of a detached node stop doubling at 0.5 s.

--- /dev/null
+++ b/__tests__/parentLoop.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { it } from 'node:test';
+import { createParentChoice } from '../src/core/distribution/parentChoice.js';
+import type { ParentBeat } from '../src/core/distribution/parentHealth.js';
+import type { FeedLink, LinkOutcome, ProbeResult } from '../src/plugins/distribution/feedClient.js';
+import { createParentLoop } from '../src/plugins/distribution/parentLoop.js';
+import { createSilentLog } from '../src/utils/log.js';
+import { createManualTimer } from '../src/utils/timer.js';
+import { createRandom } from './support/fleet.js';
+
+const controls = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1'].map((address, index) => ({
+  address,
+  dataCentre: `dc-${index}`,
+}));
+const peers = ['10.0.1.1:1', '10.0.1.2:1'];
+const version = { term: 1, index: 5 };
+/** The users' bound is 3 s after the machines are back, 1 s of it for the start of the processes. */
+const attachLimitMs = 2_000;
+/** A parent that does not answer is given up after this time, as by the real link. */
+const greetingMs = 1_000;
+
+const beatOf = (path: readonly string[], isRooted: boolean): ParentBeat => ({
+  headVersion: version,
+  confirmedAgeMs: isRooted ? 0 : 60_000,
+  path,
+  rootDataCentre: isRooted ? 'dc-0' : '',
+});
+
+const lost = (reason: string, isSilent: boolean): LinkOutcome => ({
+  outcome: 'lost',
+  reason,
+  attached: false,
+  isRefused: false,
+  isSilent,
+});
+
+/** Resolves after the promises that are settled so far were followed up. */
+const settle = () =>
+  new Promise<void>((resolve) => {
+    setImmediate(resolve);
+  });
+
+/** A node in a world in which the control instances have no power until they are switched on. */
+const createWorld = (seed: number) => {
+  const timer = createManualTimer();
+  const random = createRandom(seed);
+  let isOn = false;
+  const isControl = (address: string) => controls.some((control) => control.address === address);
+  const choice = createParentChoice({
+    dataCentre: 'dc-0',
+    ownAddress: '10.0.1.9:1',
+    controls,
+    peers,
+    random,
+  });
+
+  const createLink = (address: string): FeedLink => {
+    let finish: (outcome: LinkOutcome) => void = () => undefined;
+    const run = () =>
+      new Promise<LinkOutcome>((resolve) => {
+        if (isControl(address) && !isOn) {
+          timer.after(greetingMs, () => resolve(lost('silent', true)));
+          return;
+        }
+        const beat = () => loop.heard(beatOf([address], isControl(address)));
+        timer.after(1, beat);
+        const cancelBeats = timer.every(500, beat);
+        finish = (outcome) => {
+          cancelBeats();
+          resolve(outcome);
+        };
+      });
+    return {
+      address,
+      run,
+      reportSoon: () => undefined,
+      change: () => undefined,
+      end: (reason) => finish(lost(reason, false)),
+    };
+  };
+
+  const probe = async (address: string): Promise<ProbeResult | undefined> => {
+    if (isControl(address) && !isOn) {
+      await timer.sleep(greetingMs);
+      return undefined;
+    }
+    const { headVersion, confirmedAgeMs, path, rootDataCentre } = beatOf(
+      [address],
+      isControl(address),
+    );
+    const heartbeat = {
+      headVersion: { term: BigInt(headVersion.term), index: BigInt(headVersion.index) },
+      confirmedAgeMs: BigInt(confirmedAgeMs),
+      path,
+      rootDataCentre,
+    };
+    return { address, heartbeat } as unknown as ProbeResult;
+  };
+
+  const loop = createParentLoop({
+    name: 'node',
+    dataCentre: 'dc-0',
+    choice,
+    timer,
+    log: createSilentLog(),
+    random,
+    newest: () => version,
+    createLink,
+    probe,
+    pathChanged: () => undefined,
+  });
+
+  const advance = async (ms: number) => {
+    for (let passed = 0; passed < ms; passed += 25) {
+      timer.advance(25);
+      await settle();
+    }
+  };
+  const switchOn = () => {
+    isOn = true;
+  };
+  const attachedToControl = () => {
+    const address = loop.link()?.address;
+    return address !== undefined && isControl(address) && loop.rootDataCentre() !== '';
+  };
+  return { loop, advance, attachedToControl, switchOn };
+};
+
+// Guards against backoffs that grew during an outage of all control instances and outlast it.
+[1_500, 6_000, 40_000].forEach((outageMs) =>
+  it(`finds the control instances within 2 s after an outage of ${outageMs / 1_000} s`, async () => {
+    for (let seed = 1; seed <= 20; seed += 1) {
+      const world = createWorld(seed);
+      world.loop.start();
+      await world.advance(outageMs);
+      world.switchOn();
+      let waitedMs = 0;
+      while (!world.attachedToControl() && waitedMs < 30_000) {
+        await world.advance(25);
+        waitedMs += 25;
+      }
+      assert.ok(waitedMs <= attachLimitMs, `seed ${seed}: attached after ${waitedMs} ms`);
+    }
+  }),
+);
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -26,7 +26,8 @@
 const searchPeriodMs = 3_000;
 /** Mean time before the first search while the parent is cut off; it doubles with each search. */
 const detachedSearchMs = 200;
-const maxDetachedSearchMs = 3_000;
+/** With a probe that times out after 1 s it leaves a source that is back unnoticed for 2 s. */
+const maxDetachedSearchMs = 500;
 /** Searches that a node at path length 1 makes for each one that a node further down makes. */
 const maxSearchFactor = 4;
 /** A node on the feed of another data centre asks its own control instance this much less often. */
