Keep the slots of an upstream open that refuses calls although it has free ones

Each refusal counted as a sign of too few slots, so the gate's limit fell step by step to 1 and the gates refused what the endpoints would have taken: 659 refusals by endpoints, and several thousand by gates. Change: a refusal lowers the limit only if the upstream says that all its slots are taken, or says nothing of its load.

--- a/src/core/calls/admission.ts
+++ b/src/core/calls/admission.ts
@@ -30,9 +30,12 @@
   | { readonly type: 'waiting'; readonly id: string }
   | { readonly type: 'refused'; readonly id: string; readonly reason: AdmissionRefusal };
 
-/** How an admitted call ended. `overloaded` means that the upstream itself had no slot. */
+/**
+ * How an admitted call ended. `overloaded` means that the upstream itself had no slot, `refused`
+ * that it did not run the call for another reason.
+ */
 export interface FinishOutcome {
-  readonly outcome: 'ok' | 'failed' | 'overloaded' | 'cancelled';
+  readonly outcome: 'ok' | 'failed' | 'overloaded' | 'refused' | 'cancelled';
   /** Time that the call occupied its slot, in ms. */
   readonly latencyMs: number;
 }
--- a/src/platform/callInterface.ts
+++ b/src/platform/callInterface.ts
@@ -5,7 +5,12 @@
 import type { IncomingMessage } from 'node:http';
 import { headerIn, passOn } from '../plugins/calls/callHeaders.js';
 import type { AttemptFailureReport } from '../types/calls.js';
-import type { CallInterface, CallerInterface, UpstreamInterface } from '../types/callInterface.js';
+import type {
+  CallInterface,
+  CallerInterface,
+  UpstreamInterface,
+  UpstreamLoad,
+} from '../types/callInterface.js';
 import { Failure, type FailureReason } from '../utils/failure.js';
 
 const requestIdHeader = 'request-id';
@@ -17,6 +22,8 @@
 const originHeader = 'caller-service';
 /** Marks an answer whose request was not run. */
 const notRunHeader = 'not-executed';
+/** Requests that run and wait at the endpoint, and its slots. */
+const loadHeader = 'load-report';
 const otherInstanceStatus = 421;
 
 /** Headers that the node sets itself, whatever the caller sent. */
@@ -94,6 +101,15 @@
   },
 });
 
+/** Decodes `running,waiting,slots`; undefined for anything else. */
+export const readLoad = (headers: readonly string[]): UpstreamLoad | undefined => {
+  const numbers = headerIn(headers, loadHeader)?.split(',').map(Number) ?? [];
+  const [running, waiting, slots] = numbers;
+  return numbers.length === 3 && numbers.every((value) => Number.isInteger(value) && value >= 0)
+    ? { running: running!, waiting: waiting!, slots: slots! }
+    : undefined;
+};
+
 const upstreams: UpstreamInterface = {
   requestHeaders: (request, instance, remainingMs) => {
     const headers = [
@@ -116,6 +132,7 @@
     }
     return id === undefined ? 'mismatch' : 'answer';
   },
+  readLoad,
   acceptsUnframedAnswer: true,
 };
 
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -75,10 +75,11 @@
 const slotsOf = ({ slots, connections }: UpstreamDescription): number =>
   Math.min(slots, connections);
 
-const refusedReport = (reason: FailureReason): AttemptFailureReport => ({
+const refusedReport = (reason: FailureReason, byUpstream = false): AttemptFailureReport => ({
   reason,
   run: 'not_run',
   retried: false,
+  byUpstream,
   retryAfterSeconds: reason === 'overloaded' ? retryAfterSeconds : undefined,
 });
 
@@ -128,6 +129,8 @@
     let status = 0;
     /** Set once the upstream said that it did not run the request. */
     let isTurnedAway = false;
+    /** The upstream said that it has free slots, so a refusal is not for lack of them. */
+    let hasFreeSlots = false;
     let isOver = false;
 
     const finish = (outcome: FinishOutcome['outcome']) => {
@@ -142,6 +145,13 @@
       carryOut(effects ?? []);
     };
 
+    const endOutcome = (): FinishOutcome['outcome'] => {
+      if (hasFreeSlots) {
+        return 'refused';
+      }
+      return isTurnedAway || status === 503 ? 'overloaded' : 'ok';
+    };
+
     const ownListener: AttemptListener = {
       onHead: (head) => {
         status = head.status;
@@ -152,11 +162,13 @@
           return;
         }
         isTurnedAway = true;
-        listener.onFailure(refusedReport(reason));
+        const load = upstreams.readLoad?.(head.headers);
+        hasFreeSlots = load !== undefined && load.running < load.slots && load.waiting === 0;
+        listener.onFailure(refusedReport(reason, true));
       },
       onData: (chunk) => (isTurnedAway ? true : listener.onData(chunk)),
       onEnd: () => {
-        finish(isTurnedAway || status === 503 ? 'overloaded' : 'ok');
+        finish(endOutcome());
         if (!isTurnedAway) {
           listener.onEnd();
         }
--- a/src/types/callInterface.ts
+++ b/src/types/callInterface.ts
@@ -51,6 +51,13 @@
  */
 export type AnswerVerdict = 'answer' | 'refused' | 'other_instance' | 'mismatch';
 
+/** What an upstream says of its load. */
+export interface UpstreamLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
 export interface UpstreamInterface {
   /** Headers of a request; `instance` is the id that the upstream announced, if any. */
   requestHeaders(
@@ -64,6 +71,8 @@
     headers: readonly string[],
     request: Pick<AttemptRequest, 'requestId' | 'attemptId'>,
   ): AnswerVerdict;
+  /** Load that the upstream reports with an answer, if it does. */
+  readLoad?(headers: readonly string[]): UpstreamLoad | undefined;
   /** An answer may be ended by the end of its connection. */
   readonly acceptsUnframedAnswer: boolean;
 }
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -48,6 +48,8 @@
   readonly detail?: string;
   /** A retry was already made by a node further on. */
   readonly retried: boolean;
+  /** The upstream itself refused the call, without running it. */
+  readonly byUpstream?: boolean;
   /** Time after which another try makes sense, as the refusing node says, in seconds. */
   readonly retryAfterSeconds?: number;
 }
