Budget retries over a sliding window; move calls that a gate refused without a retry

Cause of the first: a node saved up to 100 retries a class in quiet times and could spend them at once. Change: the share holds in every window, for the class and for its service; the adapter derives the share of a node from the limit, and leaves two fifths of it to the calls that repeated runs make. Cause of the second: a refusal by the node beside an upstream was charged like a retry, although no upstream had seen the call, so under load the budget was empty when upstreams failed, and calls were refused with room elsewhere. Change: such a call goes to up to two other gates, at no charge; after that it is refused at once.

--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -6,13 +6,15 @@
 import { ownCallInterface } from '../src/plugins/calls/ownCallInterface.js';
 import { createLocalUpstream } from '../src/plugins/calls/localUpstream.js';
 import type { RemoteNodes } from '../src/plugins/calls/remoteNode.js';
-import type { AnswerHead } from '../src/types/calls.js';
+import type { AnswerHead, AttemptFailureReport } from '../src/types/calls.js';
 import { createManualTimer } from '../src/utils/timer.js';
 import { createCluster, createEndpoint, createPolicy, createRandom } from './support/fleet.js';
 
 interface Answer {
   readonly status: number;
   readonly headers?: string[];
+  /** Set if the gate in front of the endpoint, or the endpoint, did not run the call. */
+  readonly failure?: AttemptFailureReport;
 }
 
 /** A runner whose endpoints answer at once with what `answerOf` says. */
@@ -26,7 +28,11 @@
     send: ({ id }, _, listener) => {
       sent.push(id);
       timer.after(1, () => {
-        const { status, headers = [] } = answerOf(id);
+        const { status, headers = [], failure } = answerOf(id);
+        if (failure) {
+          listener.onFailure(failure);
+          return;
+        }
         listener.onHead({ status, headers: [...headers] });
         listener.onEnd();
       });
@@ -114,4 +120,40 @@
     assert.deepEqual(call()?.headers, ['x-retried', 'true']);
     assert.equal(sent.length, 4);
   });
+
+  const refusedBy = (byUpstream: boolean): Answer => ({
+    status: 0,
+    failure: { reason: 'overloaded', run: 'not_run', retried: false, byUpstream },
+  });
+
+  // Guards against calls that are refused although another endpoint has room, once the budget that
+  // protects the upstreams is empty.
+  it('moves a call on when a gate refuses it, without using the retry budget', () => {
+    const { call, sent, budget, timer } = createRunner(['a', 'b', 'c'], (id) =>
+      id === 'c' ? { status: 200 } : refusedBy(false),
+    );
+    while (budget.commands.spend(timer.now()));
+    for (let calls = 0; calls < 20; calls += 1) {
+      sent.length = 0;
+      assert.equal(call()?.status, 200, `call ${calls}`);
+      assert.equal(new Set(sent).size, sent.length, 'no gate is asked twice');
+    }
+  });
+
+  it('does not send a call on without a retry when an upstream refused it itself', () => {
+    const { call, sent, budget, timer } = createRunner(['a', 'b', 'c'], () => refusedBy(true));
+    while (budget.commands.spend(timer.now()));
+    assert.equal(call(), undefined);
+    assert.equal(sent.length, 1);
+  });
+
+  it('asks three gates at most', () => {
+    const { call, sent, budget, timer } = createRunner(['a', 'b', 'c', 'd', 'e'], () =>
+      refusedBy(false),
+    );
+    const balance = budget.queries.balance(timer.now());
+    assert.equal(call(), undefined);
+    assert.equal(sent.length, 3);
+    assert.equal(budget.queries.balance(timer.now()), balance);
+  });
 });
--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -13,6 +13,7 @@
 import { ownCallInterface } from '../plugins/calls/ownCallInterface.js';
 import { warmUp } from '../plugins/calls/warmUp.js';
 import { createRpcServer, parseAddress, type Address } from '../plugins/rpc.js';
+import type { RetryBudgetsOptions } from '../core/calls/retry.js';
 import type { CallInterface } from '../types/callInterface.js';
 import type { StopTimes } from '../types/internal.js';
 import type { Log } from '../utils/log.js';
@@ -25,6 +26,7 @@
 export interface NodeAdapter {
   readonly callInterface: CallInterface;
   readonly stopTimes: StopTimes;
+  readonly retryBudgets: RetryBudgetsOptions;
   /** Time within which the upstream renews its announcement, in ms. */
   readonly renewWithinMs: number;
   /** Interfaces of the adapter; they are started last and closed last. */
@@ -108,6 +110,7 @@
     advertisedForward: advertise?.forward,
     callInterface: adapter?.callInterface,
     stopTimes: adapter?.stopTimes,
+    retryBudgets: adapter?.retryBudgets,
     renewWithinMs: adapter?.renewWithinMs,
     access,
     holding: feed.holding,
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -1,7 +1,8 @@
 /**
- * Retries: whether a failed attempt is tried again, within a budget shared by all calls of a node.
- * A call that may have run is tried again only if it is idempotent, and a call that was already
- * retried at a level below is not tried again above it.
+ * Retries: whether a failed attempt is tried again, within a budget over a sliding window. A call
+ * that may have run is tried again only if it is idempotent, and a call that was already retried at
+ * a level below is not tried again above it. A call that a gate refused before it reached an
+ * upstream is moved to another gate instead, which costs upstreams nothing.
  */
 import type { Policy, RunState } from '../../types/public.js';
 import type { FailureReason } from '../../utils/failure.js';
@@ -14,6 +15,8 @@
   readonly run: RunState;
   /** The answer carried `x-retried: true`. */
   readonly retried: boolean;
+  /** The upstream itself refused the call: it counts as sent there. */
+  readonly byUpstream?: boolean;
 }
 
 export interface RetryBudget {
@@ -66,10 +69,19 @@
   readonly now: number;
 }
 
-/** Retries that a node may make before it has seen any calls, and after quiet times. */
-const initialTokens = 10;
-/** Unused retries are kept up to this number: 3 s worth at 300 calls a second. */
-const maxTokens = 100;
+/** Retries that a node may make in a window in which it has seen no calls. */
+const defaultSpare = 10;
+const defaultWindowMs = 10_000;
+/** Parts of a window that are counted together. */
+const windowSlots = 20;
+/** Gates that a call may be moved to after its first one refused it. */
+const maxMoves = 2;
+/** Refusals of a gate that another gate need not share. */
+const movableReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
+  'leaving',
+  'no_upstream',
+  'overloaded',
+]);
 /** Longest delay before the first retry in ms; it doubles with each attempt. */
 const baseDelayMs = 5;
 const maxDelayMs = 250;
@@ -92,38 +104,125 @@
   'unknown_class',
 ]);
 
-/** Creates a retry budget: a token for each `1 / share` first attempts. */
-export const createRetryBudget = ({ share }: { share: number }): RetryBudget => {
-  let tokens = initialTokens;
-  const balance = (): number => Math.floor(tokens + 1e-9);
+export interface RetryBudgetOptions {
+  /** Retries for each first attempt. */
+  readonly share: number;
+  /** Any span of this length keeps to the share, in ms. */
+  readonly windowMs?: number;
+  /** Retries in a window on top of the share. */
+  readonly spare?: number;
+}
+
+interface Slot {
+  readonly index: number;
+  calls: number;
+  retries: number;
+}
+
+/**
+ * Creates a retry budget. The retries of a window are counted over one slot more than its calls, so
+ * that the share holds for every position of the window.
+ */
+export const createRetryBudget = ({
+  share,
+  windowMs = defaultWindowMs,
+  spare = defaultSpare,
+}: RetryBudgetOptions): RetryBudget => {
+  const slotMs = windowMs / windowSlots;
+  let slots: Slot[] = [];
+
+  const slotAt = (now: number): Slot => {
+    const index = Math.floor(now / slotMs);
+    const last = slots.at(-1);
+    if (last?.index === index) {
+      return last;
+    }
+    const slot: Slot = { index, calls: 0, retries: 0 };
+    slots = [...slots.filter((old) => old.index >= index - windowSlots), slot];
+    return slot;
+  };
+
+  const balance = (now: number): number => {
+    const { index } = slotAt(now);
+    let left = spare;
+    slots.forEach((slot) => {
+      left += (slot.index > index - windowSlots ? share * slot.calls : 0) - slot.retries;
+    });
+    return Math.floor(left + 1e-9);
+  };
+
   return {
     commands: {
-      recordCall: () => {
-        tokens = Math.min(maxTokens, tokens + share);
+      recordCall: (now) => {
+        slotAt(now).calls += 1;
       },
-      spend: () => {
-        const isLeft = balance() >= 1;
-        tokens -= isLeft ? 1 : 0;
+      spend: (now) => {
+        const isLeft = balance(now) >= 1;
+        slotAt(now).retries += isLeft ? 1 : 0;
         return isLeft;
       },
     },
-    queries: { available: () => balance() >= 1, balance },
+    queries: { available: (now) => balance(now) >= 1, balance },
   };
 };
 
+export interface RetryBudgetsOptions extends RetryBudgetOptions {
+  /** Retries in a window on top of the share for a whole service; at least those of a class. */
+  readonly serviceSpare?: number;
+}
+
+/** Retry budget of the calls of a class to a service. */
+export type RetryBudgetOf = (className: string, service?: string) => RetryBudget;
+
+/** Classes and services whose budgets are remembered. */
+const maxBudgets = 4_096;
+
 /**
- * Creates the retry budgets of one node, one for each class: a class whose calls are shed must not
- * use up the retries of the others. Their sum stays within the share of all calls.
+ * Creates the retry budgets of one node. A retry has to fit the budget of its class, since a class
+ * whose calls are shed must not use up the retries of the others, and the budget of the service.
  */
-export const createRetryBudgets = (options: {
-  share: number;
-}): ((className: string) => RetryBudget) => {
+export const createRetryBudgets = (options: RetryBudgetsOptions): RetryBudgetOf => {
+  const { spare = defaultSpare, serviceSpare = 2 * spare } = options;
   const budgets = new Map<string, RetryBudget>();
-  return (className) => {
-    const budget = budgets.get(className) ?? createRetryBudget(options);
-    budgets.set(className, budget);
+
+  const budgetAt = (key: string, spareOfKey: number): RetryBudget => {
+    const budget = budgets.get(key) ?? createRetryBudget({ ...options, spare: spareOfKey });
+    budgets.set(key, budget);
+    if (budgets.size > maxBudgets) {
+      budgets.delete(budgets.keys().next().value!);
+    }
     return budget;
   };
+
+  return (className, service = '') => {
+    const ofClass = budgetAt(JSON.stringify([className, service]), spare);
+    const ofService = service === '' ? ofClass : budgetAt(service, serviceSpare);
+    const available = (now: number) =>
+      ofClass.queries.available(now) && ofService.queries.available(now);
+    if (ofService === ofClass) {
+      return ofClass;
+    }
+    return {
+      commands: {
+        recordCall: (now) => {
+          ofClass.commands.recordCall(now);
+          ofService.commands.recordCall(now);
+        },
+        spend: (now) => {
+          const isLeft = available(now);
+          if (isLeft) {
+            ofClass.commands.spend(now);
+            ofService.commands.spend(now);
+          }
+          return isLeft;
+        },
+      },
+      queries: {
+        available,
+        balance: (now) => Math.min(ofClass.queries.balance(now), ofService.queries.balance(now)),
+      },
+    };
+  };
 };
 
 type RetryRule = (question: RetryQuestion) => boolean;
@@ -158,6 +257,14 @@
     : { retry: true, delayMs };
 };
 
+/** A gate refused the call before any upstream saw it. */
+export const isGateRefusal = ({ run, byUpstream, reason }: AttemptFailure): boolean =>
+  run === 'not_run' && !byUpstream && movableReasons.has(reason);
+
+/** Whether a call that a gate refused goes to another gate; `moves` is how often it did before. */
+export const canMove = (moves: number, remainingMs: number): boolean =>
+  moves < maxMoves && remainingMs >= minUsefulMs;
+
 /**
  * Whether a failure goes up with `x-retried: true`. An empty budget counts too: otherwise each
  * level above would spend its own budget on the same failure, 1.1 ^ 9 = 2.4 times the calls.
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -14,6 +14,7 @@
   platformSettingsFile,
   readPlatformSettings,
   toNodeSettings,
+  toRetryBudgets,
 } from './settings.js';
 import { watchSettings } from './settingsWatch.js';
 
@@ -39,6 +40,7 @@
     adapter: {
       callInterface: createCallInterface(() => watch.current().service),
       stopTimes: { acceptMs, idleMs },
+      retryBudgets: toRetryBudgets(settings),
       renewWithinMs: missedCheckIns * settings.checkInMs,
       start: ({ ready, announcement }) =>
         createCheckInServer({
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -3,6 +3,7 @@
  * keys, lists joined by commas. Unknown keys are ignored; every problem is reported with its line.
  */
 import { readFileSync } from 'node:fs';
+import type { RetryBudgetsOptions } from '../core/calls/retry.js';
 import type { ControlSettings } from '../plugins/operators/controlSettings.js';
 import type { NodeSettings } from '../plugins/operators/nodeSettings.js';
 import { parseAddress, type Address } from '../plugins/rpc.js';
@@ -21,6 +22,17 @@
 const defaultCheckInMs = 1_500;
 /** Grace of a stop where the bounds do not name it, in s: that of the platform's sample. */
 const defaultGraceSeconds = 6;
+/** Limit of repeats where the bounds do not name it: that of the platform's sample. */
+const defaultRepeats = { share: 0.2, windowSeconds: 10, spare: 56 } as const;
+/**
+ * Part of the share of repeats that nodes use for their own. The calls that a repeated run makes
+ * count as repeats at the service that they go to, and no node knows them from others.
+ */
+const ownRepeats = 0.6;
+/** Nodes that may use their spare repeats at once: a deployment has fewer. */
+const nodesSharingSpare = 100;
+/** Spare repeats of a class, as a part of those of its service. */
+const classPart = 0.5;
 
 export interface PlatformSettings {
   readonly node: string;
@@ -40,6 +52,15 @@
   readonly service: string;
   /** Time from SIGTERM to SIGKILL, in ms. */
   readonly graceMs: number;
+  /** What endpoints of a service may see of repeats, over all nodes. */
+  readonly repeats: RepeatLimit;
+}
+
+/** In any window: `share` of the requests for a service, and `spare` more. */
+export interface RepeatLimit {
+  readonly share: number;
+  readonly windowMs: number;
+  readonly spare: number;
 }
 
 interface Line {
@@ -118,6 +139,7 @@
     report('heartbeat_ms', 'not a duration', 'milliseconds above 0');
   }
   const graceSeconds = boundIn(optional('bounds'), 'grace_s') ?? defaultGraceSeconds;
+  const bounds = optional('bounds');
   const settings: PlatformSettings = {
     node: required('node'),
     ip: required('ip'),
@@ -131,6 +153,11 @@
     checkInMs,
     service: optional('service'),
     graceMs: graceSeconds * 1_000,
+    repeats: {
+      share: boundIn(bounds, 'retry_budget_ratio') ?? defaultRepeats.share,
+      windowMs: (boundIn(bounds, 'budget_window_s') ?? defaultRepeats.windowSeconds) * 1_000,
+      spare: boundIn(bounds, 'retry_budget_slack') ?? defaultRepeats.spare,
+    },
   };
   if (findings.length > 0) {
     throw new FindingsError('invalid_settings', findings);
@@ -179,6 +206,14 @@
   return found;
 };
 
+/** Budget of one node that keeps all nodes within the limit when all of them use theirs. */
+export const toRetryBudgets = ({
+  repeats: { share, windowMs, spare },
+}: PlatformSettings): RetryBudgetsOptions => {
+  const serviceSpare = spare / nodesSharingSpare;
+  return { share: ownRepeats * share, windowMs, serviceSpare, spare: classPart * serviceSpare };
+};
+
 /** What the settings mean for a node. */
 export const toNodeSettings = (settings: PlatformSettings, adminPort: number): NodeSettings => {
   const { node, ip, dataCentre, region, listen, peerPort } = settings;
--- a/src/plugins/calls/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -18,6 +18,8 @@
 /** Reason of a refusal by this system, so that it is told apart from an answer of the upstream. */
 export const refusalHeader = 'x-refusal';
 export const runHeader = 'x-run';
+/** Says that the upstream itself refused the call, and not the node beside it. */
+export const byUpstreamHeader = 'x-refused-by-upstream';
 export const callerHeader = 'x-caller';
 /** Service that the call is for: the upstream beside the receiving node may have been replaced. */
 export const serviceHeader = 'x-service';
@@ -60,6 +62,7 @@
 
 const ownAnswerHeaders = new Set([
   attemptIdHeader,
+  byUpstreamHeader,
   configStaleHeader,
   configVersionHeader,
   loadHeader,
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -6,11 +6,13 @@
 import { randomUUID } from 'node:crypto';
 import type { AttemptOutcome, Evidence } from '../../core/calls/evidence.js';
 import {
+  canMove,
   decideHedge,
   decideRetry,
+  isGateRefusal,
   isRetriedBelow,
   retriedHeader,
-  type RetryBudget,
+  type RetryBudgetOf,
   type RetryDecision,
 } from '../../core/calls/retry.js';
 import { createAnswerSizes } from '../../core/calls/answerSizes.js';
@@ -40,8 +42,7 @@
   readonly upstream: LocalUpstream;
   readonly remote: RemoteNodes;
   readonly evidence: Evidence;
-  /** Retry budget of a class. */
-  readonly budgetOf: (className: string) => RetryBudget;
+  readonly budgetOf: RetryBudgetOf;
   readonly onRetry: (className: string) => void;
 }
 
@@ -127,11 +128,14 @@
 
   const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
     const { policy } = plan;
-    const budget = options.budgetOf(policy.className);
+    const budget = options.budgetOf(policy.className, plan.service);
     const active = new Set<Attempt>();
     const excluded = new Set<string>();
     let winner: Attempt | undefined;
+    /** Attempts that an upstream has seen, or may still see. */
     let attempts = 0;
+    let moves = 0;
+    let isFirst = true;
     let mayHaveRun = false;
     let isOver = false;
     let answeredBytes = 0;
@@ -185,6 +189,16 @@
     };
 
     const retryOrRefuse = (failure: AttemptFailureReport) => {
+      if (isGateRefusal(failure)) {
+        attempts -= 1;
+        if (plan.body.kind === 'stream' || !canMove(moves, plan.deadlineAt - timer.now())) {
+          refuse(failure);
+          return;
+        }
+        moves += 1;
+        startAttempt(failure, true);
+        return;
+      }
       const decision = decide(failure);
       // A body that is read once cannot be sent again.
       const isStream = plan.body.kind === 'stream';
@@ -286,16 +300,17 @@
       needsFreshConnection: isHedge,
     });
 
-    const chooseRemote = (cluster: Cluster): Endpoint | undefined => {
+    const chooseRemote = (cluster: Cluster, isMove: boolean): Endpoint | undefined => {
       const answerBytes = sizes.queries.usualBytes(policy.className);
       const choice = { cluster, evidence, policy, home, answerBytes, random, now: timer.now() };
       return (
         chooseEndpoint({ ...choice, exclude: excluded }) ??
-        chooseEndpoint({ ...choice, exclude: noExclusion })
+        (isMove ? undefined : chooseEndpoint({ ...choice, exclude: noExclusion }))
       );
     };
 
-    const startAttempt = (earlier?: AttemptFailureReport) => {
+    /** A move goes to a gate that did not refuse the call yet. */
+    const startAttempt = (earlier?: AttemptFailureReport, isMove = false) => {
       const now = timer.now();
       if (now >= plan.deadlineAt) {
         refuse(earlier ?? reportOf(new Failure('deadline_past')));
@@ -310,7 +325,7 @@
         evidence.commands.recordLoad(ownId, upstream.queries.load(), now);
       }
       const cluster = isLocal ? undefined : plan.held.clusters.get(plan.service);
-      const endpoint = cluster && chooseRemote(cluster);
+      const endpoint = cluster && chooseRemote(cluster, isMove);
       const isHedge = active.size > 0;
       if (!isLocal && !endpoint && isHedge) {
         return;
@@ -320,7 +335,8 @@
         return;
       }
       attempts += 1;
-      const id = attempts === 1 && firstAttemptId ? firstAttemptId : nextAttemptId();
+      const id = isFirst && firstAttemptId ? firstAttemptId : nextAttemptId();
+      isFirst = false;
       const attempt: Attempt = {
         endpointId: endpoint?.id ?? ownId,
         startedAt: now,
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -5,7 +5,7 @@
 import { createBurn, burnReport } from '../../core/operators/burn.js';
 import { createEvidence } from '../../core/calls/evidence.js';
 import { explainPolicy, retryShare, siblingsOf } from '../../core/operators/policy.js';
-import { createRetryBudgets } from '../../core/calls/retry.js';
+import { createRetryBudgets, type RetryBudgetsOptions } from '../../core/calls/retry.js';
 import { formatVersion } from '../../core/agreement/version.js';
 import type { Cluster } from '../../types/public.js';
 import type { CallInterface } from '../../types/callInterface.js';
@@ -38,6 +38,8 @@
   readonly advertisedForward?: string;
   /** What callers and upstreams speak. Default: the product's own interface. */
   readonly callInterface?: CallInterface;
+  /** Limits of retries. Default: a tenth of the calls of each class and service. */
+  readonly retryBudgets?: RetryBudgetsOptions;
   /** Time within which the upstream renews its announcement, in ms. Default: 3 s. */
   readonly renewWithinMs?: number;
   readonly stopTimes?: StopTimes;
@@ -86,7 +88,7 @@
   const { node, access, holding, metrics, timer, log, random } = options;
   const { callInterface = ownCallInterface, stopTimes = defaultStopTimes } = options;
   const evidence = createEvidence({ random });
-  const budgetOf = createRetryBudgets({ share: retryShare });
+  const budgetOf = createRetryBudgets(options.retryBudgets ?? { share: retryShare });
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
   const upstream = createLocalUpstream(timer, callInterface.upstreams);
--- a/src/plugins/calls/ownCallInterface.ts
+++ b/src/plugins/calls/ownCallInterface.ts
@@ -12,6 +12,7 @@
 import { refusalBody } from './callAnswers.js';
 import {
   attemptIdHeader,
+  byUpstreamHeader,
   classHeader,
   configStaleHeader,
   configVersionHeader,
@@ -57,6 +58,9 @@
     if (failure.retried) {
       headers.push(retriedHeader, 'true');
     }
+    if (failure.byUpstream) {
+      headers.push(byUpstreamHeader, 'true');
+    }
     if (failure.retryAfterSeconds !== undefined) {
       headers.push('retry-after', String(failure.retryAfterSeconds));
     }
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -16,6 +16,7 @@
 import type { Timer } from '../../utils/timer.js';
 import {
   attemptIdHeader,
+  byUpstreamHeader,
   callerAuthorizationHeader,
   callerHeader,
   classHeader,
@@ -68,6 +69,7 @@
     reason: reason as FailureReason,
     run: headerIn(headers, runHeader) === 'not_run' ? 'not_run' : 'may_have_run',
     retried: headerIn(headers, retriedHeader) === 'true',
+    byUpstream: headerIn(headers, byUpstreamHeader) === 'true',
     retryAfterSeconds: retryAfter > 0 ? retryAfter : undefined,
   };
 };
