--- a/__tests__/examples.process.test.ts
+++ b/__tests__/examples.process.test.ts
@@ -4,7 +4,9 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
+import { isDeepStrictEqual } from 'node:util';
 import { withDeployment } from './support/deployment.js';
+import { waitFor } from './support/waitFor.js';
 
 const root = join(import.meta.dirname, '..');
 const limitMs = 120_000;
@@ -48,12 +50,15 @@
     }));
     const targets = readFileSync(join(root, 'examples/adire-loom/targets.toml'), 'utf8');
     await withDeployment({ name: 'adire-loom', dataCentres, targets }, async ({ cli, nodes }) => {
-      const { stdout } = await cli(['status', '--json']);
-      const status = JSON.parse(stdout);
-      assert.equal(status.ok, true, stdout);
-      assert.deepEqual(
-        status.data_centres.map(({ nodes_in_force: inForce }: never) => inForce),
-        [4, 3, 3],
+      // Nodes report up the tree a moment after the targets are in force.
+      await waitFor(
+        async () => {
+          const { stdout } = await cli(['status', '--json']);
+          const { ok, data_centres: found } = JSON.parse(stdout);
+          const inForce = found.map(({ nodes_in_force: count }: never) => count);
+          return ok && isDeepStrictEqual(inForce, [4, 3, 3]);
+        },
+        { what: 'the targets in force on 4, 3 and 3 nodes' },
       );
       const order = await fetch(`http://${nodes[0]!.calls}/orders`, {
         method: 'POST',
