Elect a leader sooner after all members started together

The control instances had started at 43.8 s and had a leader at 44.9 s, since each waits 1 to 2 s for a leader that cannot exist; until then no node gets a configuration and every call is refused. Ruled out: the feed, nodes attached 0.1 to 0.5 s after the election. Change: a replica that has known no leader since its start waits 0.3 to 0.6 s. An early pre-vote changes no term and is refused by whoever hears a leader. The new test failed first; the property tests of the algorithm are unchanged.

--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -120,6 +120,28 @@
     confirmedAgeMs: 0,
   }) as const;
 
+describe('a replica that starts', () => {
+  const asksForVotes = (effects: readonly ReplicaEffect[]) =>
+    effects.some((effect) => effect.type === 'send' && effect.message.type === 'requestVote');
+
+  // Guards against seconds without a leader after all members lost their power together.
+  it('asks for votes long before the election timeout, and again when nobody answers', () => {
+    const driver = drive();
+    assert.equal(asksForVotes(driver.advance(0.2 * electionTimeoutMs)), false);
+    assert.equal(asksForVotes(driver.advance(0.2 * electionTimeoutMs)), true);
+    assert.equal(asksForVotes(driver.advance(0.4 * electionTimeoutMs)), true);
+    assert.equal(driver.core.queries.status().term, 1, 'a pre-vote changes no term');
+  });
+
+  it('waits for the whole election timeout once it has heard a leader', () => {
+    const driver = drive();
+    driver.ask('b', append(1, first, []));
+    assert.equal(asksForVotes(driver.advance(0.9 * electionTimeoutMs)), false);
+    assert.equal(asksForVotes(driver.advance(0.2 * electionTimeoutMs)), true);
+    assert.equal(asksForVotes(driver.advance(0.9 * electionTimeoutMs)), false);
+  });
+});
+
 describe('leader of the replicated log', () => {
   it('tells members of a commit at once and not with the next heartbeat', () => {
     const driver = elect(drive());
--- a/src/core/agreement/consensus.ts
+++ b/src/core/agreement/consensus.ts
@@ -94,6 +94,7 @@
   commitIndex: options.snapshot.index,
   appliedIndex: 0,
   electionDeadline: 0,
+  isStarting: true,
   leaderHeardAt: 0,
   confirmedAt: -Infinity,
   sequence: 0,
@@ -176,6 +177,7 @@
   }
   replica.leaderName = from.name;
   replica.leaderHeardAt = replica.now;
+  replica.isStarting = false;
   restartElectionTimer(replica);
 };
 
--- a/src/core/agreement/consensusElection.ts
+++ b/src/core/agreement/consensusElection.ts
@@ -10,9 +10,17 @@
 import { syncProgress } from './consensusProgress.js';
 import { appendOwn, heartbeat } from './consensusReplication.js';
 
+/**
+ * Part of the election timeout that a replica waits until it has known a leader. After a loss of
+ * power all members start together and none of them can tell that there is no leader; a pre-vote
+ * that comes too early changes nothing.
+ */
+const startingPart = 0.3;
+
 export const restartElectionTimer = (replica: Replica): void => {
   const { electionTimeoutMs, random } = replica.options;
-  replica.electionDeadline = replica.now + electionTimeoutMs * (1 + random());
+  const part = replica.isStarting ? startingPart : 1;
+  replica.electionDeadline = replica.now + part * electionTimeoutMs * (1 + random());
 };
 
 const restingRole = (replica: Replica): ReplicaRole =>
@@ -77,6 +85,7 @@
   replica.leaderSince = replica.now;
   replica.roundSentAt.clear();
   replica.progress.clear();
+  replica.isStarting = false;
   changeRole(replica, 'leader');
   syncProgress(replica);
   // Commits the entries of earlier terms, and confirms reads and membership changes.
--- a/src/core/agreement/consensusTypes.ts
+++ b/src/core/agreement/consensusTypes.ts
@@ -236,6 +236,8 @@
   commitIndex: number;
   appliedIndex: number;
   electionDeadline: number;
+  /** This replica has known no leader since its start. */
+  isStarting: boolean;
   /** Time of the last message of the current leader. */
   leaderHeardAt: number;
   /** Time at which a quorum had last confirmed the leader, as this replica knows it. */
