--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -18,16 +18,22 @@
 }
 
 /** A runner whose endpoints answer at once with what `answerOf` says. */
-const createRunner = (endpointIds: string[], answerOf: (endpointId: string) => Answer) => {
+const createRunner = (
+  endpointIds: string[],
+  answerOf: (endpointId: string) => Answer,
+  answerMs = 1,
+) => {
   const timer = createManualTimer();
   const random = createRandom(3);
   const evidence = createEvidence({ random });
   const budget = createRetryBudget({ share: 0.1 });
   const sent: string[] = [];
+  const waits: number[] = [];
   const remote: RemoteNodes = {
-    send: ({ id }, _, listener) => {
+    send: ({ id }, { maxWaitMs }, listener) => {
       sent.push(id);
-      timer.after(1, () => {
+      waits.push(maxWaitMs);
+      timer.after(answerMs, () => {
         const { status, headers = [], failure } = answerOf(id);
         if (failure) {
           listener.onFailure(failure);
@@ -84,7 +90,7 @@
     timer.advance(100);
     return answer;
   };
-  return { call, evidence, budget, sent, timer };
+  return { call, evidence, budget, sent, waits, timer };
 };
 
 describe('call runner', () => {
@@ -156,4 +162,12 @@
     assert.equal(sent.length, 3);
     assert.equal(budget.queries.balance(timer.now()), balance);
   });
+
+  // Guards against a call that waits its whole limit at each gate in turn.
+  it('lets a call wait at all gates together for as long as its policy says', () => {
+    const { call, waits } = createRunner(['a', 'b', 'c', 'd'], () => refusedBy(false), 30);
+    call();
+    const { maxWaitMs } = createPolicy();
+    assert.deepEqual(waits, [maxWaitMs, maxWaitMs - 30, maxWaitMs - 60]);
+  });
 });
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -129,6 +129,7 @@
   const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
     const { policy } = plan;
     const budget = options.budgetOf(policy.className, plan.service);
+    const beganAt = timer.now();
     const active = new Set<Attempt>();
     const excluded = new Set<string>();
     let winner: Attempt | undefined;
@@ -290,7 +291,8 @@
       service: plan.service,
       caller: plan.caller,
       priority: policy.priority,
-      maxWaitMs: policy.maxWaitMs,
+      // Gates that a call is moved to must not add up their waits.
+      maxWaitMs: Math.max(0, policy.maxWaitMs - (timer.now() - beganAt)),
       method: plan.method,
       path: plan.path,
       headers: plan.headers,
