Take the endpoint beside the node unless another one is better by more than a hop

Cause: once half of its slots were in use, the endpoint beside a node was chosen as seldom as any other of its data centre (11.5% of the calls among six that are equally busy), and the call took two nodes. Change: the own endpoint is always compared, and any other one costs 5 ms more for the second node. The test failed first.

--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -239,6 +239,38 @@
     assert.equal(farCalls(40, 0, 90_000), 1_000, 'the wait is worse than the way');
   });
 
+  // Guards against two nodes on the way of a call whose own endpoint would answer as soon.
+  it('takes the endpoint beside the node unless another one is better by more than a hop', () => {
+    const random = createRandom(seed);
+    const evidence = createEvidence({ random });
+    const ids = ['own', 'b', 'c', 'd', 'e', 'f'];
+    const cluster = createCluster(ids.map((id) => createEndpoint(id, { slots: 10 })));
+    const chooseWith = (ownInFlight: number) => {
+      const now = 60_000;
+      ids.forEach((id) => {
+        const inFlight = id === 'own' ? ownInFlight : 6;
+        const load = { inFlight, limit: 10, waiting: 0, workMs: 100 };
+        evidence.commands.recordLoad(id, load, now);
+      });
+      return chooseEndpoint({
+        cluster,
+        evidence,
+        policy: createPolicy(),
+        home: { ...home, name: 'own' },
+        exclude: new Set(),
+        random,
+        now,
+      })?.id;
+    };
+    const shareOfOwn = (ownInFlight: number) =>
+      countBy(
+        times(200, () => chooseWith(ownInFlight)),
+        'own',
+      ) / 200;
+    assert.equal(shareOfOwn(6), 1, 'as busy as the others');
+    assert.equal(shareOfOwn(10), 0, 'full');
+  });
+
   it('does not send all calls between two load reports to the same endpoint', () => {
     const endpoints = times(3, (index) => createEndpoint(`e${index}`));
     const { evidence, choose } = createRoute({ endpoints });
--- a/src/core/calls/routing.ts
+++ b/src/core/calls/routing.ts
@@ -1,12 +1,12 @@
 /**
  * Choice of the endpoint for one attempt: power of two choices on predicted time among the
- * endpoints that are ready and not ejected, for each distance; of these the one that is cheapest
- * with the way to it.
+ * endpoints that are ready and not ejected, for each distance; of these and the endpoint beside the
+ * node the one that is cheapest with the way to it.
  */
 import type { Cluster, Endpoint, Policy } from '../../types/public.js';
 import { predictedMs, usualLatencyMs, warmShare } from './endpointRank.js';
 import type { Evidence } from './evidence.js';
-import { groupByDistance, wayCostMs, type Home } from './routingTiers.js';
+import { groupByDistance, hopMs, wayCostMs, type Home } from './routingTiers.js';
 
 export type { Home } from './routingTiers.js';
 
@@ -111,10 +111,11 @@
   const usualMs = usualLatencyMs(evidence, inUse);
   const cost: Cost = (endpoint) =>
     predictedMs(endpoint, evidence.queries.of(endpoint.id), usualMs, now);
-  let cheapest: { readonly endpoint: Endpoint; readonly costMs: number } | undefined;
+  const own = inUse.find(({ node }) => node === home.name);
+  let cheapest = own && { endpoint: own, costMs: cost(own) };
   groupByDistance(inUse, home).forEach(({ distance, endpoints }) => {
     const endpoint = chooseOfTwo(endpoints, choice, cost);
-    const costMs = endpoint ? cost(endpoint) + wayCostMs(distance, answerBytes) : Infinity;
+    const costMs = endpoint ? cost(endpoint) + wayCostMs(distance, answerBytes) + hopMs : Infinity;
     if (endpoint && costMs < (cheapest?.costMs ?? Infinity)) {
       cheapest = { endpoint, costMs };
     }
--- a/src/core/calls/routingTiers.ts
+++ b/src/core/calls/routingTiers.ts
@@ -7,6 +7,8 @@
 
 /** Where the choosing node stands. */
 export interface Home {
+  /** Name of the choosing node, which stands beside one endpoint at most. */
+  readonly name?: string;
   readonly dataCentre: string;
   readonly region: string;
 }
@@ -20,6 +22,12 @@
   other_region: 100,
 };
 
+/**
+ * Cost of a second node on the way, in ms: its processor time and one way within a data centre. The
+ * endpoint beside the choosing node is taken unless another one is better by more than that.
+ */
+export const hopMs = 5;
+
 /**
  * Bytes between data centres that are worth one ms of waiting. At this rate an answer of 2 KB goes
  * to another data centre for a wait of 4 ms, and one of 100 KB for a wait of 200 ms.
