Say when a refused caller may come back, from the queue that it met

Cause: every refusal for load named 1 s, whatever waited, and refusals for other reasons named nothing, so that their callers came back at once. Change: the time is that in which the calls that wait are worked off, spread over as much again; refusals without a queue have a time by reason. Nodes tell each other milliseconds; callers of the own interface get whole seconds, as HTTP has.

--- a/src/core/calls/admission.ts
+++ b/src/core/calls/admission.ts
@@ -73,6 +73,8 @@
     inFlight(): number;
     waiting(): number;
     load(): EndpointLoad;
+    /** Time in which the waiting calls of a class are expected to be started, in ms. */
+    backlogMs(className: string): number;
     classes(): readonly ClassCounts[];
     /** Time at which `tick` has something to do next. */
     nextTickAt(): number | undefined;
@@ -254,6 +256,11 @@
   const expectedWaitMs = (state: ClassState, { caller }: AdmissionCall): number =>
     ((state.line.queries.callsAhead(caller) + 1) * (state.usualMs ?? 0)) / expectedSlots(state);
 
+  const backlogMs = (className: string): number => {
+    const state = states.get(className);
+    return state ? (state.line.queries.size() * (state.usualMs ?? 0)) / expectedSlots(state) : 0;
+  };
+
   /** The first call of a class may always wait: the estimate must not keep a class out for good. */
   const isWaitTooLong = (state: ClassState, call: AdmissionCall): boolean =>
     state.line.queries.size() > 0 && expectedWaitMs(state, call) > call.maxWaitMs;
@@ -385,6 +392,7 @@
       inFlight: () => running.size,
       waiting: () => waitingClass.size,
       load: () => ({ inFlight: running.size, limit: limit(), waiting: waitingClass.size, workMs }),
+      backlogMs,
       classes: () =>
         [...states.values()].map(({ className, inFlight, line }) => ({
           className,
--- a/src/plugins/calls/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -20,6 +20,8 @@
 export const runHeader = 'x-run';
 /** Says that the upstream itself refused the call, and not the node beside it. */
 export const byUpstreamHeader = 'x-refused-by-upstream';
+/** `retry-after` between nodes, in ms: the standard header has whole seconds only. */
+export const retryAfterMsHeader = 'x-retry-after-ms';
 export const callerHeader = 'x-caller';
 /** Service that the call is for: the upstream beside the receiving node may have been replaced. */
 export const serviceHeader = 'x-service';
@@ -69,6 +71,7 @@
   refusalHeader,
   replayedHeader,
   requestIdHeader,
+  retryAfterMsHeader,
   runHeader,
 ]);
 
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
+import { usualRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { matchClass } from '../../core/calls/classMatching.js';
 import type { AttemptFailureReport } from '../../types/calls.js';
 import type { CallerInterface, CallHeaders } from '../../types/callInterface.js';
@@ -34,6 +35,7 @@
 const maxHeaderBytes = 16 * 1_024;
 /** Time that a call waits for the endpoints of a service that the node does not hold yet. */
 const clusterWaitMs = 1_000;
+const msPerSecond = 1_000;
 
 export interface CallServerOptions {
   readonly address: Address;
@@ -47,6 +49,8 @@
   readonly runner: CallRunner;
   readonly atMostOnce: AtMostOnce;
   readonly burn: Burn;
+  /** Returns a number in [0, 1). */
+  readonly random: () => number;
   /** Returns a number in [0, 1) that spreads the calls of a class evenly. */
   readonly spread: (className: string) => number;
   readonly metrics: CallMetrics;
@@ -98,6 +102,15 @@
     metrics.recordCall(className, result, now - call.startedAt);
   };
 
+  /** A refusal without a time to come back gets the usual one of its reason. */
+  const withRetryAfter = (failure: AttemptFailureReport): AttemptFailureReport => {
+    const usual = usualRetryAfterMs(failure.reason, options.random);
+    const isKnown = failure.retryAfterSeconds !== undefined || failure.run !== 'not_run';
+    return isKnown || usual === undefined
+      ? failure
+      : { ...failure, retryAfterSeconds: usual / msPerSecond };
+  };
+
   const refuse = (call: Call, failure: AttemptFailureReport) => {
     if (call.isOver) {
       return;
@@ -105,7 +118,7 @@
     const elapsedMs = timer.now() - call.startedAt;
     const outcome = outcomeOfRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
     finish(call, outcome, failure.reason);
-    writeRefusal(call.response, callers.refusal(failure, call.requestId), timer);
+    writeRefusal(call.response, callers.refusal(withRetryAfter(failure), call.requestId), timer);
   };
 
   const outcomeOf = (call: Call, status: number): CallOutcome => {
@@ -237,7 +250,7 @@
       const failure = reportOf(error);
       metrics.recordCall('unknown', failure.reason, 0);
       const requestId = callers.readRequestId(request) ?? randomUUID();
-      writeRefusal(response, callers.refusal(failure, requestId), timer);
+      writeRefusal(response, callers.refusal(withRetryAfter(failure), requestId), timer);
       return;
     }
     listener.guard(request, (reason, detail) => {
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -18,6 +18,7 @@
   priorityHeader,
   readCallHeaders,
   readRequestId,
+  retryAfterMsHeader,
   serviceHeader,
 } from './callHeaders.js';
 import { createCallStarts } from './callStarts.js';
@@ -90,7 +91,12 @@
 
     const refuse = (failure: AttemptFailureReport) => {
       isOver = true;
-      writeRefusal(response, ownCallers.refusal(failure, requestId), timer, echo());
+      const { retryAfterSeconds } = failure;
+      const extraHeaders = echo();
+      if (retryAfterSeconds !== undefined) {
+        extraHeaders.push(retryAfterMsHeader, String(Math.round(retryAfterSeconds * 1_000)));
+      }
+      writeRefusal(response, ownCallers.refusal(failure, requestId), timer, extraHeaders);
     };
 
     if (access.identify(request.headers.authorization).kind !== 'cluster') {
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -10,6 +10,7 @@
   type FinishOutcome,
 } from '../../core/calls/admission.js';
 import type { EndpointLoad } from '../../core/calls/evidence.js';
+import { retryAfterMs } from '../../core/calls/retryAfter.js';
 import type {
   AttemptFailureReport,
   AttemptListener,
@@ -24,9 +25,7 @@
 
 /** Part of the slots below which an endpoint works at its full speed. */
 const quietBelow = 0.5;
-/** Wait that a refused caller is told, in seconds. */
-const retryAfterSeconds = 1;
-
+const msPerSecond = 1_000;
 export interface UpstreamDescription {
   readonly service: string;
   readonly address: string;
@@ -75,21 +74,17 @@
 const slotsOf = ({ slots, connections }: UpstreamDescription): number =>
   Math.min(slots, connections);
 
-const refusedReport = (reason: FailureReason, byUpstream = false): AttemptFailureReport => ({
-  reason,
-  run: 'not_run',
-  retried: false,
-  byUpstream,
-  retryAfterSeconds: reason === 'overloaded' ? retryAfterSeconds : undefined,
-});
-
 const refusalByVerdict: Partial<Record<AnswerVerdict, FailureReason>> = {
   refused: 'overloaded',
   other_instance: 'no_upstream',
 };
 
 /** Creates the access of a node to the upstream beside it. */
-export const createLocalUpstream = (timer: Timer, upstreams: UpstreamInterface): LocalUpstream => {
+export const createLocalUpstream = (
+  timer: Timer,
+  upstreams: UpstreamInterface,
+  random: () => number = () => 0.5,
+): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let upstreamPool: UpstreamPool | undefined;
   let admission: Admission | undefined;
@@ -100,6 +95,21 @@
   let tickAt = Infinity;
   const entries = new Map<string, Entry>();
 
+  const refusedReport = (
+    reason: FailureReason,
+    className: string,
+    byUpstream = false,
+  ): AttemptFailureReport => ({
+    reason,
+    run: 'not_run',
+    retried: false,
+    byUpstream,
+    ...(reason === 'overloaded' && {
+      retryAfterSeconds:
+        retryAfterMs(admission?.queries.backlogMs(className) ?? 0, random) / msPerSecond,
+    }),
+  });
+
   const carryOut = (effects: readonly AdmissionEffect[]) => {
     effects.forEach((effect) => {
       if (effect.type !== 'waiting') {
@@ -164,7 +174,7 @@
         isTurnedAway = true;
         const load = upstreams.readLoad?.(head.headers);
         hasFreeSlots = load !== undefined && load.running < load.slots && load.waiting === 0;
-        listener.onFailure(refusedReport(reason, true));
+        listener.onFailure(refusedReport(reason, request.className, true));
       },
       onData: (chunk) => (isTurnedAway ? true : listener.onData(chunk)),
       onEnd: () => {
@@ -215,13 +225,13 @@
       }
       isOver = true;
       entries.delete(attemptId);
-      listener.onFailure(refusedReport(refusal));
+      listener.onFailure(refusedReport(refusal, request.className));
     };
 
     const isForOther = request.service !== '' && request.service !== description?.service;
     if (!admission || !upstreamPool || isDrained || isForOther) {
       isOver = true;
-      listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream'));
+      listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream', request.className));
     } else {
       entries.set(attemptId, { decide });
       carryOut(
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -91,7 +91,7 @@
   const budgetOf = createRetryBudgets(options.retryBudgets ?? { share: retryShare });
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
-  const upstream = createLocalUpstream(timer, callInterface.upstreams);
+  const upstream = createLocalUpstream(timer, callInterface.upstreams, random);
   const pools = createNodePools();
   const remote = createRemoteNodes({
     pools,
@@ -120,6 +120,7 @@
     dataCentre: node.dataCentre,
     callers: callInterface.callers,
     stopTimes,
+    random,
     spread: createSpread(random),
     timer,
     log: log.part('calls'),
--- a/src/plugins/calls/ownCallInterface.ts
+++ b/src/plugins/calls/ownCallInterface.ts
@@ -62,7 +62,8 @@
       headers.push(byUpstreamHeader, 'true');
     }
     if (failure.retryAfterSeconds !== undefined) {
-      headers.push('retry-after', String(failure.retryAfterSeconds));
+      // HTTP knows whole seconds only.
+      headers.push('retry-after', String(Math.ceil(failure.retryAfterSeconds)));
     }
     return { status: failureTable[failure.reason].status, headers, body };
   },
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -27,6 +27,7 @@
   priorityHeader,
   refusalHeader,
   requestIdHeader,
+  retryAfterMsHeader,
   runHeader,
   serviceHeader,
 } from './callHeaders.js';
@@ -64,13 +65,13 @@
   if (reason === undefined || !Object.hasOwn(failureTable, reason)) {
     return undefined;
   }
-  const retryAfter = Number(headerIn(headers, 'retry-after'));
+  const retryAfterMs = Number(headerIn(headers, retryAfterMsHeader));
   return {
     reason: reason as FailureReason,
     run: headerIn(headers, runHeader) === 'not_run' ? 'not_run' : 'may_have_run',
     retried: headerIn(headers, retriedHeader) === 'true',
     byUpstream: headerIn(headers, byUpstreamHeader) === 'true',
-    retryAfterSeconds: retryAfter > 0 ? retryAfter : undefined,
+    retryAfterSeconds: retryAfterMs > 0 ? retryAfterMs / 1_000 : undefined,
   };
 };
 
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -159,6 +159,7 @@
       dataCentre: service,
       callers: callInterface.callers,
       stopTimes: noStopTimes,
+      random,
       spread: createSpread(random),
       timer,
       log,
