Eject an endpoint only for failures that the others of its service do not share

Ruled out: leases and releases, the endpoints were in the clusters. Change: a row of failures counts only if it is no chance at the share that the other endpoints have, and the average only if it is far above theirs.

--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -122,6 +122,41 @@
     );
   });
 
+  /** Plays endpoints that fail their shares of the calls; part of the time that each is out. */
+  const timeOutAt = (shares: Readonly<Record<string, number>>): Map<string, number> => {
+    const random = createRandom(seed);
+    const evidence = createEvidence({ random });
+    const ids = Object.keys(shares);
+    const stepsOut = new Map(ids.map((id) => [id, 0]));
+    const steps = 6_000;
+    evidence.commands.retain('s', ids, 0);
+    times(steps, (step) => step * 5).forEach((now) =>
+      ids.forEach((id) => {
+        if (evidence.queries.status(id, now) === 'out') {
+          stepsOut.set(id, stepsOut.get(id)! + 1 / steps);
+          return;
+        }
+        attempt(evidence, id, now, random() < shares[id]! ? 'failed' : 'ok');
+      }),
+    );
+    return stepsOut;
+  };
+
+  // Guards against the loss of half of a service whose endpoints all fail for a common cause.
+  it('ejects no endpoint for failures that all of them share', () => {
+    [0.2, 0.4, 0.6].forEach((share) => {
+      const out = timeOutAt({ a: share, b: share, c: share, d: share, e: share, f: share });
+      out.forEach((part, id) => assert.ok(part < 0.05, `share ${share}: ${id} out for ${part}`));
+    });
+  });
+
+  it('ejects the endpoint that fails more than the others, and only that one', () => {
+    const out = timeOutAt({ a: 0.2, b: 0.2, c: 0.2, d: 0.9, e: 0.2, f: 0.2 });
+    assert.ok(out.get('d')! > 0.5, `${out.get('d')}`);
+    out.delete('d');
+    out.forEach((part, id) => assert.ok(part < 0.05, `${id} out for ${part}`));
+  });
+
   it('doubles the time of an ejection when the probe fails', () => {
     const endpoints = times(4, (index) => createEndpoint(`e${index}`));
     const { evidence } = createRoute({ endpoints });
--- a/src/core/calls/ejection.ts
+++ b/src/core/calls/ejection.ts
@@ -1,6 +1,7 @@
 /**
  * Outlier ejection of one endpoint: out after failures in a row or a high share of failures, for a
- * time that doubles with each ejection, and back after a single successful probe.
+ * time that doubles with each ejection, and back after a single successful probe. Failures that the
+ * other endpoints of the service share have another cause, such as a call of theirs that fails.
  */
 
 export interface EjectionState {
@@ -24,7 +25,14 @@
 export type EjectionStatus = 'in' | 'out' | 'probe';
 
 const maxConsecutiveFailures = 5;
+/**
+ * Chance below which failures in a row are not put down to the share that all endpoints have: once
+ * in some hours at 100 calls a second.
+ */
+const chanceOfRow = 1e-6;
 const maxFailureShare = 0.5;
+/** Standard deviations above the common share at which an average is not chance any more. */
+const outlierDeviations = 6;
 const minSamples = 10;
 const failureWeight = 0.1;
 /** Shortest and longest ejection in ms. */
@@ -76,9 +84,16 @@
   });
 };
 
-const isBad = (state: EjectionState): boolean =>
-  state.consecutiveFailures >= maxConsecutiveFailures ||
-  (state.samples >= minSamples && state.failureShare > maxFailureShare);
+/** `commonShare` is the share of failures of the other endpoints of the service. */
+const isOutlier = (state: EjectionState, commonShare: number): boolean => {
+  const { consecutiveFailures, failureShare, samples } = state;
+  const isLongRow =
+    consecutiveFailures >= maxConsecutiveFailures &&
+    commonShare ** consecutiveFailures < chanceOfRow;
+  const variance = (commonShare * (1 - commonShare) * failureWeight) / (2 - failureWeight);
+  const limit = Math.max(maxFailureShare, commonShare + outlierDeviations * Math.sqrt(variance));
+  return isLongRow || (samples >= minSamples && failureShare > limit);
+};
 
 /** Notes that an attempt was sent. The first one after the ejection time is the probe. */
 export const startAttempt = (state: EjectionState, now: number): void => {
@@ -94,18 +109,36 @@
   state.consecutiveFailures = isFailure ? state.consecutiveFailures + 1 : 0;
 };
 
+/**
+ * Share of failures of several endpoints together, without those that are out. An average that has
+ * just begun is corrected for its start at 0, and weighs less.
+ */
+export const commonFailureShare = (states: readonly EjectionState[]): number => {
+  let weights = 0;
+  let failures = 0;
+  states
+    .filter(({ isOut, samples }) => !isOut && samples > 0)
+    .forEach(({ samples, failureShare }) => {
+      const weight = Math.min(samples, minSamples);
+      weights += weight;
+      failures += (weight * failureShare) / (1 - (1 - failureWeight) ** samples);
+    });
+  return weights === 0 ? 0 : Math.min(1, failures / weights);
+};
+
 /** Notes the end of an attempt that says something about the endpoint's health. */
 export const endAttempt = (
   state: EjectionState,
   isFailure: boolean,
   random: () => number,
   now: number,
+  commonShare: () => number = () => 0,
 ): void => {
   countSample(state, isFailure, now);
   const isProbeTime = state.isOut && now >= state.ejectedUntil;
   if (isProbeTime && !isFailure) {
     returnToUse(state, now);
-  } else if (isProbeTime || (!state.isOut && isBad(state))) {
+  } else if (isProbeTime || (!state.isOut && isFailure && isOutlier(state, commonShare()))) {
     eject(state, random, now);
   }
 };
--- a/src/core/calls/evidence.ts
+++ b/src/core/calls/evidence.ts
@@ -4,6 +4,7 @@
  */
 import {
   abandonAttempt,
+  commonFailureShare,
   createEjectionState,
   ejectionStatus,
   endAttempt,
@@ -111,29 +112,37 @@
   state.refusedAt = now;
 };
 
-type EndHandler = (state: State, latencyMs: number, random: () => number, now: number) => void;
+interface EndContext {
+  readonly latencyMs: number;
+  readonly random: () => number;
+  /** Share of failures of the other endpoints of the service. */
+  readonly commonShare: () => number;
+  readonly now: number;
+}
+
+type EndHandler = (state: State, context: EndContext) => void;
 
 const endHandlers: Readonly<Record<AttemptOutcome, EndHandler>> = {
-  ok: (state, latencyMs, random, now) => {
+  ok: (state, { latencyMs, random, now }) => {
     addLatency(state, latencyMs);
     noteAnswer(state, now);
     noteRefusal(state, 0, now);
     endAttempt(state.ejection, false, random, now);
   },
-  failed: (state, _, random, now) => {
+  failed: (state, { random, commonShare, now }) => {
     noteAnswer(state, now);
-    endAttempt(state.ejection, true, random, now);
+    endAttempt(state.ejection, true, random, now, commonShare);
   },
-  timed_out: (state, latencyMs, random, now) => {
+  timed_out: (state, { latencyMs, random, commonShare, now }) => {
     addLatency(state, latencyMs);
-    endAttempt(state.ejection, true, random, now);
+    endAttempt(state.ejection, true, random, now, commonShare);
   },
-  refused: (state, _, __, now) => {
+  refused: (state, { now }) => {
     noteAnswer(state, now);
     noteRefusal(state, 1, now);
     abandonAttempt(state.ejection);
   },
-  cancelled: (state, latencyMs) => {
+  cancelled: (state, { latencyMs }) => {
     // A cancelled attempt would have taken longer, so it can only raise the estimate.
     if (latencyMs > (state.latencyMs ?? 0)) {
       addLatency(state, latencyMs);
@@ -153,6 +162,15 @@
     return state;
   };
 
+  const shareOfOthers = (endpointId: string): number => {
+    const ids = [...services.values()].find((known) => known.includes(endpointId)) ?? [];
+    const others = ids
+      .filter((id) => id !== endpointId)
+      .map((id) => states.get(id)?.ejection)
+      .filter((ejection) => ejection !== undefined);
+    return commonFailureShare(others);
+  };
+
   const recordStart = (endpointId: string, now: number): void => {
     const state = stateOf(endpointId, now);
     state.inFlight += 1;
@@ -168,7 +186,12 @@
       return;
     }
     state.inFlight = Math.max(0, state.inFlight - 1);
-    endHandlers[end.outcome](state, end.latencyMs, random, now);
+    endHandlers[end.outcome](state, {
+      latencyMs: end.latencyMs,
+      random,
+      commonShare: () => shareOfOthers(endpointId),
+      now,
+    });
     if (state.inFlight === 0) {
       state.silentSince = undefined;
     }
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -26,6 +26,7 @@
 /** Part of the slots below which an endpoint works at its full speed. */
 const quietBelow = 0.5;
 const msPerSecond = 1_000;
+
 export interface UpstreamDescription {
   readonly service: string;
   readonly address: string;
