--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -125,12 +125,11 @@
 
   await peer.listen();
   const warmUpAt = timer.now();
-  const warmUpCalls = await warmUp({
-    callInterface: adapter?.callInterface ?? ownCallInterface,
-    access,
-    timer,
-  });
-  log.info('warmed up', { calls: warmUpCalls, ms: Math.round(timer.now() - warmUpAt) });
+  await warmUp({ callInterface: adapter?.callInterface ?? ownCallInterface, access, timer }).then(
+    (calls) => log.info('warmed up', { calls, ms: Math.round(timer.now() - warmUpAt) }),
+    // A node that is slow at first is still of use.
+    (error: unknown) => log.warn('warm-up failed', { error: String(error) }),
+  );
   await runtime.start();
   await extension?.listen();
   feed.start();
