Mend what a reading of the whole change found

Cause: work on the path of a call (a budget's key was built and two objects made for each call; the share of failures of the other endpoints was summed up at each failure), things written again (listening on a port, the text form of an address), a time converted four times between seconds and ms, a default for a source of random numbers that would have turned the spread off unnoticed, and words that are not the field's (gate, move, away). Change: budgets are kept by class and service; the share is asked for only where it decides; one `formatAddress` beside `parseAddress`; times to come back are in ms until they are written; reroute, admission, the node beside an upstream.

--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -13,7 +13,7 @@
 interface Answer {
   readonly status: number;
   readonly headers?: string[];
-  /** Set if the gate in front of the endpoint, or the endpoint, did not run the call. */
+  /** Set if the endpoint, or the node beside it, did not run the call. */
   readonly failure?: AttemptFailureReport;
 }
 
@@ -49,7 +49,7 @@
     home: { name: 'home', dataCentre: 'a', region: 'r' },
     timer,
     random,
-    upstream: createLocalUpstream(timer, ownCallInterface.upstreams),
+    upstream: createLocalUpstream(timer, ownCallInterface.upstreams, () => 0.5),
     remote,
     evidence,
     budgetOf: () => budget,
@@ -134,7 +134,7 @@
 
   // Guards against calls that are refused although another endpoint has room, once the budget that
   // protects the upstreams is empty.
-  it('moves a call on when a gate refuses it, without using the retry budget', () => {
+  it('reroutes a call that the node beside an upstream refuses, without using the retry budget', () => {
     const { call, sent, budget, timer } = createRunner(['a', 'b', 'c'], (id) =>
       id === 'c' ? { status: 200 } : refusedBy(false),
     );
@@ -142,7 +142,7 @@
     for (let calls = 0; calls < 20; calls += 1) {
       sent.length = 0;
       assert.equal(call()?.status, 200, `call ${calls}`);
-      assert.equal(new Set(sent).size, sent.length, 'no gate is asked twice');
+      assert.equal(new Set(sent).size, sent.length, 'no node is asked twice');
     }
   });
 
@@ -153,7 +153,7 @@
     assert.equal(sent.length, 1);
   });
 
-  it('asks three gates at most', () => {
+  it('asks three nodes at most', () => {
     const { call, sent, budget, timer } = createRunner(['a', 'b', 'c', 'd', 'e'], () =>
       refusedBy(false),
     );
@@ -163,8 +163,8 @@
     assert.equal(budget.queries.balance(timer.now()), balance);
   });
 
-  // Guards against a call that waits its whole limit at each gate in turn.
-  it('lets a call wait at all gates together for as long as its policy says', () => {
+  // Guards against a call that waits its whole limit at each endpoint in turn.
+  it('lets a call wait at all endpoints together for as long as its policy says', () => {
     const { call, waits } = createRunner(['a', 'b', 'c', 'd'], () => refusedBy(false), 30);
     call();
     const { maxWaitMs } = createPolicy();
--- a/__tests__/retry.test.ts
+++ b/__tests__/retry.test.ts
@@ -68,9 +68,9 @@
 
   it('keeps the retries of one class from being used up by another', () => {
     const budgetOf = createRetryBudgets({ share });
-    while (budgetOf('bulk').commands.spend(0));
-    assert.equal(budgetOf('bulk').queries.available(0), false);
-    assert.equal(budgetOf('fast').queries.available(0), true);
+    while (budgetOf('bulk', 's').commands.spend(0));
+    assert.equal(budgetOf('bulk', 's').queries.available(0), false);
+    assert.equal(budgetOf('fast', 's').queries.available(0), true);
   });
 
   it('never repeats a call that may have run unless it is idempotent', () => {
--- a/__tests__/rpcSessions.test.ts
+++ b/__tests__/rpcSessions.test.ts
@@ -40,7 +40,7 @@
 };
 
 // Guards against a process that ends by an uncaught error because its peer stops at the same moment.
-it('survives a transport that is closed while its peer says goodbye', async (t) => {
+it('survives a transport that is closed while its peer sends GOAWAY', async (t) => {
   const { sessions: peers, address } = await startPeer(t);
   const { sessions, restore } = recordSessions();
 
--- a/__tests__/shedUpstream.test.ts
+++ b/__tests__/shedUpstream.test.ts
@@ -18,7 +18,7 @@
 const limitAfterRefusals = async (t: TestContext, load: string): Promise<number> => {
   const timer = createTimer();
   const upstream = await startScriptedUpstream();
-  const local = createLocalUpstream(timer, createCallInterface(() => 's').upstreams);
+  const local = createLocalUpstream(timer, createCallInterface(() => 's').upstreams, () => 0.5);
   t.after(async () => {
     await local.commands.stop();
     await upstream.stop();
@@ -72,7 +72,7 @@
   return local.queries.load().limit;
 };
 
-// Guards against a gate that closes because an upstream refuses part of its calls at any load.
+// Guards against a limit that falls to 1 because an upstream refuses part of its calls at any load.
 describe('the slots of an upstream that refuses calls', () => {
   it('stay in use while it says that it has free ones', async (t) => {
     assert.equal(await limitAfterRefusals(t, '4,0,9'), slots);
--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -34,7 +34,7 @@
   });
   const { port } = server.address() as AddressInfo;
   const timer = createTimer();
-  const upstream = createLocalUpstream(timer, createCallInterface(() => 's').upstreams);
+  const upstream = createLocalUpstream(timer, createCallInterface(() => 's').upstreams, () => 0.5);
   upstream.commands.describe({
     service: 's',
     address: `127.0.0.1:${port}`,
--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -26,7 +26,7 @@
   const timer = createManualTimer(startMs);
   const announced: Endpoint[] = [];
   const withdrawn: string[] = [];
-  const upstream = createLocalUpstream(timer, ownCallInterface.upstreams);
+  const upstream = createLocalUpstream(timer, ownCallInterface.upstreams, () => 0.5);
   const announcement = createUpstreamAnnouncement({
     node: { name: 'n', dataCentre: 'd', region: 'r' },
     forwardAddress: () => '127.0.0.1:2',
--- a/src/core/calls/ejection.ts
+++ b/src/core/calls/ejection.ts
@@ -84,15 +84,20 @@
   });
 };
 
-/** `commonShare` is the share of failures of the other endpoints of the service. */
-const isOutlier = (state: EjectionState, commonShare: number): boolean => {
+/** `shareOfOthers` is the share of failures of the other endpoints of the service. */
+const isOutlier = (state: EjectionState, shareOfOthers: () => number): boolean => {
   const { consecutiveFailures, failureShare, samples } = state;
-  const isLongRow =
-    consecutiveFailures >= maxConsecutiveFailures &&
-    commonShare ** consecutiveFailures < chanceOfRow;
+  const isRow = consecutiveFailures >= maxConsecutiveFailures;
+  const isShare = samples >= minSamples && failureShare > maxFailureShare;
+  if (!isRow && !isShare) {
+    return false;
+  }
+  const commonShare = shareOfOthers();
   const variance = (commonShare * (1 - commonShare) * failureWeight) / (2 - failureWeight);
   const limit = Math.max(maxFailureShare, commonShare + outlierDeviations * Math.sqrt(variance));
-  return isLongRow || (samples >= minSamples && failureShare > limit);
+  return (
+    (isRow && commonShare ** consecutiveFailures < chanceOfRow) || (isShare && failureShare > limit)
+  );
 };
 
 /** Notes that an attempt was sent. The first one after the ejection time is the probe. */
@@ -132,13 +137,13 @@
   isFailure: boolean,
   random: () => number,
   now: number,
-  commonShare: () => number = () => 0,
+  shareOfOthers: () => number,
 ): void => {
   countSample(state, isFailure, now);
   const isProbeTime = state.isOut && now >= state.ejectedUntil;
   if (isProbeTime && !isFailure) {
     returnToUse(state, now);
-  } else if (isProbeTime || (!state.isOut && isFailure && isOutlier(state, commonShare()))) {
+  } else if (isProbeTime || (!state.isOut && isFailure && isOutlier(state, shareOfOthers))) {
     eject(state, random, now);
   }
 };
--- a/src/core/calls/evidence.ts
+++ b/src/core/calls/evidence.ts
@@ -116,26 +116,26 @@
   readonly latencyMs: number;
   readonly random: () => number;
   /** Share of failures of the other endpoints of the service. */
-  readonly commonShare: () => number;
+  readonly shareOfOthers: () => number;
   readonly now: number;
 }
 
 type EndHandler = (state: State, context: EndContext) => void;
 
 const endHandlers: Readonly<Record<AttemptOutcome, EndHandler>> = {
-  ok: (state, { latencyMs, random, now }) => {
+  ok: (state, { latencyMs, random, shareOfOthers, now }) => {
     addLatency(state, latencyMs);
     noteAnswer(state, now);
     noteRefusal(state, 0, now);
-    endAttempt(state.ejection, false, random, now);
+    endAttempt(state.ejection, false, random, now, shareOfOthers);
   },
-  failed: (state, { random, commonShare, now }) => {
+  failed: (state, { random, shareOfOthers, now }) => {
     noteAnswer(state, now);
-    endAttempt(state.ejection, true, random, now, commonShare);
+    endAttempt(state.ejection, true, random, now, shareOfOthers);
   },
-  timed_out: (state, { latencyMs, random, commonShare, now }) => {
+  timed_out: (state, { latencyMs, random, shareOfOthers, now }) => {
     addLatency(state, latencyMs);
-    endAttempt(state.ejection, true, random, now, commonShare);
+    endAttempt(state.ejection, true, random, now, shareOfOthers);
   },
   refused: (state, { now }) => {
     noteAnswer(state, now);
@@ -162,7 +162,7 @@
     return state;
   };
 
-  const shareOfOthers = (endpointId: string): number => {
+  const shareOfOthersThan = (endpointId: string): number => {
     const ids = [...services.values()].find((known) => known.includes(endpointId)) ?? [];
     const others = ids
       .filter((id) => id !== endpointId)
@@ -189,7 +189,7 @@
     endHandlers[end.outcome](state, {
       latencyMs: end.latencyMs,
       random,
-      commonShare: () => shareOfOthers(endpointId),
+      shareOfOthers: () => shareOfOthersThan(endpointId),
       now,
     });
     if (state.inFlight === 0) {
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -1,8 +1,8 @@
 /**
  * Retries: whether a failed attempt is tried again, within a budget over a sliding window. A call
  * that may have run is tried again only if it is idempotent, and a call that was already retried at
- * a level below is not tried again above it. A call that a gate refused before it reached an
- * upstream is moved to another gate instead, which costs upstreams nothing.
+ * a level below is not tried again above it. A call that the node beside an upstream refused before
+ * the upstream saw it is rerouted instead, which costs upstreams nothing.
  */
 import type { Policy, RunState } from '../../types/public.js';
 import type { FailureReason } from '../../utils/failure.js';
@@ -74,10 +74,10 @@
 const defaultWindowMs = 10_000;
 /** Parts of a window that are counted together. */
 const windowSlots = 20;
-/** Gates that a call may be moved to after its first one refused it. */
-const maxMoves = 2;
-/** Refusals of a gate that another gate need not share. */
-const movableReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
+/** Further endpoints that a call may be rerouted to. */
+const maxReroutes = 2;
+/** Refusals of a node that the one beside another upstream need not share. */
+const reroutableReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
   'leaving',
   'no_upstream',
   'overloaded',
@@ -172,56 +172,61 @@
 }
 
 /** Retry budget of the calls of a class to a service. */
-export type RetryBudgetOf = (className: string, service?: string) => RetryBudget;
+export type RetryBudgetOf = (className: string, service: string) => RetryBudget;
 
-/** Classes and services whose budgets are remembered. */
+/** Pairs of class and service whose budgets are remembered. */
 const maxBudgets = 4_096;
 
+/** A budget that has room only if both have. */
+const createSharedBudget = (own: RetryBudget, shared: RetryBudget): RetryBudget => {
+  const available = (now: number) => own.queries.available(now) && shared.queries.available(now);
+  return {
+    commands: {
+      recordCall: (now) => {
+        own.commands.recordCall(now);
+        shared.commands.recordCall(now);
+      },
+      spend: (now) => available(now) && own.commands.spend(now) && shared.commands.spend(now),
+    },
+    queries: {
+      available,
+      balance: (now) => Math.min(own.queries.balance(now), shared.queries.balance(now)),
+    },
+  };
+};
+
 /**
  * Creates the retry budgets of one node. A retry has to fit the budget of its class, since a class
  * whose calls are shed must not use up the retries of the others, and the budget of the service.
  */
 export const createRetryBudgets = (options: RetryBudgetsOptions): RetryBudgetOf => {
   const { spare = defaultSpare, serviceSpare = 2 * spare } = options;
-  const budgets = new Map<string, RetryBudget>();
+  const ofServices = new Map<string, RetryBudget>();
+  const ofClasses = new Map<string, RetryBudget>();
 
-  const budgetAt = (key: string, spareOfKey: number): RetryBudget => {
-    const budget = budgets.get(key) ?? createRetryBudget({ ...options, spare: spareOfKey });
-    budgets.set(key, budget);
-    if (budgets.size > maxBudgets) {
-      budgets.delete(budgets.keys().next().value!);
-    }
+  const serviceBudget = (service: string): RetryBudget => {
+    const budget =
+      ofServices.get(service) ?? createRetryBudget({ ...options, spare: serviceSpare });
+    ofServices.set(service, budget);
     return budget;
   };
 
-  return (className, service = '') => {
-    const ofClass = budgetAt(JSON.stringify([className, service]), spare);
-    const ofService = service === '' ? ofClass : budgetAt(service, serviceSpare);
-    const available = (now: number) =>
-      ofClass.queries.available(now) && ofService.queries.available(now);
-    if (ofService === ofClass) {
-      return ofClass;
+  return (className, service) => {
+    // Names have no spaces.
+    const key = `${className} ${service}`;
+    const known = ofClasses.get(key);
+    if (known) {
+      return known;
     }
-    return {
-      commands: {
-        recordCall: (now) => {
-          ofClass.commands.recordCall(now);
-          ofService.commands.recordCall(now);
-        },
-        spend: (now) => {
-          const isLeft = available(now);
-          if (isLeft) {
-            ofClass.commands.spend(now);
-            ofService.commands.spend(now);
-          }
-          return isLeft;
-        },
-      },
-      queries: {
-        available,
-        balance: (now) => Math.min(ofClass.queries.balance(now), ofService.queries.balance(now)),
-      },
-    };
+    const budget = createSharedBudget(
+      createRetryBudget({ ...options, spare }),
+      serviceBudget(service),
+    );
+    ofClasses.set(key, budget);
+    if (ofClasses.size > maxBudgets) {
+      ofClasses.delete(ofClasses.keys().next().value!);
+    }
+    return budget;
   };
 };
 
@@ -257,13 +262,13 @@
     : { retry: true, delayMs };
 };
 
-/** A gate refused the call before any upstream saw it. */
-export const isGateRefusal = ({ run, byUpstream, reason }: AttemptFailure): boolean =>
-  run === 'not_run' && !byUpstream && movableReasons.has(reason);
+/** The node beside the upstream refused the call before the upstream saw it. */
+export const isAdmissionRefusal = ({ run, byUpstream, reason }: AttemptFailure): boolean =>
+  run === 'not_run' && !byUpstream && reroutableReasons.has(reason);
 
-/** Whether a call that a gate refused goes to another gate; `moves` is how often it did before. */
-export const canMove = (moves: number, remainingMs: number): boolean =>
-  moves < maxMoves && remainingMs >= minUsefulMs;
+/** Whether such a call goes to another endpoint; `reroutes` is how often it did before. */
+export const canReroute = (reroutes: number, remainingMs: number): boolean =>
+  reroutes < maxReroutes && remainingMs >= minUsefulMs;
 
 /**
  * Whether a failure goes up with `x-retried: true`. An empty budget counts too: otherwise each
--- a/src/core/distribution/parentChoice.ts
+++ b/src/core/distribution/parentChoice.ts
@@ -45,7 +45,7 @@
   readonly commands: {
     /** Chooses the next parent to try. Undefined if there is none at all. */
     chooseParent(now: number): ParentAttempt | undefined;
-    /** The last parent sent the node on, or away for a time if it names no address. */
+    /** The last parent sent the node on; if it names no address, it is to be asked again later. */
     redirected(addresses: readonly string[], retryAfterMs: number, now: number): void;
     /** The feed has been up for long enough to start the delays anew. */
     settled(): void;
@@ -83,8 +83,8 @@
   const peers = new Set(options.peers.filter((address) => address !== ownAddress));
   const triedAt = new Map<string, number>();
   const avoidUntil = new Map<string, number>();
-  /** Parents that sent the node away, and until when. */
-  const awayUntil = new Map<string, number>();
+  /** Parents that asked the node to come back later, and when. */
+  const busyUntil = new Map<string, number>();
   let lastTried = '';
   let queue: string[] = [];
   let redirects = 0;
@@ -99,11 +99,11 @@
     other: () => controls.filter((each) => each.dataCentre !== dataCentre).map((c) => c.address),
   };
 
-  const awayMs = (address: string, now: number): number =>
-    Math.max(0, (awayUntil.get(address) ?? now) - now);
+  const busyMs = (address: string, now: number): number =>
+    Math.max(0, (busyUntil.get(address) ?? now) - now);
 
   const isAvoided = (address: string, now: number): boolean =>
-    (avoidUntil.get(address) ?? Number.NEGATIVE_INFINITY) > now || awayMs(address, now) > 0;
+    (avoidUntil.get(address) ?? Number.NEGATIVE_INFINITY) > now || busyMs(address, now) > 0;
 
   const leastRecentlyTried = (addresses: readonly string[]): string | undefined =>
     addresses
@@ -153,7 +153,7 @@
     if (address === undefined) {
       return undefined;
     }
-    const delayMs = Math.max(backoff(), awayMs(address, now));
+    const delayMs = Math.max(backoff(), busyMs(address, now));
     attempt += 1;
     return take(address, delayMs);
   };
@@ -180,7 +180,7 @@
         if (targets.length === 0) {
           // The others may have room at once.
           wasRefused = true;
-          awayUntil.set(lastTried, now + askedMs * (1 + random()));
+          busyUntil.set(lastTried, now + askedMs * (1 + random()));
         } else {
           retryAfterMs = Math.max(retryAfterMs, askedMs);
         }
--- a/src/platform/callInterface.ts
+++ b/src/platform/callInterface.ts
@@ -94,8 +94,8 @@
       headers.push(requestIdHeader, requestId);
     }
     const status = statusOf(failure);
-    if (status === notRunStatus && failure.retryAfterSeconds !== undefined) {
-      headers.push('retry-after', failure.retryAfterSeconds.toFixed(3));
+    if (status === notRunStatus && failure.retryAfterMs !== undefined) {
+      headers.push('retry-after', (failure.retryAfterMs / 1_000).toFixed(3));
     }
     return { status, headers, body: Buffer.alloc(0) };
   },
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -6,10 +6,10 @@
 import { randomUUID } from 'node:crypto';
 import type { AttemptOutcome, Evidence } from '../../core/calls/evidence.js';
 import {
-  canMove,
+  canReroute,
   decideHedge,
   decideRetry,
-  isGateRefusal,
+  isAdmissionRefusal,
   isRetriedBelow,
   retriedHeader,
   type RetryBudgetOf,
@@ -135,7 +135,7 @@
     let winner: Attempt | undefined;
     /** Attempts that an upstream has seen, or may still see. */
     let attempts = 0;
-    let moves = 0;
+    let reroutes = 0;
     let isFirst = true;
     let mayHaveRun = false;
     let isOver = false;
@@ -190,13 +190,13 @@
     };
 
     const retryOrRefuse = (failure: AttemptFailureReport) => {
-      if (isGateRefusal(failure)) {
+      if (isAdmissionRefusal(failure)) {
         attempts -= 1;
-        if (plan.body.kind === 'stream' || !canMove(moves, plan.deadlineAt - timer.now())) {
+        if (plan.body.kind === 'stream' || !canReroute(reroutes, plan.deadlineAt - timer.now())) {
           refuse(failure);
           return;
         }
-        moves += 1;
+        reroutes += 1;
         startAttempt(failure, true);
         return;
       }
@@ -291,7 +291,7 @@
       service: plan.service,
       caller: plan.caller,
       priority: policy.priority,
-      // Gates that a call is moved to must not add up their waits.
+      // A call that is rerouted must not wait its whole limit at each endpoint.
       maxWaitMs: Math.max(0, policy.maxWaitMs - (timer.now() - beganAt)),
       method: plan.method,
       path: plan.path,
@@ -302,17 +302,17 @@
       needsFreshConnection: isHedge,
     });
 
-    const chooseRemote = (cluster: Cluster, isMove: boolean): Endpoint | undefined => {
+    const chooseRemote = (cluster: Cluster, isReroute: boolean): Endpoint | undefined => {
       const answerBytes = sizes.queries.usualBytes(policy.className);
       const choice = { cluster, evidence, policy, home, answerBytes, random, now: timer.now() };
       return (
         chooseEndpoint({ ...choice, exclude: excluded }) ??
-        (isMove ? undefined : chooseEndpoint({ ...choice, exclude: noExclusion }))
+        (isReroute ? undefined : chooseEndpoint({ ...choice, exclude: noExclusion }))
       );
     };
 
-    /** A move goes to a gate that did not refuse the call yet. */
-    const startAttempt = (earlier?: AttemptFailureReport, isMove = false) => {
+    /** A reroute goes to an endpoint whose node did not refuse the call yet. */
+    const startAttempt = (earlier?: AttemptFailureReport, isReroute = false) => {
       const now = timer.now();
       if (now >= plan.deadlineAt) {
         refuse(earlier ?? reportOf(new Failure('deadline_past')));
@@ -327,7 +327,7 @@
         evidence.commands.recordLoad(ownId, upstream.queries.load(), now);
       }
       const cluster = isLocal ? undefined : plan.held.clusters.get(plan.service);
-      const endpoint = cluster && chooseRemote(cluster, isMove);
+      const endpoint = cluster && chooseRemote(cluster, isReroute);
       const isHedge = active.size > 0;
       if (!isLocal && !endpoint && isHedge) {
         return;
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -35,7 +35,6 @@
 const maxHeaderBytes = 16 * 1_024;
 /** Time that a call waits for the endpoints of a service that the node does not hold yet. */
 const clusterWaitMs = 1_000;
-const msPerSecond = 1_000;
 
 export interface CallServerOptions {
   readonly address: Address;
@@ -105,10 +104,8 @@
   /** A refusal without a time to come back gets the usual one of its reason. */
   const withRetryAfter = (failure: AttemptFailureReport): AttemptFailureReport => {
     const usual = usualRetryAfterMs(failure.reason, options.random);
-    const isKnown = failure.retryAfterSeconds !== undefined || failure.run !== 'not_run';
-    return isKnown || usual === undefined
-      ? failure
-      : { ...failure, retryAfterSeconds: usual / msPerSecond };
+    const isKnown = failure.retryAfterMs !== undefined || failure.run !== 'not_run';
+    return isKnown || usual === undefined ? failure : { ...failure, retryAfterMs: usual };
   };
 
   const refuse = (call: Call, failure: AttemptFailureReport) => {
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -91,10 +91,10 @@
 
     const refuse = (failure: AttemptFailureReport) => {
       isOver = true;
-      const { retryAfterSeconds } = failure;
+      const { retryAfterMs } = failure;
       const extraHeaders = echo();
-      if (retryAfterSeconds !== undefined) {
-        extraHeaders.push(retryAfterMsHeader, String(Math.round(retryAfterSeconds * 1_000)));
+      if (retryAfterMs !== undefined) {
+        extraHeaders.push(retryAfterMsHeader, String(Math.round(retryAfterMs)));
       }
       writeRefusal(response, ownCallers.refusal(failure, requestId), timer, extraHeaders);
     };
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -25,7 +25,6 @@
 
 /** Part of the slots below which an endpoint works at its full speed. */
 const quietBelow = 0.5;
-const msPerSecond = 1_000;
 
 export interface UpstreamDescription {
   readonly service: string;
@@ -84,7 +83,7 @@
 export const createLocalUpstream = (
   timer: Timer,
   upstreams: UpstreamInterface,
-  random: () => number = () => 0.5,
+  random: () => number,
 ): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let upstreamPool: UpstreamPool | undefined;
@@ -106,8 +105,7 @@
     retried: false,
     byUpstream,
     ...(reason === 'overloaded' && {
-      retryAfterSeconds:
-        retryAfterMs(admission?.queries.backlogMs(className) ?? 0, random) / msPerSecond,
+      retryAfterMs: retryAfterMs(admission?.queries.backlogMs(className) ?? 0, random),
     }),
   });
 
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -24,7 +24,7 @@
 import type { Metrics } from '../metrics.js';
 import { createNodeLines } from './nodeLines.js';
 import { createRemoteNodes } from './remoteNode.js';
-import type { Address } from '../rpc.js';
+import { formatAddress, type Address } from '../rpc.js';
 import { createUpstreamAnnouncement, type UpstreamAnnouncement } from './upstreamAnnouncement.js';
 import { ownCallInterface } from './ownCallInterface.js';
 import { createNodePools } from './upstreamPool.js';
@@ -75,9 +75,6 @@
 /** Longest wait for the records of at-most-once calls during a stop, in ms. */
 const settleLimitMs = 2_000;
 
-const formatAddress = ({ host, port }: Address): string =>
-  host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
-
 const countStates = ({ endpoints }: Cluster) => ({
   ready: endpoints.filter(({ state }) => state === 'ready').length,
   leaving: endpoints.filter(({ state }) => state === 'leaving').length,
--- a/src/plugins/calls/ownCallInterface.ts
+++ b/src/plugins/calls/ownCallInterface.ts
@@ -61,9 +61,9 @@
     if (failure.byUpstream) {
       headers.push(byUpstreamHeader, 'true');
     }
-    if (failure.retryAfterSeconds !== undefined) {
+    if (failure.retryAfterMs !== undefined) {
       // HTTP knows whole seconds only.
-      headers.push('retry-after', String(Math.ceil(failure.retryAfterSeconds)));
+      headers.push('retry-after', String(Math.ceil(failure.retryAfterMs / 1_000)));
     }
     return { status: failureTable[failure.reason].status, headers, body };
   },
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -71,7 +71,7 @@
     run: headerIn(headers, runHeader) === 'not_run' ? 'not_run' : 'may_have_run',
     retried: headerIn(headers, retriedHeader) === 'true',
     byUpstream: headerIn(headers, byUpstreamHeader) === 'true',
-    retryAfterSeconds: retryAfterMs > 0 ? retryAfterMs / 1_000 : undefined,
+    retryAfterMs: retryAfterMs > 0 ? retryAfterMs : undefined,
   };
 };
 
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -3,7 +3,6 @@
  * slow enough to hold up the first calls of a process for longer than their callers wait.
  */
 import { createServer, request as sendRequest } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { parseTargets } from '../../core/operators/configuration.js';
 import { derivePolicies } from '../../core/operators/policy.js';
 import { createEvidence } from '../../core/calls/evidence.js';
@@ -16,7 +15,8 @@
 import { createSilentLog } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
-import type { Address } from '../rpc.js';
+import { listenHttp } from '../httpListen.js';
+import { formatAddress, type Address } from '../rpc.js';
 import { createAtMostOnce } from './atMostOnce.js';
 import { passOn } from './callHeaders.js';
 import { createCallRunner } from './callRun.js';
@@ -47,8 +47,6 @@
 const anyLoopback: Address = { host: '127.0.0.1', port: 0 };
 const noStopTimes = { acceptMs: 0, idleMs: 0 };
 
-const formatAddress = ({ host, port }: Address): string => `${host}:${port}`;
-
 /** Stands for an upstream: answers with the headers of the request. */
 const startUpstream = async () => {
   const server = createServer((request, response) => {
@@ -56,16 +54,12 @@
     response.writeHead(200, [...echoed, 'content-length', String(answerBytes)]);
     request.resume().once('end', () => response.end(Buffer.alloc(answerBytes)));
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(anyLoopback.port, anyLoopback.host, resolve);
-  });
-  const { port } = server.address() as AddressInfo;
+  const address = formatAddress(await listenHttp(server, anyLoopback));
   const close = () => {
     server.close();
     server.closeAllConnections();
   };
-  return { address: formatAddress({ host: anyLoopback.host, port }), close };
+  return { address, close };
 };
 
 const callOnce = ({ host, port }: Address, headers: Readonly<Record<string, string>>) =>
@@ -89,7 +83,7 @@
   const upstream = await startUpstream();
   const log = createSilentLog();
   const random = () => 0.5;
-  const localUpstream = createLocalUpstream(timer, callInterface.upstreams);
+  const localUpstream = createLocalUpstream(timer, callInterface.upstreams, random);
   const slots = callsAtATime;
   localUpstream.commands.describe({
     service,
@@ -174,7 +168,7 @@
   };
   const nodes = [
     await startNode(service, localUpstream),
-    await startNode('far', createLocalUpstream(timer, callInterface.upstreams)),
+    await startNode('far', createLocalUpstream(timer, callInterface.upstreams, random)),
   ];
 
   const endAt = timer.now() + limitMs;
--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -33,6 +33,10 @@
   return isIP(host) !== 0 && port <= 65_535 ? { host, port } : undefined;
 };
 
+/** Text form of an address, as `parseAddress` reads it. */
+export const formatAddress = ({ host, port }: Address): string =>
+  host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+
 export interface RpcServer {
   listen(): Promise<Address>;
   /** Refuses new sessions, lets open RPCs end until `graceMs` has passed, then closes. */
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -50,8 +50,8 @@
   readonly retried: boolean;
   /** The upstream itself refused the call, without running it. */
   readonly byUpstream?: boolean;
-  /** Time after which another try makes sense, as the refusing node says, in seconds. */
-  readonly retryAfterSeconds?: number;
+  /** Time after which another try makes sense, as the refusing node says, in ms. */
+  readonly retryAfterMs?: number;
 }
 
 /** Receives what becomes of an attempt. Exactly one of `onEnd` and `onFailure` ends it. */
