Log and count why calls are refused, and who made them

Cause: the hypotheses on too little service could not be told apart. A refused call left no line, and nothing said whether a caller or an endpoint had made it.

Change: bounded log lines with the request id for refused calls, failed attempts, refusals of the admission and failures of upstreams, with the inputs of the decision; a counter of refusals by class, reason and origin. No decision changes.

--- /dev/null
+++ b/__tests__/boundedLog.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { it } from 'node:test';
+import { createBoundedLog } from '../src/utils/boundedLog.js';
+import type { Log, LogFields } from '../src/utils/log.js';
+import { createSilentLog } from '../src/utils/log.js';
+import { createManualTimer } from '../src/utils/timer.js';
+
+it('bounds the lines about calls and says how many it left out, so that load cannot flood the log', () => {
+  const timer = createManualTimer();
+  const lines: LogFields[] = [];
+  const log: Log = { ...createSilentLog(), warn: (_message, fields = {}) => lines.push(fields) };
+  const write = createBoundedLog(log, timer);
+
+  for (let count = 0; count < 1_000; count += 1) {
+    write('call refused', { request_id: `r${count}` });
+  }
+  assert.equal(lines.length, 30);
+
+  timer.advance(1_000);
+  write('call refused', { request_id: 'later' });
+  assert.deepEqual(lines.at(-1), { request_id: 'later', lines_dropped: 970 });
+
+  timer.advance(60_000);
+  lines.length = 0;
+  for (let count = 0; count < 1_000; count += 1) {
+    write('call refused', { request_id: `r${count}` });
+  }
+  assert.equal(lines.length, 30);
+});
--- a/src/platform/callInterface.ts
+++ b/src/platform/callInterface.ts
@@ -29,6 +29,8 @@
 /** Headers that the node sets itself, whatever the caller sent. */
 const ownRequestHeaders = new Set([deadlineHeader, instanceHeader, originHeader]);
 const requestIdPattern = /^[\x21-\x7e]{1,256}$/;
+/** Ends the id of the request for which an endpoint makes a call, in the id of that call. */
+const childSeparator = '.';
 const maxDeadlineMs = 24 * 60 * 60 * 1_000;
 
 const singleHeader = ({ headers }: IncomingMessage, name: string): string | undefined => {
@@ -41,6 +43,11 @@
   return value !== undefined && requestIdPattern.test(value) ? value : undefined;
 };
 
+const readParentId = (requestId: string | undefined): string | undefined => {
+  const end = requestId?.lastIndexOf(childSeparator) ?? -1;
+  return end > 0 ? requestId?.slice(0, end) : undefined;
+};
+
 const readDeadlineMs = (request: IncomingMessage): number | undefined => {
   const text = singleHeader(request, deadlineHeader);
   if (text === undefined) {
@@ -79,12 +86,16 @@
     [requestIdHeader]: requestId,
     [deadlineHeader]: String(deadlineMs),
   }),
-  readCall: (request) => ({
-    requestId: readRequestId(request),
-    deadlineMs: readDeadlineMs(request),
-    className: undefined,
-    key: undefined,
-  }),
+  readCall: (request) => {
+    const requestId = readRequestId(request);
+    return {
+      requestId,
+      parentId: readParentId(requestId),
+      deadlineMs: readDeadlineMs(request),
+      className: undefined,
+      key: undefined,
+    };
+  },
   readRequestId,
   passHeaders: (raw) => [...passOn(raw, ownRequestHeaders), originHeader, service()],
   answerHeaders: () => [],
--- a/src/plugins/calls/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -7,6 +7,8 @@
 import { Failure } from '../../utils/failure.js';
 
 export const requestIdHeader = 'x-request-id';
+/** Request id that an upstream received with the call for which it makes this one. */
+export const parentIdHeader = 'x-parent-request-id';
 export const deadlineHeader = 'x-request-deadline-ms';
 export const classHeader = 'x-class';
 export const keyHeader = 'idempotency-key';
@@ -99,6 +101,12 @@
     requestIdPattern,
     '1 to 128 visible ASCII characters',
   );
+  const parentId = readHeader(
+    request,
+    parentIdHeader,
+    requestIdPattern,
+    '1 to 128 visible ASCII characters',
+  );
   const className = readHeader(request, classHeader, classPattern, 'the name of a class');
   const key = readHeader(request, keyHeader, keyPattern, '1 to 256 visible ASCII characters');
   const deadline = readHeader(
@@ -111,7 +119,7 @@
     throw new Failure('deadline_past', `header ${deadlineHeader}: ${deadline}`);
   }
   const deadlineMs = deadline === undefined ? undefined : Math.min(Number(deadline), maxDeadlineMs);
-  return { requestId, deadlineMs, className, key };
+  return { requestId, parentId, deadlineMs, className, key };
 };
 
 /** Request id of a request that may be malformed, for its refusal. */
--- a/src/plugins/calls/callMetrics.ts
+++ b/src/plugins/calls/callMetrics.ts
@@ -4,9 +4,13 @@
 import type { FailureReason } from '../../utils/failure.js';
 import { createLabelBound, type Metrics } from '../metrics.js';
 
+/** Who made a call: a caller, or an upstream for a call that it works on. */
+export type CallOrigin = 'caller' | 'upstream';
+
 export interface CallMetrics {
   recordCall(className: string, result: FailureReason | 'ok', durationMs: number): void;
   recordRetry(className: string): void;
+  recordRefusal(className: string, reason: FailureReason, origin: CallOrigin): void;
 }
 
 /** Registers the metrics of calls. */
@@ -24,6 +28,11 @@
   const retries = metrics.counter('auburnsill_retries_total', 'Attempts after the first.', [
     'class',
   ]);
+  const refusals = metrics.counter(
+    'auburnsill_refusals_total',
+    'Calls that ended without an answer of an upstream, by reason and by who made them.',
+    ['class', 'reason', 'origin'],
+  );
   return {
     recordCall: (className, result, durationMs) => {
       const name = boundClass(className);
@@ -31,5 +40,7 @@
       duration.observe({ class: name }, durationMs / 1_000);
     },
     recordRetry: (className) => retries.inc({ class: boundClass(className) }),
+    recordRefusal: (className, reason, origin) =>
+      refusals.inc({ class: boundClass(className), reason, origin }),
   };
 };
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -4,6 +4,7 @@
  * run once any of its attempts may have.
  */
 import { randomUUID } from 'node:crypto';
+import { formatVersion } from '../../core/agreement/version.js';
 import type { AttemptOutcome, Evidence } from '../../core/calls/evidence.js';
 import {
   canReroute,
@@ -27,6 +28,7 @@
 } from '../../types/calls.js';
 import type { Held } from '../../types/internal.js';
 import type { Cluster, Endpoint, Policy } from '../../types/public.js';
+import type { BoundedLog } from '../../utils/boundedLog.js';
 import type { FailureReason } from '../../utils/failure.js';
 import { Failure } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
@@ -44,6 +46,7 @@
   readonly evidence: Evidence;
   readonly budgetOf: RetryBudgetOf;
   readonly onRetry: (className: string) => void;
+  readonly logDecision?: BoundedLog;
 }
 
 /** A call that is ready for its first attempt. */
@@ -215,8 +218,32 @@
       });
     };
 
+    const logFailure = ({ endpointId, startedAt }: Attempt, failure: AttemptFailureReport) => {
+      const { load, loadAt = 0 } = evidence.queries.of(endpointId) ?? {};
+      const now = timer.now();
+      options.logDecision?.('attempt failed', {
+        request_id: plan.requestId,
+        class: policy.className,
+        service: plan.service,
+        endpoint: endpointId,
+        reason: failure.reason,
+        run: failure.run,
+        by_upstream: failure.byUpstream,
+        detail: failure.detail,
+        took_ms: Math.round(now - startedAt),
+        attempts,
+        reroutes,
+        version: formatVersion(plan.held.version),
+        known_in_flight: load?.inFlight,
+        known_limit: load?.limit,
+        known_waiting: load?.waiting,
+        known_age_ms: load && Math.round(now - loadAt),
+      });
+    };
+
     const onFailure = (attempt: Attempt, failure: AttemptFailureReport) => {
       active.delete(attempt);
+      logFailure(attempt, failure);
       const byStatus = attempt.status >= failedStatus && outcomeOfStatus(attempt.status);
       recordEnd(attempt, byStatus || (outcomeByReason[failure.reason] ?? 'failed'));
       mayHaveRun ||= failure.run === 'may_have_run';
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -5,6 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import type { ServerResponse } from 'node:http';
 import type { PolkaRequest } from 'polka';
+import { formatVersion } from '../../core/agreement/version.js';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
 import { usualRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { matchClass } from '../../core/calls/classMatching.js';
@@ -13,6 +14,7 @@
 import type { Held, Holding, StopTimes } from '../../types/internal.js';
 import type { Policy } from '../../types/public.js';
 import { Failure, type FailureReason } from '../../utils/failure.js';
+import type { BoundedLog } from '../../utils/boundedLog.js';
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
@@ -20,7 +22,7 @@
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import { createCallStarts } from './callStarts.js';
-import type { CallMetrics } from './callMetrics.js';
+import type { CallMetrics, CallOrigin } from './callMetrics.js';
 import type {
   CallListener as OutcomeListener,
   CallPlan,
@@ -53,6 +55,7 @@
   /** Returns a number in [0, 1) that spreads the calls of a class evenly. */
   readonly spread: (className: string) => number;
   readonly metrics: CallMetrics;
+  readonly logDecision?: BoundedLog;
 }
 
 /** What is known about a call before its first attempt. */
@@ -65,6 +68,7 @@
   readonly policy: Policy;
   /** Service that does the work of this call. */
   readonly service: string;
+  readonly origin: CallOrigin;
   readonly startedAt: number;
   readonly deadlineAt: number;
   running: RunningCall | undefined;
@@ -108,6 +112,31 @@
     return isKnown || usual === undefined ? failure : { ...failure, retryAfterMs: usual };
   };
 
+  const logRefusal = (call: Call, failure: AttemptFailureReport, elapsedMs: number) =>
+    options.logDecision?.('call refused', {
+      request_id: call.requestId,
+      parent_id: call.headers.parentId,
+      origin: call.origin,
+      class: call.policy.className,
+      service: call.service,
+      reason: failure.reason,
+      run: failure.run,
+      detail: failure.detail,
+      took_ms: Math.round(elapsedMs),
+      remaining_ms: Math.round(call.deadlineAt - timer.now()),
+      version: formatVersion(call.held.version),
+    });
+
+  const logFailedAnswer = (call: Call, status: number) =>
+    options.logDecision?.('upstream answered with a failure', {
+      request_id: call.requestId,
+      origin: call.origin,
+      class: call.policy.className,
+      service: call.service,
+      status,
+      took_ms: Math.round(timer.now() - call.startedAt),
+    });
+
   const refuse = (call: Call, failure: AttemptFailureReport) => {
     if (call.isOver) {
       return;
@@ -115,6 +144,8 @@
     const elapsedMs = timer.now() - call.startedAt;
     const outcome = outcomeOfRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
     finish(call, outcome, failure.reason);
+    metrics.recordRefusal(call.policy.className, failure.reason, call.origin);
+    logRefusal(call, failure, elapsedMs);
     writeRefusal(call.response, callers.refusal(withRetryAfter(failure), call.requestId), timer);
   };
 
@@ -131,6 +162,9 @@
     return {
       onHead: (head) => {
         outcome = outcomeOf(call, head.status);
+        if (outcome === 'failed') {
+          logFailedAnswer(call, head.status);
+        }
         writeAnswerHead(call.response, head, answerHeaders(call));
       },
       onData: (chunk) => writeAnswerPart(call.response, chunk, () => call.running?.resume()),
@@ -142,6 +176,12 @@
     };
   };
 
+  /** A call counts as made by the upstream beside this node if that works on the call it names. */
+  const originOf = ({ parentId }: CallHeaders): CallOrigin =>
+    parentId !== undefined && upstream.queries.classOfRunning(parentId) !== undefined
+      ? 'upstream'
+      : 'caller';
+
   const begin = (request: PolkaRequest, response: ServerResponse): Call => {
     const headers = callers.readCall(request);
     const held = holding.queries.current();
@@ -177,6 +217,7 @@
       held,
       policy,
       service: pickService(policy, options.spread(policy.className)),
+      origin: originOf(headers),
       startedAt,
       deadlineAt: startedAt + deadlineMs,
       running: undefined,
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -17,6 +17,7 @@
   AttemptRequest,
   RunningAttempt,
 } from '../../types/calls.js';
+import type { BoundedLog } from '../../utils/boundedLog.js';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AnswerVerdict, UpstreamInterface } from '../../types/callInterface.js';
@@ -52,6 +53,8 @@
   readonly queries: {
     description(): UpstreamDescription | undefined;
     isLeaving(): boolean;
+    /** Class of a call that the upstream works on, by its request id. */
+    classOfRunning(requestId: string): string | undefined;
     /** True if a call of the service would be admitted at once. */
     hasFreeSlot(service: string): boolean;
     /** True if so few slots are in use that no other endpoint can be a better choice. */
@@ -84,6 +87,7 @@
   timer: Timer,
   upstreams: UpstreamInterface,
   random: () => number,
+  logDecision?: BoundedLog,
 ): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let upstreamPool: UpstreamPool | undefined;
@@ -94,6 +98,10 @@
   let cancelTick: Cancel | undefined;
   let tickAt = Infinity;
   const entries = new Map<string, Entry>();
+  /** Classes of the calls that the upstream works on, by request id. */
+  const runningClasses = new Map<string, string>();
+
+  const load = (): EndpointLoad => admission?.queries.load() ?? noLoad;
 
   const refusedReport = (
     reason: FailureReason,
@@ -133,6 +141,7 @@
 
   const send = (request: AttemptRequest, listener: AttemptListener): RunningAttempt => {
     const { attemptId } = request;
+    const requestedAt = timer.now();
     let exchange: RunningAttempt | undefined;
     let admittedAt: number | undefined;
     let status = 0;
@@ -145,6 +154,7 @@
     const finish = (outcome: FinishOutcome['outcome']) => {
       isOver = true;
       entries.delete(attemptId);
+      runningClasses.delete(request.requestId);
       const now = timer.now();
       const latencyMs = now - (admittedAt ?? now);
       const effects =
@@ -171,8 +181,11 @@
           return;
         }
         isTurnedAway = true;
-        const load = upstreams.readLoad?.(head.headers);
-        hasFreeSlots = load !== undefined && load.running < load.slots && load.waiting === 0;
+        const reportedLoad = upstreams.readLoad?.(head.headers);
+        hasFreeSlots =
+          reportedLoad !== undefined &&
+          reportedLoad.running < reportedLoad.slots &&
+          reportedLoad.waiting === 0;
         listener.onFailure(refusedReport(reason, request.className, true));
       },
       onData: (chunk) => (isTurnedAway ? true : listener.onData(chunk)),
@@ -194,6 +207,7 @@
     const start = () => {
       const now = timer.now();
       admittedAt = now;
+      runningClasses.set(request.requestId, request.className);
       const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
       exchange = startExchange({
         dispatcher: upstreamPool!.pool,
@@ -214,6 +228,23 @@
       });
     };
 
+    const logRefusal = (reason: AdmissionRefusal) => {
+      const { inFlight, limit, waiting, workMs } = load();
+      logDecision?.('call not admitted', {
+        request_id: request.requestId,
+        attempt_id: attemptId,
+        class: request.className,
+        reason,
+        waited_ms: Math.round(timer.now() - requestedAt),
+        max_wait_ms: Math.round(request.maxWaitMs),
+        remaining_ms: Math.round(request.deadlineAt - timer.now()),
+        in_flight: inFlight,
+        limit,
+        waiting,
+        work_ms: workMs === undefined ? undefined : Math.round(workMs),
+      });
+    };
+
     const decide: Entry['decide'] = (refusal) => {
       if (isOver) {
         return;
@@ -224,6 +255,7 @@
       }
       isOver = true;
       entries.delete(attemptId);
+      logRefusal(refusal);
       listener.onFailure(refusedReport(refusal, request.className));
     };
 
@@ -328,10 +360,11 @@
     },
     queries: {
       description: () => description,
+      classOfRunning: (requestId) => runningClasses.get(requestId),
       isLeaving: () => isLeaving,
       hasFreeSlot: (service) => inFlightShare(service) < 1,
       isQuiet: (service) => inFlightShare(service) < quietBelow,
-      load: () => admission?.queries.load() ?? noLoad,
+      load,
       inFlight: () => entries.size,
       isUnreachable: () => isUnreachable,
     },
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -11,6 +11,7 @@
 import type { CallInterface } from '../../types/callInterface.js';
 import type { Announcer, Held, Holding, LedgerClient, StopTimes } from '../../types/internal.js';
 import { createSpread } from '../../core/calls/spread.js';
+import { createBoundedLog } from '../../utils/boundedLog.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
@@ -88,7 +89,8 @@
   const budgetOf = createRetryBudgets(options.retryBudgets ?? { share: retryShare });
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
-  const upstream = createLocalUpstream(timer, callInterface.upstreams, random);
+  const logDecision = createBoundedLog(log.part('calls'), timer);
+  const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision);
   const pools = createNodePools();
   const remote = createRemoteNodes({
     pools,
@@ -105,6 +107,7 @@
     evidence,
     budgetOf,
     onRetry: callMetrics.recordRetry,
+    logDecision,
   });
   const atMostOnce = createAtMostOnce({
     runner,
@@ -127,6 +130,7 @@
     atMostOnce,
     burn,
     metrics: callMetrics,
+    logDecision,
   });
   const forward = createForwardServer({
     address: options.listen.forward,
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -162,7 +162,11 @@
       runner,
       atMostOnce: createAtMostOnce({ runner, ledger: {} as LedgerClient, timer, log }),
       burn: createBurn(),
-      metrics: { recordCall: () => undefined, recordRetry: () => undefined },
+      metrics: {
+        recordCall: () => undefined,
+        recordRetry: () => undefined,
+        recordRefusal: () => undefined,
+      },
     });
     return { calls, address: await calls.listen() };
   };
--- a/src/types/callInterface.ts
+++ b/src/types/callInterface.ts
@@ -9,6 +9,8 @@
 /** What a request says of itself besides method, path and body. */
 export interface CallHeaders {
   readonly requestId: string | undefined;
+  /** Id of the call for which an upstream makes this one, as far as the request says. */
+  readonly parentId: string | undefined;
   /** Time that the caller waits for the answer, in ms. */
   readonly deadlineMs: number | undefined;
   /** Class that the caller named. */
