--- /dev/null
+++ b/__tests__/starvedParents.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { answerText, makeCall, startMesh, type Mesh } from './support/callMesh.js';
+import { waitFor } from './support/waitFor.js';
+
+/** `parent` makes a call of class `child`, whose service has no endpoint and refuses all calls. */
+const targets = `
+[class.parent]
+service = "s"
+match = [{ method = "GET", path = "/parent" }]
+answer_within = "2s"
+idempotent = true
+
+[class.other]
+service = "s"
+match = [{ method = "GET", path = "/other" }]
+answer_within = "2s"
+idempotent = true
+
+[class.child]
+service = "missing"
+match = [{ method = "GET", path = "/child" }]
+answer_within = "2s"
+idempotent = true
+`;
+
+const failureText = 'HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n';
+
+describe('calls whose own calls are refused for want of capacity', () => {
+  let mesh: Mesh;
+  let isChildNeeded = true;
+  let failsByItself = false;
+  const ran = { '/parent': 0, '/other': 0 };
+
+  before(async () => {
+    mesh = await startMesh({ targets });
+    mesh.upstream.onRequest((request) => {
+      ran[request.path as keyof typeof ran] += 1;
+      const answer = (status: number) =>
+        request.socket.write(status === 200 ? answerText(request) : failureText);
+      if (failsByItself) {
+        answer(500);
+      } else if (request.path === '/parent' && isChildNeeded) {
+        const headers = { 'x-parent-request-id': request.headers['x-request-id']! };
+        makeCall(mesh.beside, '/child', { headers }).then(
+          ({ status }) => answer(status === 200 ? 200 : 500),
+          () => request.socket.destroy(),
+        );
+      } else {
+        answer(200);
+      }
+    });
+  });
+  after(() => mesh.stop());
+
+  const callMany = async (path: string, count: number) => {
+    const statuses: number[] = [];
+    for (let sent = 0; sent < count; sent += 1) {
+      const { status, headers } = await makeCall(mesh.caller, path);
+      statuses.push(status);
+      if (status === 503) {
+        assert.equal(headers['x-run'], 'not_run');
+        assert.ok(Number(headers['retry-after']) > 0, 'says when to come back');
+      }
+    }
+    return statuses;
+  };
+
+  it('are refused before they run, so that they waste no slots', async () => {
+    const count = 200;
+    const statuses = await callMany('/parent', count);
+    assert.ok(ran['/parent'] < count / 4, `${ran['/parent']} of ${count} ran`);
+    assert.equal(statuses.filter((status) => status === 503).length, count - ran['/parent']);
+  });
+
+  it('leave calls of other classes of their service alone', async () => {
+    const statuses = await callMany('/other', 50);
+    assert.deepEqual([...new Set(statuses)], [200]);
+  });
+
+  it('are let through again once their own calls are taken', async () => {
+    isChildNeeded = false;
+    await waitFor(async () => {
+      const statuses = await callMany('/parent', 20);
+      return statuses.every((status) => status === 200);
+    });
+  });
+
+  it('are not refused for failures of the upstream itself, which refusing would not prevent', async () => {
+    failsByItself = true;
+    const statuses = await callMany('/parent', 100);
+    assert.equal(statuses.filter((status) => status === 503).length, 0);
+  });
+});
