--- /dev/null
+++ b/__tests__/movedEndpoints.test.ts
@@ -0,0 +1,54 @@
+import { after, describe, it } from 'node:test';
+import {
+  configurationOf,
+  createManualSource,
+  endpointOf,
+  freePort,
+  startControl,
+  startNode,
+  until,
+} from './support/feedFleet.js';
+
+/** Less than the lease of 10 s after which a control instance forgets a node that has moved. */
+const withdrawalLimitMs = 5_000;
+
+describe('an endpoint whose node has moved to another control instance', () => {
+  const stops: (() => Promise<void>)[] = [];
+  after(() => Promise.all(stops.map((stop) => stop())));
+
+  it('is withdrawn everywhere at once, also where its node was attached before', async () => {
+    const firstSource = createManualSource();
+    const secondSource = createManualSource();
+    firstSource.accept(configurationOf(['lookup']));
+    secondSource.accept(configurationOf(['lookup']));
+    const places = ['first', 'second'].map((name) => ({ name, dataCentre: `dc-${name}` }));
+    const members: { name: string; address: string; dataCentre: string }[] = [];
+    for (const place of places) {
+      members.push({ ...place, address: `127.0.0.1:${await freePort()}` });
+    }
+    const [first, second] = members as [(typeof members)[0], (typeof members)[0]];
+    const controls = await Promise.all([
+      startControl(first, firstSource, members),
+      startControl(second, secondSource, members),
+    ]);
+    const node = await startNode({ name: 'moving', dataCentre: first.dataCentre }, members);
+    stops.push(node.stop, ...controls.map(({ stop }) => stop));
+    const isKnownBy = (index: number) =>
+      (controls[index]!.feed.fleet.inventory().clusters.get('lookup')?.endpoints.length ?? 0) > 0;
+
+    node.feed.announcer.announce(endpointOf('e', 'lookup'));
+    await until(() => isKnownBy(0) && isKnownBy(1), 'the endpoint at both instances');
+
+    // Both instances stay connected, but the node leaves one that lags.
+    firstSource.setConfirmedAge(60_000);
+    secondSource.accept(configurationOf(['lookup'], 2));
+    await until(() => node.feed.holding.queries.current()?.version.index === 2, 'the move');
+
+    node.feed.announcer.withdraw('e');
+    await until(
+      () => !isKnownBy(0) && !isKnownBy(1),
+      'the withdrawal at both instances',
+      withdrawalLimitMs,
+    );
+  });
+});
