Keep the entries of routes that a document repeats

Cause: a document is complete, so that a change of one route made each control instance check and build 1,600 classes anew. As they were new objects, their canonical texts were written again too, for the digest and for the delta. Change: the reader of documents keeps what a resource stands for by the text of the resource. What did not change stays the same object. Values that are nested too deeply to be written are refused. Ruled out: reading a document twice at the leader; the newest one is remembered already.

--- a/__tests__/changeWork.test.ts
+++ b/__tests__/changeWork.test.ts
@@ -7,7 +7,7 @@
 import { createConfigurationStore } from '../src/core/distribution/configurationStore.js';
 import { digestConfiguration } from '../src/core/operators/configuration.js';
 import { derivePolicies } from '../src/core/operators/policy.js';
-import { readDocument } from '../src/platform/documents.js';
+import { createDocumentReader } from '../src/platform/documents.js';
 import { createControlFeed } from '../src/plugins/distribution/controlFeed.js';
 import type { Configuration } from '../src/types/public.js';
 import { createSilentLog } from '../src/utils/log.js';
@@ -106,7 +106,7 @@
   // A control instance read, wrote and compared each entry again for each change, which took more
   // than its processor during a stream of changes.
   it('leaves the entries of the other routes as they are where the document is read', () => {
-    const acceptance = createAcceptance({ readDocument });
+    const acceptance = createAcceptance({ readDocument: createDocumentReader() });
     const configurations = [1, 2].map((number) => {
       const text = documentText(number);
       const change = { changeId: `c${number}`, text, number, baseNumber: number - 1 };
--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import { createCallInterface } from '../src/platform/callInterface.js';
 import { readCheckIn } from '../src/platform/checkIns.js';
-import { productName, readDocument } from '../src/platform/documents.js';
+import { createDocumentReader, productName } from '../src/platform/documents.js';
 import {
   parsePlatformSettings,
   peerSeeds,
@@ -69,6 +69,7 @@
 });
 
 describe('documents of the platform', () => {
+  const readDocument = createDocumentReader();
   const valid = documentOf(7, 5, [
     { name: 'r-1', prefix: '/a/', service: 's1', kind: 'unsafe', priority: 0, attempts: 3 },
     { name: 'r-2', prefix: '/', weights: { s1: 90, 'S 2': 10 }, aimMs: 400, timeoutMs: 1_000 },
@@ -106,6 +107,10 @@
     'weights that add up to 0': route({ weighted_services: [{ service: 's1', weight: 0 }] }),
     'no version': JSON.stringify({ ...valid, version: undefined }),
     'a field of another type': route({ path_prefix: 7 }),
+    'values nested too deeply': route({}).replace(
+      '"host"',
+      `"deep":${'['.repeat(100_000)}${']'.repeat(100_000)},"host"`,
+    ),
   };
   Object.entries(invalid).forEach(([name, text]) =>
     it(`are refused with ${name}`, () => {
--- a/src/platform/control.ts
+++ b/src/platform/control.ts
@@ -8,7 +8,7 @@
 import { createLog } from '../utils/log.js';
 import { createTimer } from '../utils/timer.js';
 import { readAdminPort } from './arguments.js';
-import { readDocument } from './documents.js';
+import { createDocumentReader } from './documents.js';
 import { createOperatorServer } from './operatorServer.js';
 import {
   listenAddress,
@@ -31,7 +31,7 @@
     log,
     random: Math.random,
     adapter: {
-      readDocument,
+      readDocument: createDocumentReader(),
       start: ({ documents }) =>
         createOperatorServer({
           address: listenAddress(settings, 'control'),
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import * as z from 'zod';
-import type { Document } from '../core/agreement/acceptance.js';
+import type { DocumentReader } from '../core/agreement/acceptance.js';
 import { parseJsonText } from '../plugins/readText.js';
 import { formatFinding } from '../utils/findings.js';
 import { checkValue } from '../utils/settings.js';
@@ -53,20 +53,20 @@
   idle_timeout_ms: z.number().positive(),
 });
 
+const resourceSchema = z.object({
+  type: z.string(),
+  metadata: z.object({ name: z.string().optional() }),
+  spec: z.unknown(),
+});
+
+/** Resources are checked one by one, so that those that are known already cost nothing. */
 const documentSchema = z.object({
   version: z.number().int().min(1),
   base_version: z.number().int().min(0),
-  resources: z.array(
-    z.object({
-      type: z.string(),
-      metadata: z.object({ name: z.string().optional() }),
-      spec: z.unknown(),
-    }),
-  ),
+  resources: z.array(z.unknown()),
 });
 
 type Route = z.output<typeof routeSchema>;
-type Resource = z.output<typeof documentSchema>['resources'][number];
 
 const ownName = /^[a-z0-9][a-z0-9-]{0,62}$/;
 const digestNameLength = 40;
@@ -120,56 +120,84 @@
   readonly findings: Finding[];
 }
 
+/** Puts the entry that a resource stands for into a configuration. */
+type Placement = (building: Building) => void;
+
 const check = <Output>(
-  building: Building,
+  findings: Finding[],
   place: string,
   value: unknown,
   schema: z.ZodType<Output>,
 ): Output | undefined => {
-  const { output, findings } = checkValue(value, place, schema);
-  building.findings.push(...findings);
-  return output;
+  const checked = checkValue(value, place, schema);
+  findings.push(...checked.findings);
+  return checked.output;
 };
 
-type ResourceHandler = (building: Building, name: string, spec: unknown, place: string) => void;
+type ResourceReader = (
+  findings: Finding[],
+  name: string,
+  spec: unknown,
+  place: string,
+) => Placement | undefined;
 
-const resourceHandlers: Readonly<Record<string, ResourceHandler>> = {
-  routes: (building, name, spec, place) => {
-    const route = check(building, place, spec, routeSchema);
+const resourceReaders: Readonly<Record<string, ResourceReader>> = {
+  routes: (findings, name, spec, place) => {
+    const route = check(findings, place, spec, routeSchema);
     if (!route) {
-      return;
+      return undefined;
     }
     if (weightsOf(route).every(({ weight }) => weight <= 0)) {
-      building.findings.push({ place, message: 'the weights add up to 0' });
-      return;
+      findings.push({ place, message: 'the weights add up to 0' });
+      return undefined;
     }
-    building.classes[productName(name)] = toClass(productName(name), route);
+    const trafficClass = toClass(productName(name), route);
+    return ({ classes }) => {
+      classes[trafficClass.name] = trafficClass;
+    };
   },
-  services: (building, name, spec, place) => {
-    const service = check(building, place, spec, serviceSchema);
-    if (service) {
-      const { max_connections: connections } = service;
-      building.services[productName(name)] = {
-        name: productName(name),
-        expected: true,
-        ...(connections !== undefined && { connections }),
-      };
+  services: (findings, name, spec, place) => {
+    const checked = check(findings, place, spec, serviceSchema);
+    if (!checked) {
+      return undefined;
     }
+    const { max_connections: connections } = checked;
+    const service: Service = {
+      name: productName(name),
+      expected: true,
+      ...(connections !== undefined && { connections }),
+    };
+    return ({ services }) => {
+      services[service.name] = service;
+    };
   },
-  limits: (building, _name, spec, place) => {
-    const limits = check(building, place, spec, limitsSchema);
-    building.callerLimits = limits && toLimits(limits);
+  limits: (findings, _name, spec, place) => {
+    const checked = check(findings, place, spec, limitsSchema);
+    const limits = checked && toLimits(checked);
+    return (building) => {
+      building.callerLimits = limits;
+    };
   },
 };
 
-const takeResource = (building: Building, { type, metadata, spec }: Resource, index: number) => {
-  const place = `resources[${index}] ${type} ${metadata.name ?? ''}`;
-  const handler = Object.hasOwn(resourceHandlers, type) ? resourceHandlers[type] : undefined;
-  if (!handler) {
-    building.findings.push({ place, message: 'unknown type', found: type });
-    return;
+const readResource = (
+  findings: Finding[],
+  value: unknown,
+  index: number,
+): Placement | undefined => {
+  const resource = check(findings, `document.resources.${index}`, value, resourceSchema);
+  if (!resource) {
+    return undefined;
+  }
+  const { type, metadata, spec } = resource;
+  const name = metadata.name ?? '';
+  const place = `resources[${index}] ${type} ${name}`;
+  const read = Object.hasOwn(resourceReaders, type) ? resourceReaders[type] : undefined;
+  if (!read) {
+    findings.push({ place, message: 'unknown type', found: type });
+    return undefined;
   }
-  handler(building, metadata.name ?? '', spec, place);
+  return read(findings, name, spec, place);
 };
 
 const checkServices = ({ classes, services, findings }: Building) =>
@@ -181,19 +209,49 @@
     }
   });
 
-/** Reads a document. Throws a Failure that names every problem in it. */
-export const readDocument = (text: string): Document => {
-  const { output, findings } = checkValue(parseJsonText(text), 'document', documentSchema);
-  if (!output) {
-    throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
+const textOf = (resource: unknown): string => {
+  try {
+    return JSON.stringify(resource);
+  } catch (cause) {
+    // JSON is parsed at any depth, but written with one call for each level.
+    throw new Failure('malformed_message', 'values are nested too deeply', { cause });
   }
-  const building: Building = { classes: {}, services: {}, callerLimits: undefined, findings: [] };
-  output.resources.forEach((resource, index) => takeResource(building, resource, index));
-  checkServices(building);
-  if (building.findings.length > 0) {
-    throw new Failure('malformed_message', building.findings.map(formatFinding).join('; '));
-  }
-  const { services, classes, callerLimits } = building;
-  const configuration: Configuration = { services, classes, ...(callerLimits && { callerLimits }) };
-  return { number: output.version, baseNumber: output.base_version, configuration };
+};
+
+/**
+ * Creates a reader of documents. It throws a Failure that names every problem of a document.
+ * Documents repeat nearly all resources of the one before: a resource with the same text is not
+ * checked again and stands for the same entry, whose canonical text is known.
+ */
+export const createDocumentReader = (): DocumentReader => {
+  let known: ReadonlyMap<string, Placement> = new Map();
+
+  return (text) => {
+    const { output, findings } = checkValue(parseJsonText(text), 'document', documentSchema);
+    if (!output) {
+      throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
+    }
+    const building: Building = { classes: {}, services: {}, callerLimits: undefined, findings: [] };
+    const placements = new Map<string, Placement>();
+    output.resources.forEach((resource, index) => {
+      const resourceText = textOf(resource);
+      const placement = known.get(resourceText) ?? readResource(building.findings, resource, index);
+      if (placement) {
+        placements.set(resourceText, placement);
+        placement(building);
+      }
+    });
+    checkServices(building);
+    if (building.findings.length > 0) {
+      throw new Failure('malformed_message', building.findings.map(formatFinding).join('; '));
+    }
+    known = placements;
+    const { services, classes, callerLimits } = building;
+    const configuration: Configuration = {
+      services,
+      classes,
+      ...(callerLimits && { callerLimits }),
+    };
+    return { number: output.version, baseNumber: output.base_version, configuration };
+  };
 };
