Send a delta without writing the whole configuration, and pass on the one that was received

Cause: each process of the tree, for each change, wrote the whole configuration to compare its length with the delta, and each relay compared two configurations to find the delta that it had just received and checked. Change: a delta is chosen if it changes less than half of the entries. A relay keeps the delta that it received for children with the same base. Entries that are the same object are not compared.

--- a/src/core/distribution/configurationStore.ts
+++ b/src/core/distribution/configurationStore.ts
@@ -9,7 +9,14 @@
   digestConfiguration,
   encodeConfiguration,
 } from '../operators/configuration.js';
-import { applyDelta, decodeDelta, diffConfigurations, encodeDelta, equalBytes } from './delta.js';
+import {
+  applyDelta,
+  countChanged,
+  decodeDelta,
+  diffConfigurations,
+  encodeDelta,
+  equalBytes,
+} from './delta.js';
 import { compareVersions, formatVersion, isNewer, noVersion } from '../agreement/version.js';
 
 /** Older configurations that are kept as bases. A child that is further behind gets a full one. */
@@ -64,6 +71,12 @@
   return configuration;
 };
 
+const countEntries = ({ services, classes, drains = {} }: Configuration): number =>
+  [services, classes, drains].reduce((sum, entries) => sum + Object.keys(entries).length, 0);
+
+const keyOf = (cursor: ConfigurationCursor | undefined): string =>
+  cursor ? `${formatVersion(cursor.version)} ${Buffer.from(cursor.digest).toString('hex')}` : '';
+
 /** Creates a store. `at` finds an older configuration that is kept elsewhere. */
 export const createConfigurationStore = (
   at: (version: Version) => Configuration | undefined = () => undefined,
@@ -101,15 +114,20 @@
     target: StoredConfiguration,
     cursor: ConfigurationCursor | undefined,
   ): ConfigurationChange => {
-    const full = fullChange(target);
     const base = cursor && baseOf(cursor);
     if (!cursor || !base) {
-      return full;
+      return fullChange(target);
     }
-    const body = encodeDelta(diffConfigurations(base, target.configuration));
-    return body.length < full.body.length
-      ? { ...full, base: { version: cursor.version, digest: cursor.digest }, body }
-      : full;
+    const delta = diffConfigurations(base, target.configuration);
+    // Writing the full form only to compare lengths would cost more than the delta saves.
+    return countChanged(delta) * 2 < countEntries(target.configuration)
+      ? {
+          version: target.version,
+          base: { version: cursor.version, digest: cursor.digest },
+          resultDigest: target.digest,
+          body: encodeDelta(delta),
+        }
+      : fullChange(target);
   };
 
   const receive = (change: ConfigurationChange): ChangeResult => {
@@ -128,6 +146,8 @@
     const delta = decodeDelta(change.body, base.digest, change.resultDigest);
     const configuration = applyDelta(newest.configuration, delta);
     put({ version: change.version, configuration, digest: change.resultDigest });
+    // Children that hold the same base get what was received here.
+    changes.set(keyOf(base), change);
     return 'stored';
   };
 
@@ -138,9 +158,7 @@
     if (!newest || !isNewer(newest.version, held)) {
       return undefined;
     }
-    const key = cursor
-      ? `${formatVersion(held)} ${Buffer.from(cursor.digest).toString('hex')}`
-      : '';
+    const key = keyOf(cursor);
     const change = changes.get(key) ?? buildChange(newest, cursor);
     changes.set(key, change);
     return change;
--- a/src/core/distribution/delta.ts
+++ b/src/core/distribution/delta.ts
@@ -54,10 +54,13 @@
 const settingsOf = ({ callerLimits }: Configuration): Records =>
   callerLimits === undefined ? {} : { callerLimits };
 
+/** Entries that did not change are mostly the same objects. */
+const isSameEntry = (a: object, b: object): boolean => a === b || entryText(a) === entryText(b);
+
 const diffRecords = (base: Records, next: Records): RecordsDelta => ({
   set: Object.fromEntries(
     Object.entries(next).filter(
-      ([key, value]) => !Object.hasOwn(base, key) || entryText(base[key]!) !== entryText(value),
+      ([key, value]) => !Object.hasOwn(base, key) || !isSameEntry(base[key]!, value),
     ),
   ),
   removed: Object.keys(base).filter((key) => !Object.hasOwn(next, key)),
@@ -76,6 +79,13 @@
   settings: diffRecords(settingsOf(base), settingsOf(next)),
 });
 
+/** Entries that a delta sets or removes. */
+export const countChanged = ({ services, classes, drains, settings }: ConfigurationDelta): number =>
+  [services, classes, drains, settings].reduce(
+    (sum, { set, removed }) => sum + Object.keys(set).length + removed.length,
+    0,
+  );
+
 /** Entries that did not change stay the same objects, whose canonical texts are known. */
 const applyRecords = <Entry extends object>(
   base: Readonly<Record<string, Entry>>,
