Derive policies and rules only for the classes that a change touches

Cause: a node derived the policies of all classes and built the texts of all rules for each change. Change: both are kept by class, as canonical texts are; classes never change.

--- a/src/core/calls/classMatching.ts
+++ b/src/core/calls/classMatching.ts
@@ -33,13 +33,34 @@
   pathPrefix = '/',
 }: Match): string => ruleKey(host, method, pathPrefix);
 
+interface IndexedRule {
+  readonly rule: string;
+  readonly length: number;
+}
+
+/** Rules by class: classes are shared by successive configurations and never change. */
+const knownRules = new WeakMap<TrafficClass, readonly IndexedRule[]>();
+
+const rulesOf = (trafficClass: TrafficClass): readonly IndexedRule[] => {
+  const known = knownRules.get(trafficClass);
+  if (known) {
+    return known;
+  }
+  const rules = trafficClass.match.map((match) => ({
+    rule: formatRule(match),
+    length: (match.pathPrefix ?? '/').length,
+  }));
+  knownRules.set(trafficClass, rules);
+  return rules;
+};
+
 const buildIndex = (configuration: Configuration): RuleIndex => {
   const classByRule = new Map<string, TrafficClass>();
   const lengths = new Set<number>();
   Object.values(configuration.classes).forEach((trafficClass) =>
-    trafficClass.match.forEach((match) => {
-      classByRule.set(formatRule(match), trafficClass);
-      lengths.add((match.pathPrefix ?? '/').length);
+    rulesOf(trafficClass).forEach(({ rule, length }) => {
+      classByRule.set(rule, trafficClass);
+      lengths.add(length);
     }),
   );
   return { lengths: [...lengths].sort((a, b) => b - a), classByRule };
--- a/src/core/operators/policyDerivation.ts
+++ b/src/core/operators/policyDerivation.ts
@@ -95,6 +95,24 @@
 ): readonly TrafficClass[] =>
   Object.values(configuration.classes).filter((trafficClass) => trafficClass.service === service);
 
+interface KnownPolicy {
+  readonly importanceOfAll: number;
+  readonly policy: Policy;
+}
+
+/** Policies by class: classes are shared by successive configurations and never change. */
+const knownPolicies = new WeakMap<TrafficClass, KnownPolicy>();
+
+const policyOf = (trafficClass: TrafficClass, importanceOfAll: number): Policy => {
+  const known = knownPolicies.get(trafficClass);
+  if (known?.importanceOfAll === importanceOfAll) {
+    return known.policy;
+  }
+  const policy = derivePolicy(trafficClass, [], importanceOfAll);
+  knownPolicies.set(trafficClass, { importanceOfAll, policy });
+  return policy;
+};
+
 /** Derives the policies of all classes, by class name. */
 export const derivePolicies = ({ classes }: Configuration): Map<string, Policy> => {
   const all = Object.values(classes);
@@ -106,7 +124,7 @@
   return new Map(
     all.map((trafficClass) => [
       trafficClass.name,
-      derivePolicy(trafficClass, [], totals.get(trafficClass.service)),
+      policyOf(trafficClass, totals.get(trafficClass.service)!),
     ]),
   );
 };
