--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -168,6 +168,55 @@
     assert.deepEqual(told, [['b', lastIndex]]);
   });
 
+  // Guards against a slow member that gets each large entry again with every heartbeat and every
+  // read, and so falls behind for seconds.
+  it('sends an entry once while the member that has it answers heartbeats', () => {
+    const driver = elect(drive());
+    driver.ack('b', 2);
+    driver.ack('c', 2);
+    const entriesSentTo = (name: string, effects: readonly ReplicaEffect[]) =>
+      effects.flatMap((effect) =>
+        effect.type === 'send' && effect.to.name === name && 'entries' in effect.message
+          ? effect.message.entries
+          : [],
+      ).length;
+    const payload = new Uint8Array(400_000);
+    let sent = entriesSentTo('c', driver.step({ type: 'propose', id: 1, payload }));
+    sent += entriesSentTo('c', driver.sync());
+    const answer = (matchIndex: number, round: number) =>
+      driver.step({
+        type: 'answer',
+        from: sender('c'),
+        message: { type: 'appendAnswer', term: 2, success: true, matchIndex, round },
+      });
+    for (let round = 2; round < 6; round += 1) {
+      sent += entriesSentTo('c', driver.step({ type: 'read', id: round }));
+      sent += entriesSentTo('c', answer(2, round));
+    }
+    assert.equal(driver.core.queries.status().term, 2);
+    assert.equal(sent, 1);
+    assert.equal(entriesSentTo('c', answer(3, 6)), 0);
+    assert.equal(entriesSentTo('c', driver.step({ type: 'propose', id: 9, payload })), 1);
+  });
+
+  it('sends an entry again whose answer does not come within the election timeout', () => {
+    const driver = elect(drive());
+    driver.ack('b', 2);
+    driver.ack('c', 2);
+    driver.step({ type: 'propose', id: 1, payload: new Uint8Array([1]) });
+    driver.advance(electionTimeoutMs / 2);
+    driver.ack('b', 3);
+    driver.ack('c', 2, 'c-0', 2);
+    driver.ack('b', 3, 'b-0', 2);
+    const again = driver.advance(electionTimeoutMs / 2 + 1);
+    const sentTo = again.flatMap((effect) =>
+      effect.type === 'send' && 'entries' in effect.message && effect.message.entries.length > 0
+        ? [effect.to.name]
+        : [],
+    );
+    assert.deepEqual(sentTo, ['c']);
+  });
+
   it('does not count its own entry before it is synced', () => {
     const driver = elect(drive());
     driver.ack('b', 2);
