Send an entry once while the member that has it answers heartbeats

Cause: any answer of a member ended the flight of the entries that were sent to it. Heartbeats and the rounds that confirm reads are answered at once, before the entries are synced, so the leader sent them again with each answer. With documents of 413 KB, a read for each change and a heartbeat every 200 ms, a member that had fallen behind got up to 1 MB again and again. Change: the flight ends with the answer that covers its last entry, with a refusal, with a failed request or after the election timeout, as before.

--- a/src/core/agreement/consensusProgress.ts
+++ b/src/core/agreement/consensusProgress.ts
@@ -12,6 +12,7 @@
   nextIndex: replica.log.queries.lastIndex() + 1,
   ackedRound: 0,
   inflightAt: undefined,
+  inflightIndex: 0,
   snapshotOffset: undefined,
   isReachable: true,
   sentCommitIndex: 0,
--- a/src/core/agreement/consensusReplication.ts
+++ b/src/core/agreement/consensusReplication.ts
@@ -52,6 +52,7 @@
   const entries = withEntries ? entriesFor(replica, progress.nextIndex) : [];
   if (entries.length > 0) {
     progress.inflightAt = replica.now;
+    progress.inflightIndex = entries.at(-1)!.index;
   }
   progress.sentCommitIndex = replica.commitIndex;
   send(replica, member, {
@@ -169,7 +170,10 @@
   if (!progress) {
     return;
   }
-  progress.inflightAt = undefined;
+  // A heartbeat that was sent after the entries may be answered before they are synced.
+  if (!answer.success || answer.matchIndex >= progress.inflightIndex) {
+    progress.inflightAt = undefined;
+  }
   if (answer.success) {
     progress.matchIndex = Math.max(progress.matchIndex, answer.matchIndex);
     progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
--- a/src/core/agreement/consensusSnapshot.ts
+++ b/src/core/agreement/consensusSnapshot.ts
@@ -23,6 +23,7 @@
   const chunk = data.subarray(offset, offset + snapshotChunkBytes);
   progress.snapshotOffset = offset;
   progress.inflightAt = replica.now;
+  progress.inflightIndex = 0;
   send(replica, to, {
     type: 'installSnapshot',
     term: replica.term,
--- a/src/core/agreement/consensusTypes.ts
+++ b/src/core/agreement/consensusTypes.ts
@@ -205,6 +205,8 @@
   ackedRound: number;
   /** Time at which entries or a snapshot chunk were sent and not answered yet. */
   inflightAt: number | undefined;
+  /** Last entry that is in flight; 0 for a snapshot chunk. */
+  inflightIndex: number;
   snapshotOffset: number | undefined;
   /** False after a failed request: entries go with heartbeats only until the member answers. */
   isReachable: boolean;
