Pass on at most five configurations a second

Cause: control instances passed on each version of a stream of changes, and each node checked, derived and reported each of them, although the next one was already there. Change: a control instance passes on the newest configuration, the first change at once and further ones 200 ms after the last. Versions between are skipped, and are not read by followers either.

--- a/src/plugins/distribution/controlFeed.ts
+++ b/src/plugins/distribution/controlFeed.ts
@@ -25,6 +25,11 @@
 const tickMs = 500;
 /** Endpoint changes that arrive within this time get one revision. */
 const batchMs = 100;
+/**
+ * Shortest time between two configurations that are passed on, so that the fleet's work does not
+ * grow with the rate of changes. A change is to be in force within 2 s; this is a tenth of it.
+ */
+const publishPeriodMs = 200;
 
 /**
  * A status that was not renewed for this time, three reports, is left out: the nodes of a lost
@@ -86,6 +91,8 @@
   const cancels: Cancel[] = [];
   let reconcileDue: Cancel | undefined;
   let notifyDue: Cancel | undefined;
+  let publishDue: Cancel | undefined;
+  let publishedAt = -Infinity;
   /** Counts that the other control instances were told last. */
   let sharedCounts = '';
 
@@ -186,13 +193,25 @@
 
   subtree.onChange(reconcileSoon);
 
-  const takeHead = () => {
+  const publishHead = () => {
+    publishDue = undefined;
     const head = source.head();
     if (head && store.commands.put(head)) {
+      publishedAt = timer.now();
       server.publish();
     }
   };
 
+  /** Passes on the newest configuration, at once unless another one was passed on a moment ago. */
+  const takeHead = () => {
+    const waitMs = publishedAt + publishPeriodMs - timer.now();
+    if (waitMs <= 0) {
+      publishHead();
+    } else {
+      publishDue ??= timer.after(waitMs, publishHead);
+    }
+  };
+
   const tick = () => {
     subtree.commands.tick(timer.now());
     exchange.tick();
@@ -242,6 +261,7 @@
     },
     stop: async () => {
       cancels.forEach((cancel) => cancel());
+      publishDue?.();
       await exchange.stop();
       server.stop();
     },
