--- a/__tests__/documents.test.ts
+++ b/__tests__/documents.test.ts
@@ -10,6 +10,7 @@
 import { Failure } from '../src/utils/failure.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createManualTimer } from '../src/utils/timer.js';
+import type { ReplicaRole } from '../src/types/internal.js';
 import { configurationOf } from './support/feedFleet.js';
 
 /** Documents of the tests: `number base class`. */
@@ -47,13 +48,17 @@
 const outcomes = (put: (text: string) => { result: { outcome: string } }, texts: string[]) =>
   texts.map((text) => put(text).result.outcome);
 
-/** The service of a leader whose proposals end as `propose` says. */
-const createService = (propose: () => Promise<never>) =>
+/** The service of an instance whose proposals end as `propose` says. */
+const createService = (
+  propose: () => Promise<never>,
+  role: ReplicaRole = 'leader',
+  { readDocument }: Pick<ReturnType<typeof createReader>, 'readDocument'> = createReader(),
+) =>
   createDocumentChanges({
     group: {
       commands: { propose, changeMembers: async () => undefined, stop: async () => undefined },
       queries: {
-        role: () => 'leader',
+        role: () => role,
         leader: () => undefined,
         members: () => [],
         commitIndex: () => 0,
@@ -64,7 +69,7 @@
       },
     },
     acceptance: createAcceptance(createReader()),
-    readDocument: createReader().readDocument,
+    readDocument,
     minVoters: 0,
     timer: createManualTimer(),
     log: createSilentLog(),
@@ -77,6 +82,16 @@
     assert.equal(outcome, 'invalid');
   });
 
+  // Guards against followers that read large documents only to name the leader, and meanwhile
+  // leave the entries of the log waiting.
+  it('are read by the instance that leads and by no other', async () => {
+    const reader = createReader();
+    const service = createService(() => Promise.reject(new Error()), 'follower', reader);
+    const { outcome } = await service.commands.submit('1 0 a');
+    assert.equal(outcome, 'not_here');
+    assert.equal(reader.reads(), 0);
+  });
+
   it('whose leader was lost after the append have an unknown outcome, never a refusal', async () => {
     const service = createService(() => Promise.reject(new Failure('outcome_unknown')));
     assert.deepEqual(await service.commands.submit('1 0 a'), { outcome: 'unknown' });
