Let only the leader read a document

Cause: an instance read a document and checked it before it looked whether it leads. Change: it looks first. A document that is invalid is refused by the leader. Figures: reads of a document on a follower, 1 before, 0 after (test).

--- a/src/plugins/operators/documentChanges.ts
+++ b/src/plugins/operators/documentChanges.ts
@@ -124,6 +124,10 @@
   };
 
   const submit = async (text: string): Promise<DocumentOutcome> => {
+    // The instance that leads reads the document; reading it here as well would only cost time.
+    if (!isLeading()) {
+      return notHere();
+    }
     const document = readOrRefuse(text);
     if ('outcome' in document) {
       return document;
