--- a/__tests__/platformDay.process.test.ts
+++ b/__tests__/platformDay.process.test.ts
@@ -210,4 +210,32 @@
     (await Promise.all(calls)).forEach(({ status }) => assert.equal(status, 200));
     assert.equal(await machine.process.exited(6_000), 0);
   });
+
+  // Guards against a stop that cuts calls while much of its grace, 6 s here, is left.
+  it('answers a call that ends before the last sixth of the grace', async () => {
+    const machine = platform.nodes[3]!;
+    const route = { ...routes[2]!, name: 'r-long', prefix: '/long/', timeoutMs: 9_000 };
+    await platform.accept(documentOf(version + 1, version, [...routes, route]));
+    machine.endpoint!.answerBy((message, response) => {
+      setTimeout(() => {
+        response.writeHead(200, {
+          'request-id': String(message.headers['request-id']),
+          'response-stamp': 's',
+          'content-length': '2',
+        });
+        response.end('ok');
+      }, 4_800);
+    });
+    const path = '/long/1';
+    await waitFor(async () => {
+      const probe = { path, host, id: nextId(), deadlineMs: 50 };
+      return (await platform.call(machine, probe)).status !== 404;
+    });
+    const call = { path, host, id: nextId(), deadlineMs: 9_000 };
+    const answer = sendRequest(machine.outbound, call);
+    await waitFor(() => machine.endpoint!.running() > 0);
+    machine.process.signal('SIGTERM');
+    assert.equal((await answer).status, 200);
+    assert.equal(await machine.process.exited(6_000), 0);
+  });
 });
--- a/__tests__/stoppingListener.test.ts
+++ b/__tests__/stoppingListener.test.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
 import { it } from 'node:test';
 import { createCallListener } from '../src/plugins/calls/callListener.js';
 import { ownCallInterface } from '../src/plugins/calls/ownCallInterface.js';
+import type { StopTimes } from '../src/types/internal.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createTimer, type Timer } from '../src/utils/timer.js';
 import { startThreadCaller } from './support/threadCaller.js';
+import { waitFor } from './support/waitFor.js';
 
 // Guards against a stop that resets connections which the kernel took and the process has not seen.
 it('answers a call whose connection was opened just before the listener closes', async () => {
@@ -40,3 +44,97 @@
   await caller.stop();
   timer.stop();
 });
+
+/** All that a connection brings until it is closed. */
+const answeredAt = (socket: Socket): Promise<string> =>
+  new Promise((resolve) => {
+    let text = '';
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    socket.once('close', () => resolve(text));
+  });
+
+const openTo = async (port: number): Promise<Socket> => {
+  const socket = connect(port, '127.0.0.1');
+  await once(socket, 'connect');
+  return socket;
+};
+
+const request = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n';
+
+/** Starts a listener whose calls take a while, and counts those that it has read. */
+const startSlowListener = async (stopTimes: StopTimes, callMs: (call: number) => number) => {
+  const timer = createTimer();
+  const read: string[] = [];
+  const listener = createCallListener({
+    address: { host: '127.0.0.1', port: 0 },
+    timer,
+    log: createSilentLog(),
+    maxHeaderBytes: 1_024,
+    callers: ownCallInterface.callers,
+    stopTimes,
+    onCall: ({ originalUrl }, response) => {
+      read.push(originalUrl);
+      timer.after(callMs(read.length), () => response.end('done'));
+    },
+  });
+  const { port } = await listener.listen();
+  return { listener, port, read, timer };
+};
+
+// Guards against a stop that takes calls on idle connections until its limit and then cuts them.
+it('gives idle connections up in time, so that the last calls end before the limit', async () => {
+  const { listener, port, read, timer } = await startSlowListener(
+    { acceptMs: 50, idleMs: 100 },
+    () => 300,
+  );
+  const sockets = await Promise.all(Array.from({ length: 40 }, () => openTo(port)));
+  const answers = sockets.map(answeredAt);
+  const stopped = listener.stop(1_000);
+  for (const socket of sockets) {
+    socket.write(request);
+    await timer.sleep(40);
+  }
+  await stopped;
+
+  const whole = (await Promise.all(answers)).filter((text) => text.endsWith('done'));
+  assert.ok(read.length > 0);
+  assert.equal(whole.length, read.length);
+  timer.stop();
+});
+
+// Guards against a stop that closes a connection between its opening and its first request.
+it('waits for the first call of a connection that was opened last', async () => {
+  const { listener, port, timer } = await startSlowListener(
+    { acceptMs: 300, idleMs: 200 },
+    () => 10,
+  );
+  const stopped = listener.stop(5_000);
+  await timer.sleep(250);
+  const socket = await openTo(port);
+  const answer = answeredAt(socket);
+  await timer.sleep(100);
+  socket.write(request);
+
+  assert.match(await answer, /^HTTP\/1\.1 200 OK/);
+  await stopped;
+  timer.stop();
+});
+
+// Guards against a stop that takes a connection for idle once the first of two calls has ended.
+it('answers all calls that a caller has sent in a row', async () => {
+  const { listener, port, read, timer } = await startSlowListener(
+    { acceptMs: 10, idleMs: 20 },
+    (call) => (call === 1 ? 10 : 400),
+  );
+  const socket = await openTo(port);
+  const answers = answeredAt(socket);
+  socket.write(request + request);
+  await waitFor(() => read.length === 2);
+  await listener.stop(2_000);
+
+  assert.equal((await answers).match(/HTTP\/1\.1 200 OK/g)?.length, 2);
+  timer.stop();
+});
