Give idle connections up while the last calls of a stopping node end

Cause: the stop of a listener waited until no call had been in flight for a while. Callers that go on using connections which were idle before kept it from ever being quiet; it took their calls until its limit and cut those that it read last, although they had been passed on (LOST). Nodes of a data centre of which fewer than half are ready get such calls. Change: connections that are still without a call when idleMs have passed since the listening socket was closed are closed, so that calls in flight end within the limit and no new ones begin. Ruled out: closeIdleConnections of Node.js, which also destroys connections whose last answer is still being written.

--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -56,7 +56,10 @@
   drain(): void;
   isDraining(): boolean;
   active(): number;
-  /** Ends when no call is in flight and idle connections have been given up by their peers. */
+  /**
+   * Ends when no call is in flight. Connections that are idle for a while after the listening
+   * socket was closed are given up.
+   */
   stop(limitMs: number): Promise<void>;
 }
 
@@ -193,16 +196,29 @@
     running.size === 0 &&
     (sockets.size === 0 || timer.now() - lastActiveAt >= options.stopTimes.idleMs);
 
+  /** Closes the connections without a call. What arrives on them later was not read. */
+  const closeIdle = () =>
+    sockets.forEach((socket) => {
+      if (!running.has(socket)) {
+        socket.destroy();
+      }
+    });
+
   const stop = async (limitMs: number) => {
-    const { acceptMs } = options.stopTimes;
+    const { acceptMs, idleMs } = options.stopTimes;
     const limitAt = timer.now() + limitMs;
     drain();
     await timer.sleep(Math.min(acceptMs, limitMs));
     await untilAllAccepted();
     // Closes the listening socket only: an open connection may be about to get a request.
     NetServer.prototype.close.call(server);
+    const giveUpAt = timer.now() + idleMs;
     while (!isQuiet() && timer.now() < limitAt) {
       await timer.sleep(stopCheckMs);
+      // A call that is taken late is cut by the limit, so none is taken while the others end.
+      if (timer.now() >= giveUpAt) {
+        closeIdle();
+      }
     }
     server.closeAllConnections();
   };
