Keep track of a connection's newest call

Cause: the end of a call took its connection for idle although the next call on it was in flight, when the caller had sent both in a row. A stop that looked then closed the connection and cut the second call. Change: only the newest call of a connection is removed at its end. Before: the second of two calls got no answer.

--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -109,8 +109,11 @@
     response.shouldKeepAlive &&= !draining;
     response.once('close', () => {
       lastActiveAt = timer.now();
-      guards.delete(socket);
-      running.delete(socket);
+      // A caller that sends calls in a row may have the next one in flight already.
+      if (running.get(socket) === response) {
+        guards.delete(socket);
+        running.delete(socket);
+      }
     });
     options.onCall(request, response);
   };
