Count the opening of a connection as activity while a node stops

Cause: a stop took a listener for quiet by the end of its last call alone. A connection that was opened just before the listening socket closed, on a node without calls for idleMs, was closed before its first call came. Change: the opening of a connection begins the wait anew.

--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -130,6 +130,7 @@
 
   server.on('connection', (socket: Socket) => {
     accepted += 1;
+    lastActiveAt = timer.now();
     sockets.add(socket);
     socket.once('close', () => sockets.delete(socket));
   });
