Take the signals of a process before its start is complete

Cause: SIGHUP was handled only once a program had started. A node warms up and a founder waits for the other members first, for seconds on a small machine; a reload in that time ended the process, as the signal does by default, and an orderly stop in it ended it by the signal and not with code 0. Change: runProgram is given the start and takes the signals before it. A stop during the start ends the process at once. Before: the process ended on SIGHUP; exit code null on SIGTERM. After: it goes on; exit code 0. Same class looked for elsewhere: all four programs go through runProgram.

--- a/src/bin/control.ts
+++ b/src/bin/control.ts
@@ -44,15 +44,19 @@
   const given = readArguments() ?? fail(programExitCodes.badInput, usage);
   const settings = readControlSettings(given.settings);
   const log = createLog(settings.control.name, settings.logLevel);
-  const instance = await startControlInstance({
-    settings,
-    bootstrap: given.bootstrap,
-    timer: createTimer(),
+  await runProgram({
     log: log.part('control'),
-    random: Math.random,
-    onFatal: (error) => fail(programExitCodes.failed, describeFailure(error)),
+    stopLimitMs,
+    start: () =>
+      startControlInstance({
+        settings,
+        bootstrap: given.bootstrap,
+        timer: createTimer(),
+        log: log.part('control'),
+        random: Math.random,
+        onFatal: (error) => fail(programExitCodes.failed, describeFailure(error)),
+      }),
   });
-  runProgram({ log: log.part('control'), stopLimitMs, stop: instance.stop });
 };
 
 main().catch(failStart);
--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -29,8 +29,14 @@
 const main = async () => {
   const settings = readNodeSettings(settingsFileOf());
   const log = createLog(settings.node.name, settings.log.level);
-  const instance = await startNodeInstance({ settings, timer: createTimer(), log });
-  runProgram({ log, stopLimitMs, stop: () => instance.stop(stopLimitMs) });
+  await runProgram({
+    log,
+    stopLimitMs,
+    start: async () => {
+      const instance = await startNodeInstance({ settings, timer: createTimer(), log });
+      return { stop: () => instance.stop(stopLimitMs) };
+    },
+  });
 };
 
 main().catch(failStart);
--- a/src/bin/runProgram.ts
+++ b/src/bin/runProgram.ts
@@ -1,6 +1,7 @@
 /**
  * What all long-running programs do: stop gracefully on SIGTERM or SIGINT, at once on a second
- * signal or after a time limit, and go on after SIGHUP, which would end the process by default.
+ * signal or after a time limit, and go on after SIGHUP, which would end the process by default. The
+ * signals are taken from the beginning, since a start may take seconds.
  */
 import type { Log } from '../utils/log.js';
 import { describeFailure, programExitCodes } from './startFailure.js';
@@ -12,7 +13,8 @@
   readonly log: Log;
   /** A graceful stop that takes longer is cut off, in ms. */
   readonly stopLimitMs: number;
-  stop(): Promise<void>;
+  /** Resolves with what stops the program once it runs. */
+  start(): Promise<{ stop(): Promise<void> }>;
   /** Called on SIGHUP. */
   reload?(): void;
 }
@@ -24,9 +26,16 @@
   setTimeout(() => process.exit(code), logFlushMs);
 };
 
-/** Connects a running program to the signals of its process. */
-export const runProgram = ({ log, stopLimitMs, stop, reload }: RunningProgram): void => {
+/** Starts a program and connects it to the signals of its process. */
+export const runProgram = async ({
+  log,
+  stopLimitMs,
+  start,
+  reload,
+}: RunningProgram): Promise<void> => {
   let isStopping = false;
+  // A program that is stopped while it starts has taken no work yet.
+  let stop = async (): Promise<void> => undefined;
   const onSignal = (signal: NodeJS.Signals) => {
     if (isStopping) {
       log.warn('second signal, ending at once', { signal });
@@ -56,4 +65,5 @@
     log.info('reloading', { signal: 'SIGHUP' });
     reload?.();
   });
+  ({ stop } = await start());
 };
--- a/src/platform/control.ts
+++ b/src/platform/control.ts
@@ -24,32 +24,33 @@
   const timer = createTimer();
   const log = createLog(settings.node);
   const watch = watchSettings(file, settings, timer, log.part('settings'));
-  const instance = await startControlInstance({
-    settings: toControlSettings(settings, readAdminPort(), watch.current),
-    bootstrap: false,
-    timer,
-    log,
-    random: Math.random,
-    adapter: {
-      readDocument,
-      start: ({ documents }) =>
-        createOperatorServer({
-          address: listenAddress(settings, 'control'),
-          documents,
-          log: log.part('operators'),
-        }),
-    },
-    onFatal: (error) => {
-      log.error('ending', { error: describeFailure(error) });
-      // After a disk failure nothing may be sent any more.
-      // eslint-disable-next-line n/no-process-exit
-      process.exit(programExitCodes.failed);
-    },
-  });
-  runProgram({
+  const start = () =>
+    startControlInstance({
+      settings: toControlSettings(settings, readAdminPort(), watch.current),
+      bootstrap: false,
+      timer,
+      log,
+      random: Math.random,
+      adapter: {
+        readDocument,
+        start: ({ documents }) =>
+          createOperatorServer({
+            address: listenAddress(settings, 'control'),
+            documents,
+            log: log.part('operators'),
+          }),
+      },
+      onFatal: (error) => {
+        log.error('ending', { error: describeFailure(error) });
+        // After a disk failure nothing may be sent any more.
+        // eslint-disable-next-line n/no-process-exit
+        process.exit(programExitCodes.failed);
+      },
+    });
+  await runProgram({
     log,
     stopLimitMs: settings.graceMs,
-    stop: instance.stop,
+    start,
     reload: watch.reload,
   });
 };
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -36,29 +36,33 @@
   const log = createLog(settings.node);
   const watch = watchSettings(file, settings, timer, log.part('settings'));
   const stopLimitMs = settings.graceMs * (1 - endReservePart);
-  const instance = await startNodeInstance({
-    settings: toNodeSettings(settings, readAdminPort()),
-    timer,
-    log,
-    adapter: {
-      callInterface: createCallInterface(() => watch.current().service),
-      stopTimes: { acceptMs, idleMs },
-      retryBudgets: toRetryBudgets(settings),
-      renewWithinMs: missedCheckIns * settings.checkInMs,
-      start: ({ ready, announcement }) =>
-        createCheckInServer({
-          control: listenAddress(settings, 'control'),
-          ready: listenAddress(settings, 'ready'),
-          announcement,
-          isReady: ready,
-          log: log.part('checkIns'),
-        }),
-    },
-  });
-  runProgram({
+  const start = () =>
+    startNodeInstance({
+      settings: toNodeSettings(settings, readAdminPort()),
+      timer,
+      log,
+      adapter: {
+        callInterface: createCallInterface(() => watch.current().service),
+        stopTimes: { acceptMs, idleMs },
+        retryBudgets: toRetryBudgets(settings),
+        renewWithinMs: missedCheckIns * settings.checkInMs,
+        start: ({ ready, announcement }) =>
+          createCheckInServer({
+            control: listenAddress(settings, 'control'),
+            ready: listenAddress(settings, 'ready'),
+            announcement,
+            isReady: ready,
+            log: log.part('checkIns'),
+          }),
+      },
+    });
+  await runProgram({
     log,
     stopLimitMs: settings.graceMs,
-    stop: () => instance.stop(stopLimitMs),
+    start: async () => {
+      const instance = await start();
+      return { stop: () => instance.stop(stopLimitMs) };
+    },
     reload: watch.reload,
   });
 };
