Do not pause an answer that names the end of its connection in a second header

Only the first connection header was looked at; an answer with keep-alive and close in two headers was paused, and the end or the reset of its connection ended the node with all its calls. Change: any of these headers counts. Ten tests cover five kinds of answers, each with an end and a reset while the caller takes nothing. Resuming the answer when its connection ends does not help after a reset, since undici ignores it on a destroyed connection.

--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -137,6 +137,36 @@
     assert.deepEqual(outcome, { status: 200, body: 'a partthe re', end: 'whole' });
   });
 
+  // Guards against an assertion of the client library, which ends the process of a node.
+  const closing: Record<string, (start: string) => string> = {
+    'of HTTP/1.0': (start) => start.replace('HTTP/1.1', 'HTTP/1.0'),
+    'that name their connection twice': (start) =>
+      start.replace('\r\n', '\r\nConnection: keep-alive\r\nConnection: close\r\n'),
+    'that name more than the end of their connection': (start) =>
+      start.replace('\r\n', '\r\nConnection: x-other, Close\r\n'),
+    'that close their connection': (start) => start.replace('\r\n', '\r\nConnection: close\r\n'),
+    'that keep their connection': (start) => start,
+  };
+  const ends: Record<string, (socket: Socket) => void> = {
+    ends: (socket) => socket.end(),
+    'is reset': (socket) => socket.resetAndDestroy(),
+  };
+  Object.entries(closing).forEach(([kind, change]) =>
+    Object.entries(ends).forEach(([how, end]) => {
+      it(`${kind} are broken if the connection ${how} while the caller takes nothing`, async () => {
+        const [outcome] = await sendTo(
+          (socket) => {
+            socket.write(`${change(head('r1', 'Content-Length: 12'))}a part`);
+            setTimeout(() => end(socket), 50);
+          },
+          1,
+          false,
+        );
+        assert.equal(outcome?.end, 'upstream_failed may_have_run');
+      });
+    }),
+  );
+
   it('that break off before their length are broken', async () => {
     const [outcome] = await sendTo((socket) =>
       socket.end(`${head('r1', 'Content-Length: 9')}part`),
--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -13,7 +13,6 @@
 } from '../../types/calls.js';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
-import { headerIn } from './callHeaders.js';
 
 /** Longest time between two parts of an answer's body before its connection counts as silent. */
 const bodySilenceMs = 5_000;
@@ -64,6 +63,15 @@
   return { status, headers, isDelimited };
 };
 
+/** An answer may carry the header more than once; one `close` among them is enough. */
+const closesConnection = (headers: readonly string[]): boolean =>
+  headers.some(
+    (value, index) =>
+      headers[index - 1] === 'connection' &&
+      index % 2 === 1 &&
+      value.toLowerCase().includes('close'),
+  );
+
 const errorCode = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
 
@@ -123,7 +131,7 @@
       options.expectUnframed?.();
     }
     // undici 7 ends the process by an assertion if the connection of a paused answer ends.
-    canPause = isFramed && !headerIn(head.headers, 'connection')?.toLowerCase().includes('close');
+    canPause = isFramed && !closesConnection(head.headers);
     listener.onHead(head);
   };
 
