--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -43,47 +43,50 @@
     instance: 'i-1',
   });
   const outcomes: Outcome[] = [];
-  for (let number = 1; number <= calls; number += 1) {
-    const outcome: Outcome = { status: 0, body: '', end: '' };
-    outcomes.push(outcome);
-    upstream.commands.send(
-      {
-        attemptId: `a${number}`,
-        requestId: `r${number}`,
-        className: 'c',
-        service: 's',
-        caller: '',
-        priority: 1,
-        maxWaitMs: 1_000,
-        method: 'GET',
-        path: '/',
-        headers: ['host', 'h', 'request-id', `r${number}`],
-        body: { kind: 'none' },
-        deadlineAt: timer.now() + 1_500,
-        headTimeoutMs: 1_500,
-      },
-      {
-        onHead: ({ status }) => {
-          outcome.status = status;
-        },
-        onData: (chunk) => {
-          outcome.body += chunk.toString();
-          return takesMore;
-        },
-        onEnd: () => {
-          outcome.end = 'whole';
+  try {
+    for (let number = 1; number <= calls; number += 1) {
+      const outcome: Outcome = { status: 0, body: '', end: '' };
+      outcomes.push(outcome);
+      upstream.commands.send(
+        {
+          attemptId: `a${number}`,
+          requestId: `r${number}`,
+          className: 'c',
+          service: 's',
+          caller: '',
+          priority: 1,
+          maxWaitMs: 1_000,
+          method: 'GET',
+          path: '/',
+          headers: ['host', 'h', 'request-id', `r${number}`],
+          body: { kind: 'none' },
+          deadlineAt: timer.now() + 1_500,
+          headTimeoutMs: 1_500,
         },
-        onFailure: ({ reason, run }) => {
-          outcome.end = `${reason} ${run}`;
+        {
+          onHead: ({ status }) => {
+            outcome.status = status;
+          },
+          onData: (chunk) => {
+            outcome.body += chunk.toString();
+            return takesMore;
+          },
+          onEnd: () => {
+            outcome.end = 'whole';
+          },
+          onFailure: ({ reason, run }) => {
+            outcome.end = `${reason} ${run}`;
+          },
         },
-      },
-    );
-    await waitFor(() => outcome.end !== '', { limitMs: 5_000, what: 'the end of the call' });
+      );
+      await waitFor(() => outcome.end !== '', { limitMs: 5_000, what: 'the end of the call' });
+    }
+  } finally {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+    timer.stop();
+    await upstream.commands.stop();
   }
-  await upstream.commands.stop();
-  sockets.forEach((socket) => socket.destroy());
-  server.close();
-  timer.stop();
   return outcomes;
 };
 
