Write the head of an answer with its first part

Cause: a node wrote the head of an answer as soon as it had read it. When the upstream broke off before the first byte of the body, nothing had been sent, but the head could not be taken back: the node closed the connection without an answer, which the platform counts as lost on a kept connection, also at the hop between nodes. Change: the head is kept until the first part or the end; before that, a failure becomes a refusal (502), and the first node can repeat an idempotent call. One listener waits for the peer at a time, which ends the warning about 11 listeners of drain. Before: socket hang up for an end and for a reset. After: 502 with run may_have_run, on both paths. What remains: an answer that breaks after its first part is reset, so that it is never taken for a whole one.

--- a/__tests__/wholeAnswers.test.ts
+++ b/__tests__/wholeAnswers.test.ts
@@ -177,4 +177,20 @@
     });
     await assert.rejects(callOnce('silent'));
   });
+
+  // Guards against a connection that ends without an answer while nothing of one was sent yet.
+  (['destroy', 'resetAndDestroy'] as const).forEach((end) =>
+    it(`answers a call whose upstream breaks off after the head of its answer (${end})`, async () => {
+      mesh.upstream.onRequest((request) => {
+        const text = answerText(request);
+        request.socket.write(text.slice(0, text.indexOf('\r\n\r\n') + 4));
+        setTimeout(() => request.socket[end](), 50);
+      });
+      for (const address of [mesh.caller, mesh.beside]) {
+        const { status, body } = await mesh.call(address, '/plain', { method: 'POST', body: 'b' });
+        assert.equal(status, 502);
+        assert.equal(JSON.parse(body).run, 'may_have_run');
+      }
+    }),
+  );
 });
--- a/src/plugins/calls/callAnswers.ts
+++ b/src/plugins/calls/callAnswers.ts
@@ -76,8 +76,15 @@
   endRefusal(response, body, timer);
 };
 
-/** Writes the head of an answer with the headers of this system added. */
-export const writeAnswerHead = (
+export interface AnswerWriter {
+  /** Takes the head of the answer, with headers of this system to add. */
+  head(head: AnswerHead, extraHeaders: readonly string[]): void;
+  /** Writes a part. Returns false until the peer has taken what was written. */
+  part(chunk: Buffer, resume: () => void): boolean;
+  end(): void;
+}
+
+const writeAnswerHead = (
   response: ServerResponse,
   head: AnswerHead,
   extraHeaders: readonly string[],
@@ -90,15 +97,47 @@
   response.writeHead(head.status, headers);
 };
 
-/** Writes a part of an answer. Returns false until the peer has taken what was written. */
-export const writeAnswerPart = (
-  response: ServerResponse,
-  chunk: Buffer,
-  resume: () => void,
-): boolean => {
-  if (response.write(chunk)) {
-    return true;
-  }
-  response.once('drain', resume);
-  return false;
+/**
+ * Creates the writer of an answer. The head is written with the first part: until then an answer
+ * that breaks can be replaced by a refusal, instead of closing the connection without an answer.
+ */
+export const createAnswerWriter = (response: ServerResponse): AnswerWriter => {
+  let writeHead: (() => void) | undefined;
+  let isFull = false;
+
+  const begin = () => {
+    const write = writeHead;
+    writeHead = undefined;
+    write?.();
+  };
+
+  return {
+    head: (head, extraHeaders) => {
+      writeHead = () => writeAnswerHead(response, head, extraHeaders);
+    },
+    part: (chunk, resume) => {
+      begin();
+      if (response.write(chunk)) {
+        return true;
+      }
+      // An answer that cannot be paused brings further parts meanwhile.
+      if (!isFull) {
+        isFull = true;
+        response.once('drain', () => {
+          isFull = false;
+          resume();
+        });
+      }
+      return false;
+    },
+    end: () => {
+      try {
+        begin();
+        response.end();
+      } catch {
+        // A head that cannot be written: the call is over and nobody else would end its connection.
+        response.destroy();
+      }
+    },
+  };
 };
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -16,7 +16,7 @@
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
-import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
+import { createAnswerWriter, reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import { createCallStarts } from './callStarts.js';
@@ -128,15 +128,16 @@
 
   const listenerOf = (call: Call): OutcomeListener => {
     let outcome: CallOutcome = 'good';
+    const answer = createAnswerWriter(call.response);
     return {
       onHead: (head) => {
         outcome = outcomeOf(call, head.status);
-        writeAnswerHead(call.response, head, answerHeaders(call));
+        answer.head(head, answerHeaders(call));
       },
-      onData: (chunk) => writeAnswerPart(call.response, chunk, () => call.running?.resume()),
+      onData: (chunk) => answer.part(chunk, () => call.running?.resume()),
       onEnd: () => {
         finish(call, outcome, 'ok');
-        call.response.end();
+        answer.end();
       },
       onRefusal: (failure) => refuse(call, failure),
     };
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -7,7 +7,7 @@
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
 import type { StopTimes } from '../../types/internal.js';
 import type { Access } from '../operators/access.js';
-import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
+import { createAnswerWriter, reportOf, writeRefusal } from './callAnswers.js';
 import {
   attemptIdHeader,
   callerAuthorizationHeader,
@@ -86,6 +86,7 @@
       loadHeader,
       formatLoad(upstream.queries.load()),
     ];
+    const answer = createAnswerWriter(response);
     let attempt: RunningAttempt | undefined;
     let isOver = false;
 
@@ -127,10 +128,10 @@
         },
         {
           onHead: (head) => {
-            writeAnswerHead(response, head, [...echo(), 'x-request-id', requestId]);
+            answer.head(head, [...echo(), 'x-request-id', requestId]);
           },
-          onData: (chunk) => writeAnswerPart(response, chunk, () => attempt?.resume()),
-          onEnd: () => response.end(),
+          onData: (chunk) => answer.part(chunk, () => attempt?.resume()),
+          onEnd: answer.end,
           onFailure: refuse,
         },
       );
