--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -43,47 +43,50 @@
     instance: 'i-1',
   });
   const outcomes: Outcome[] = [];
-  for (let number = 1; number <= calls; number += 1) {
-    const outcome: Outcome = { status: 0, body: '', end: '' };
-    outcomes.push(outcome);
-    upstream.commands.send(
-      {
-        attemptId: `a${number}`,
-        requestId: `r${number}`,
-        className: 'c',
-        service: 's',
-        caller: '',
-        priority: 1,
-        maxWaitMs: 1_000,
-        method: 'GET',
-        path: '/',
-        headers: ['host', 'h', 'request-id', `r${number}`],
-        body: { kind: 'none' },
-        deadlineAt: timer.now() + 1_500,
-        headTimeoutMs: 1_500,
-      },
-      {
-        onHead: ({ status }) => {
-          outcome.status = status;
-        },
-        onData: (chunk) => {
-          outcome.body += chunk.toString();
-          return takesMore;
+  try {
+    for (let number = 1; number <= calls; number += 1) {
+      const outcome: Outcome = { status: 0, body: '', end: '' };
+      outcomes.push(outcome);
+      upstream.commands.send(
+        {
+          attemptId: `a${number}`,
+          requestId: `r${number}`,
+          className: 'c',
+          service: 's',
+          caller: '',
+          priority: 1,
+          maxWaitMs: 1_000,
+          method: 'GET',
+          path: '/',
+          headers: ['host', 'h', 'request-id', `r${number}`],
+          body: { kind: 'none' },
+          deadlineAt: timer.now() + 1_500,
+          headTimeoutMs: 1_500,
         },
-        onEnd: () => {
-          outcome.end = 'whole';
+        {
+          onHead: ({ status }) => {
+            outcome.status = status;
+          },
+          onData: (chunk) => {
+            outcome.body += chunk.toString();
+            return takesMore;
+          },
+          onEnd: () => {
+            outcome.end = 'whole';
+          },
+          onFailure: ({ reason, run }) => {
+            outcome.end = `${reason} ${run}`;
+          },
         },
-        onFailure: ({ reason, run }) => {
-          outcome.end = `${reason} ${run}`;
-        },
-      },
-    );
-    await waitFor(() => outcome.end !== '', { limitMs: 5_000, what: 'the end of the call' });
+      );
+      await waitFor(() => outcome.end !== '', { limitMs: 5_000, what: 'the end of the call' });
+    }
+  } finally {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+    timer.stop();
+    await upstream.commands.stop();
   }
-  await upstream.commands.stop();
-  sockets.forEach((socket) => socket.destroy());
-  server.close();
-  timer.stop();
   return outcomes;
 };
 
@@ -137,6 +140,36 @@
     assert.deepEqual(outcome, { status: 200, body: 'a partthe re', end: 'whole' });
   });
 
+  // Guards against an assertion of the client library, which ends the process of a node.
+  const closing: Record<string, (start: string) => string> = {
+    'of HTTP/1.0': (start) => start.replace('HTTP/1.1', 'HTTP/1.0'),
+    'that name their connection twice': (start) =>
+      start.replace('\r\n', '\r\nConnection: keep-alive\r\nConnection: close\r\n'),
+    'that name more than the end of their connection': (start) =>
+      start.replace('\r\n', '\r\nConnection: x-other, Close\r\n'),
+    'that close their connection': (start) => start.replace('\r\n', '\r\nConnection: close\r\n'),
+    'that keep their connection': (start) => start,
+  };
+  const ends: Record<string, (socket: Socket) => void> = {
+    ends: (socket) => socket.end(),
+    'is reset': (socket) => socket.resetAndDestroy(),
+  };
+  Object.entries(closing).forEach(([kind, change]) =>
+    Object.entries(ends).forEach(([how, end]) => {
+      it(`${kind} are broken if the connection ${how} while the caller takes nothing`, async () => {
+        const [outcome] = await sendTo(
+          (socket) => {
+            socket.write(`${change(head('r1', 'Content-Length: 12'))}a part`);
+            setTimeout(() => end(socket), 50);
+          },
+          1,
+          false,
+        );
+        assert.equal(outcome?.end, 'upstream_failed may_have_run');
+      });
+    }),
+  );
+
   it('that break off before their length are broken', async () => {
     const [outcome] = await sendTo((socket) =>
       socket.end(`${head('r1', 'Content-Length: 9')}part`),
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -18,7 +18,7 @@
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
-import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
+import { createAnswerWriter, reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import { createCallStarts } from './callStarts.js';
@@ -159,18 +159,19 @@
 
   const listenerOf = (call: Call): OutcomeListener => {
     let outcome: CallOutcome = 'good';
+    const answer = createAnswerWriter(call.response);
     return {
       onHead: (head) => {
         outcome = outcomeOf(call, head.status);
         if (outcome === 'failed') {
           logFailedAnswer(call, head.status);
         }
-        writeAnswerHead(call.response, head, answerHeaders(call));
+        answer.head(head, answerHeaders(call));
       },
-      onData: (chunk) => writeAnswerPart(call.response, chunk, () => call.running?.resume()),
+      onData: (chunk) => answer.part(chunk, () => call.running?.resume()),
       onEnd: () => {
         finish(call, outcome, 'ok');
-        call.response.end();
+        answer.end();
       },
       onRefusal: (failure) => refuse(call, failure),
     };
