--- a/__tests__/support/platform.ts
+++ b/__tests__/support/platform.ts
@@ -160,6 +160,8 @@
   }[];
   readonly endpoint?: Partial<EndpointOptions>;
   readonly nodeArgs?: readonly string[];
+  /** Folder of the built programs. Default: dist. */
+  readonly programs?: string;
   /** Control instances besides the one in each data centre. */
   readonly extraControls?: number;
 }
@@ -210,7 +212,7 @@
   const createProcess = (name: string, script: string, extraArgs: readonly string[] = []) =>
     createManagedProcess({
       name,
-      args: [...extraArgs, resolvePath('dist', script), '--admin-port', String(ports.admin)],
+      args: [...extraArgs, resolvePath(options.programs ?? 'dist', script), '--admin-port', String(ports.admin)],
       cwd: folder,
       env: { AUBURNSILL_BOOT: join(folder, `${name}.conf`) },
     });
--- a/bench/support/processFigures.ts
+++ b/bench/support/processFigures.ts
@@ -1,7 +1,7 @@
 /**
  * Processor time and memory of processes, from /proc, and small statistics.
  */
-import { readFileSync } from 'node:fs';
+import { readdirSync, readFileSync } from 'node:fs';
 
 const clockTicksPerSecond = 100;
 
@@ -13,6 +13,18 @@
   return (ticks / clockTicksPerSecond) * 1_000;
 };
 
+/** Processor time of a process since its start in microseconds, with all of its threads. */
+export const processorUs = (pid: number): number =>
+  readdirSync(`/proc/${pid}/task`)
+    .map((task) => readFileSync(`/proc/${pid}/task/${task}/schedstat`, 'utf8'))
+    .reduce((sum, text) => sum + Number(text.split(' ')[0]) / 1_000, 0);
+
+/** Times that the main thread of a process gave up its processor to wait. */
+export const switchesOf = (pid: number): number => {
+  const text = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return Number(/^voluntary_ctxt_switches:\s+(\d+)/m.exec(text)?.[1] ?? 0);
+};
+
 /** Resident memory of a process, in MB. */
 export const residentMb = (pid: number): number => {
   const line = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
