Stop sampling the event loop 100 times a second

Cause: collectDefaultMetrics of prom-client starts a histogram of the event loop's delay, whose timer fires every 10 ms for as long as the process lives. Each firing is a wake-up with two calls of epoll_pwait, also in a process without any work.

Change: the period, which can't be turned off, is an hour, and the seven series that came from it are removed. The lag at the time of collection stays, and auburnsill_event_loop_busy_ratio tells how busy the event loop was since the last collection; it needs no timer.

Ruled out: the other timers of an idle node; what is left is about 20 wake-ups a second for check-ins, the feed and the settings file.

--- a/__tests__/metrics.test.ts
+++ b/__tests__/metrics.test.ts
@@ -18,4 +18,15 @@
     );
     mock.restoreAll();
   });
+
+  // Guards against the loss of the lag and of the load of the event loop with the sampler.
+  it('tell the lag and the load of the event loop', async () => {
+    const { render } = createMetrics();
+    const busyUntil = performance.now() + 20;
+    while (performance.now() < busyUntil);
+    const { body } = await render();
+    assert.match(body, /^nodejs_eventloop_lag_seconds \d/m);
+    const [, ratio] = /^auburnsill_event_loop_busy_ratio (\S+)$/m.exec(body) ?? [];
+    assert.ok(Number(ratio) > 0 && Number(ratio) <= 1, body.slice(0, 200));
+  });
 });
--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -6,12 +6,7 @@
  */
 import { Agent } from 'node:http';
 import { resolve } from 'node:path';
-import {
-  documentOf,
-  sendRequest,
-  startPlatform,
-  type Platform,
-} from '../__tests__/support/platform.js';
+import { documentOf, startPlatform, type Platform } from '../__tests__/support/platform.js';
 import { processorUs, round, switchesOf } from './support/processFigures.js';
 
 interface BenchContext {
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -3,6 +3,7 @@
  * prefix, base units, `_total` for counters. Label values come from bounded sets only; a value
  * beyond the bound is counted as `other`, so that no input of a caller can add series without limit.
  */
+import { performance } from 'node:perf_hooks';
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Distinct values that one label may take; a deployment has tens of classes and services. */
@@ -13,6 +14,16 @@
   0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30,
 ];
 
+/**
+ * Period of the library's own timer that samples the delay of the event loop, in ms. It can't be
+ * turned off; at the default of 10 ms an idle process woke 100 times a second.
+ */
+const delaySampleMs = 3_600_000;
+/** Series of that timer, which mean nothing at such a period. */
+const delaySeries = ['min', 'max', 'mean', 'stddev', 'p50', 'p90', 'p99'].map(
+  (name) => `nodejs_eventloop_lag_${name}_seconds`,
+);
+
 export interface Metrics {
   readonly registry: Registry;
   counter<Label extends string>(
@@ -45,12 +56,29 @@
   };
 };
 
+/** Tells whether a process is short of processor time, without a timer of its own. */
+const addEventLoopBusy = (registry: Registry) => {
+  let last = performance.eventLoopUtilization();
+  const gauge: Gauge = new Gauge({
+    name: 'auburnsill_event_loop_busy_ratio',
+    help: 'Part of the time since the last collection in which the event loop was busy.',
+    registers: [registry],
+    collect: () => {
+      const current = performance.eventLoopUtilization();
+      gauge.set(performance.eventLoopUtilization(current, last).utilization);
+      last = current;
+    },
+  });
+};
+
 /** Creates the metrics of a process; `labels` are added to every series. */
 export const createMetrics = (labels: Readonly<Record<string, string>> = {}): Metrics => {
   const registry = new Registry();
   registry.setDefaultLabels({ ...labels });
-  collectDefaultMetrics({ register: registry });
+  collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: delaySampleMs });
+  delaySeries.forEach((name) => registry.removeSingleMetric(name));
   const registers = [registry];
+  addEventLoopBusy(registry);
   return {
     registry,
     counter: (name, help, labelNames = []) =>
