--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -379,4 +379,59 @@
     evidence.commands.recordEnd('a', { latencyMs: 1, outcome: 'ok' }, 2);
     assert.deepEqual(evidence.queries.endpointIds(), ['b']);
   });
+
+  // Guards against work for each call that grows with the fleet: 50 endpoints were sorted by their
+  // latency, grouped and searched for ejected ones for each choice.
+  it('looks at few endpoints for a choice, however many there are', () => {
+    const readsWith = (count: number): number => {
+      const random = createRandom(seed);
+      const evidence = createEvidence({ random });
+      const reads = { count: 0 };
+      const counted =
+        <Arguments extends unknown[], Result>(read: (...given: Arguments) => Result) =>
+        (...given: Arguments): Result => {
+          reads.count += 1;
+          return read(...given);
+        };
+      const { of, status, isEjected } = evidence.queries;
+      const watched: Evidence = {
+        ...evidence,
+        queries: {
+          ...evidence.queries,
+          of: counted(of),
+          status: counted(status),
+          isEjected: counted(isEjected),
+        },
+      };
+      const endpoints = times(count, (index) =>
+        createEndpoint(`e${index}`, { dataCentre: ['a', 'b', 'c'][index % 3]! }),
+      );
+      const cluster = createCluster(endpoints);
+      endpoints.forEach(({ id }) => {
+        attempt(evidence, id, 0);
+        evidence.commands.recordLoad(id, { inFlight: 1, limit: 9, waiting: 0, workMs: 5 }, 60_000);
+      });
+      // One endpoint is ejected, as on a day with trouble.
+      times(20, () => attempt(evidence, 'e0', 50_000, 'failed'));
+      assert.ok(evidence.queries.isEjected('e0', 50_000));
+      const policy = createPolicy({ idempotent: false });
+      const choose = (now: number) =>
+        chooseEndpoint({
+          cluster,
+          evidence: watched,
+          policy,
+          home,
+          exclude: new Set(),
+          random,
+          now,
+        });
+      times(10, () => choose(50_100));
+      reads.count = 0;
+      times(100, () => choose(50_100));
+      return reads.count / 100;
+    };
+    const few = readsWith(12);
+    const many = readsWith(300);
+    assert.ok(many <= few, `${few} reads with 12 endpoints, ${many} with 300`);
+  });
 });
