Choose an endpoint without looking at all of them

Cause: each choice filtered the cluster for ready and ejected endpoints, sorted the latencies of all of them for their median, grouped them by distance and took the highest share of the warm-up twice in each group.

Change: what depends on the cluster and on ejections only (ready, ejected, in use, by distance, own) is kept with the cluster object and made anew when an ejection begins or ends or an endpoint is forgotten. The median is taken only for an endpoint without a figure of its own, and the highest share is known once two endpoints of a group are warm. The random numbers drawn and the endpoint chosen are the same: a property test compares the choice with a plain search through all endpoints (plainRouting.ts, the former code).

--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -6,6 +6,7 @@
 import type { Cluster, Endpoint, Policy } from '../src/types/public.js';
 import { check } from './support/arbitraries.js';
 import { createCluster, createEndpoint, createPolicy, createRandom } from './support/fleet.js';
+import { choosePlainly } from './support/plainRouting.js';
 
 const home = { dataCentre: 'a', region: 'r' };
 const seed = 7;
@@ -434,4 +435,75 @@
     const many = readsWith(300);
     assert.ok(many <= few, `${few} reads with 12 endpoints, ${many} with 300`);
   });
+
+  // Guards against choices from what was kept with the cluster and is not true any more: after an
+  // ejection, a return to use, an endpoint that was forgotten, or while endpoints warm up.
+  it('chooses what a plain search through all endpoints chooses', () => {
+    const step = fc.record({
+      endpoint: fc.nat(8),
+      kind: fc.constantFrom('end', 'start', 'load', 'failures', 'forget', 'choose', 'choose'),
+      outcome: fc.constantFrom(...outcomes),
+      latencyMs: fc.integer({ min: 1, max: 400 }),
+      inFlight: fc.nat(12),
+      gapMs: fc.nat(3_000),
+      isExcluding: fc.boolean(),
+    });
+    check(
+      fc.property(
+        fc.integer({ min: 1, max: 9 }),
+        fc.array(step, { maxLength: 120 }),
+        fc.boolean(),
+        (n, steps, idempotent) => {
+          const evidence = createEvidence({ random: createRandom(seed) });
+          const endpoints = times(n, (index) =>
+            createEndpoint(`e${index}`, {
+              dataCentre: index % 3 === 2 ? 'b' : 'a',
+              region: index % 5 === 4 ? 's' : 'r',
+              state: index === 7 ? 'leaving' : 'ready',
+            }),
+          );
+          const cluster = createCluster(endpoints);
+          const ownHome = { ...home, name: 'e1' };
+          const random = createRandom(11);
+          const plainRandom = createRandom(11);
+          let now = 0;
+          steps.forEach(({ endpoint, kind, outcome, latencyMs, inFlight, gapMs, isExcluding }) => {
+            const id = `e${endpoint % n}`;
+            now += gapMs;
+            const handlers: Record<typeof kind, () => void> = {
+              start: () => evidence.commands.recordStart(id, now),
+              end: () => attempt(evidence, id, now, outcome, latencyMs),
+              failures: () => times(8, () => attempt(evidence, id, now, 'failed')),
+              load: () =>
+                evidence.commands.recordLoad(
+                  id,
+                  { inFlight, limit: 9, waiting: 0, workMs: latencyMs },
+                  now,
+                ),
+              forget: () => {
+                const others = endpoints.map((each) => each.id).filter((other) => other !== id);
+                evidence.commands.retain('s', [...others, id], now);
+                evidence.commands.retain('s', others, now);
+              },
+              choose: () => undefined,
+            };
+            handlers[kind]();
+            const choice = {
+              cluster,
+              evidence,
+              policy: createPolicy({ idempotent }),
+              home: ownHome,
+              answerBytes: 700,
+              exclude: new Set(isExcluding ? [id] : []),
+              now,
+            };
+            assert.equal(
+              chooseEndpoint({ ...choice, random })?.id,
+              choosePlainly({ ...choice, random: plainRandom })?.id,
+            );
+          });
+        },
+      ),
+    );
+  });
 });
--- /dev/null
+++ b/__tests__/support/plainRouting.ts
@@ -0,0 +1,72 @@
+/**
+ * The choice of an endpoint as a plain search through all endpoints of the cluster, without anything
+ * that is kept between choices. Tests compare the product's choice with it.
+ */
+import { predictedMs, usualLatencyMs, warmShare } from '../../src/core/calls/endpointRank.js';
+import { endpointsInUse, type EndpointChoice } from '../../src/core/calls/routing.js';
+import { groupByDistance, hopMs, wayCostMs } from '../../src/core/calls/routingTiers.js';
+import type { Endpoint } from '../../src/types/public.js';
+
+const warmUpTries = 8;
+const costMargin = 0.9;
+const probeOverdueMs = 5_000;
+
+const pickWarm = (
+  endpoints: readonly Endpoint[],
+  { evidence, random, now }: EndpointChoice,
+): Endpoint | undefined => {
+  const shareOf = ({ id }: Endpoint) => warmShare(evidence.queries.of(id), now);
+  const highest = Math.max(...endpoints.map(shareOf));
+  let picked: Endpoint | undefined;
+  for (let tries = 0; tries < warmUpTries; tries += 1) {
+    picked = endpoints[Math.floor(random() * endpoints.length)];
+    if (picked && random() * highest < shareOf(picked)) {
+      return picked;
+    }
+  }
+  return picked;
+};
+
+const chooseOfTwo = (
+  tier: readonly Endpoint[],
+  choice: EndpointChoice,
+  cost: (endpoint: Endpoint) => number,
+): Endpoint | undefined => {
+  const first = pickWarm(tier, choice);
+  const others = tier.filter((endpoint) => endpoint !== first);
+  const second = others.length > 0 ? pickWarm(others, choice) : undefined;
+  if (!first || !second) {
+    return first;
+  }
+  return cost(second) < costMargin * cost(first) ? second : first;
+};
+
+/** Chooses an endpoint by looking at all of them. */
+export const choosePlainly = (choice: EndpointChoice): Endpoint | undefined => {
+  const { cluster, evidence, policy, exclude, home, answerBytes = 0, now } = choice;
+  const ready = cluster.endpoints.filter(({ state }) => state === 'ready');
+  const probe = ready.find(({ id }) => {
+    if (exclude.has(id) || evidence.queries.status(id, now) !== 'probe') {
+      return false;
+    }
+    const dueAt = evidence.queries.of(id)?.ejection.ejectedUntil ?? now;
+    return policy.idempotent || now - dueAt > probeOverdueMs;
+  });
+  if (probe) {
+    return probe;
+  }
+  const inUse = endpointsInUse(ready, evidence, now).filter(({ id }) => !exclude.has(id));
+  const usualMs = usualLatencyMs(evidence, inUse);
+  const cost = (endpoint: Endpoint) =>
+    predictedMs(endpoint, evidence.queries.of(endpoint.id), () => usualMs, now);
+  const own = inUse.find(({ node }) => node === home.name);
+  let cheapest = own && { endpoint: own, costMs: cost(own) };
+  groupByDistance(inUse, home).forEach(({ distance, endpoints }) => {
+    const endpoint = chooseOfTwo(endpoints, choice, cost);
+    const costMs = endpoint ? cost(endpoint) + wayCostMs(distance, answerBytes) + hopMs : Infinity;
+    if (endpoint && costMs < (cheapest?.costMs ?? Infinity)) {
+      cheapest = { endpoint, costMs };
+    }
+  });
+  return cheapest?.endpoint;
+};
--- a/src/core/calls/endpointRank.ts
+++ b/src/core/calls/endpointRank.ts
@@ -49,11 +49,16 @@
 export const capacityOf = ({ slots }: Endpoint, known: EndpointEvidence | undefined): number =>
   Math.max(1, Math.min(slots, known?.load?.limit ?? slots));
 
-const latencyOf = (known: EndpointEvidence | undefined, usualMs: number, now: number): number => {
+const latencyOf = (
+  known: EndpointEvidence | undefined,
+  usualLatency: () => number,
+  now: number,
+): number => {
   // The endpoint's own figure leaves out the wait for a slot, which is predicted from its load.
   if (known?.load?.workMs !== undefined) {
     return known.load.workMs;
   }
+  const usualMs = usualLatency();
   if (known?.latencyMs === undefined) {
     return usualMs;
   }
@@ -92,14 +97,17 @@
   return known[Math.floor((known.length - 1) / 2)] ?? unknownLatencyMs;
 };
 
-/** Predicted cost of one more call, in ms; failures and refusals make it higher. */
+/**
+ * Predicted cost of one more call, in ms; failures and refusals make it higher. `usualLatency` is
+ * asked only for an endpoint whose own figure isn't known, since it looks at all endpoints.
+ */
 export const predictedMs = (
   endpoint: Endpoint,
   known: EndpointEvidence | undefined,
-  usualMs: number,
+  usualLatency: () => number,
   now: number,
 ): number => {
-  const latencyMs = withSilence(latencyOf(known, usualMs, now), known, now);
+  const latencyMs = withSilence(latencyOf(known, usualLatency, now), known, now);
   const capacity = capacityOf(endpoint, known);
   const outstanding = outstandingCalls(known, now);
   const waits = Math.max(0, outstanding + 1 - capacity) / capacity;
--- a/src/core/calls/evidence.ts
+++ b/src/core/calls/evidence.ts
@@ -71,6 +71,8 @@
     /** True if the endpoint is ejected or waits for its probe. */
     isEjected(endpointId: string, now: number): boolean;
     endpointIds(): readonly string[];
+    /** Differs whenever it may have changed which endpoints are ejected, or how badly they failed. */
+    ejectionEpoch(): number;
   };
 }
 
@@ -155,6 +157,7 @@
 export const createEvidence = ({ random }: EvidenceOptions): Evidence => {
   const states = new Map<string, State>();
   const services = new Map<string, readonly string[]>();
+  let ejectionEpoch = 0;
 
   const stateOf = (endpointId: string, now: number): State => {
     const state = states.get(endpointId) ?? createState(now);
@@ -185,6 +188,7 @@
     if (!state) {
       return;
     }
+    const wasOut = state.ejection.isOut;
     state.inFlight = Math.max(0, state.inFlight - 1);
     endHandlers[end.outcome](state, {
       latencyMs: end.latencyMs,
@@ -195,6 +199,9 @@
     if (state.inFlight === 0) {
       state.silentSince = undefined;
     }
+    if (wasOut || state.ejection.isOut) {
+      ejectionEpoch += 1;
+    }
   };
 
   const recordLoad = (endpointId: string, load: EndpointLoad, now: number): void => {
@@ -206,7 +213,10 @@
     services
       .get(service)
       ?.filter((id) => !kept.has(id))
-      .forEach((id) => states.delete(id));
+      .forEach((id) => {
+        states.delete(id);
+        ejectionEpoch += 1;
+      });
     services.set(service, endpointIds);
     endpointIds.forEach((id) => stateOf(id, now));
   };
@@ -228,6 +238,7 @@
       status,
       isEjected: (endpointId, now) => status(endpointId, now) !== 'in',
       endpointIds: () => [...states.keys()],
+      ejectionEpoch: () => ejectionEpoch,
     },
   };
 };
--- a/src/core/calls/routing.ts
+++ b/src/core/calls/routing.ts
@@ -6,7 +6,7 @@
 import type { Cluster, Endpoint, Policy } from '../../types/public.js';
 import { predictedMs, usualLatencyMs, warmShare } from './endpointRank.js';
 import type { Evidence } from './evidence.js';
-import { groupByDistance, hopMs, wayCostMs, type Home } from './routingTiers.js';
+import { groupByDistance, hopMs, wayCostMs, type Home, type Tier } from './routingTiers.js';
 
 export type { Home } from './routingTiers.js';
 
@@ -58,11 +58,61 @@
   return ready.filter((endpoint) => !isOut(endpoint) || kept.includes(endpoint.id));
 };
 
+interface UsedTier extends Tier {
+  /** Two endpoints at least have their full share of calls, so that one is left beside any other. */
+  isWarm: boolean;
+}
+
+/** Endpoints of a cluster that are in use, as one node sees them. */
+interface ClusterUse {
+  readonly home: Home;
+  readonly evidence: Evidence;
+  readonly ejectionEpoch: number;
+  /** Ready endpoints that are ejected. */
+  readonly ejected: readonly Endpoint[];
+  readonly inUse: readonly Endpoint[];
+  readonly own: Endpoint | undefined;
+  readonly tiers: readonly UsedTier[];
+}
+
+type Used = Pick<ClusterUse, 'inUse' | 'own' | 'tiers'>;
+
+/** Kept with the cluster, so that a choice doesn't look at all endpoints again. */
+const uses = new WeakMap<Cluster, ClusterUse>();
+
+const arrange = (inUse: readonly Endpoint[], home: Home): Used => ({
+  inUse,
+  own: inUse.find(({ node }) => node === home.name),
+  tiers: groupByDistance(inUse, home).map((tier) => ({ ...tier, isWarm: false })),
+});
+
+const useOf = ({ cluster, evidence, home, now }: EndpointChoice): ClusterUse => {
+  const ejectionEpoch = evidence.queries.ejectionEpoch();
+  const known = uses.get(cluster);
+  if (
+    known?.ejectionEpoch === ejectionEpoch &&
+    known.home === home &&
+    known.evidence === evidence
+  ) {
+    return known;
+  }
+  const ready = readyOf(cluster);
+  const use = {
+    home,
+    evidence,
+    ejectionEpoch,
+    ejected: ready.filter(({ id }) => evidence.queries.isEjected(id, now)),
+    ...arrange(endpointsInUse(ready, evidence, now), home),
+  };
+  uses.set(cluster, use);
+  return use;
+};
+
 const dueForProbe = (
-  ready: readonly Endpoint[],
+  ejected: readonly Endpoint[],
   { evidence, policy, exclude, now }: EndpointChoice,
 ): Endpoint | undefined =>
-  ready.find(({ id }) => {
+  ejected.find(({ id }) => {
     if (exclude.has(id) || evidence.queries.status(id, now) !== 'probe') {
       return false;
     }
@@ -70,17 +120,38 @@
     return policy.idempotent || now - dueAt > probeOverdueMs;
   });
 
-/** Picks a random endpoint; one that warms up is passed over in proportion. */
-const pickWarm = (
-  endpoints: readonly Endpoint[],
-  { evidence, random, now }: EndpointChoice,
-): Endpoint | undefined => {
-  const shareOf = ({ id }: Endpoint) => warmShare(evidence.queries.of(id), now);
-  const highest = Math.max(...endpoints.map(shareOf));
-  let picked: Endpoint | undefined;
+const noIndex = -1;
+
+/** Largest share of calls in a tier, without the endpoint at one index. */
+const highestShare = (
+  tier: UsedTier,
+  skipped: number,
+  { evidence, now }: EndpointChoice,
+): number => {
+  if (tier.isWarm) {
+    return 1;
+  }
+  const shares = tier.endpoints
+    .filter((_, index) => index !== skipped)
+    .map(({ id }) => warmShare(evidence.queries.of(id), now));
+  // Shares only rise until an ejection ends, which arranges the tiers anew.
+  tier.isWarm = shares.filter((share) => share === 1).length > 1;
+  return Math.max(...shares);
+};
+
+/**
+ * Index of a random endpoint that isn't at `skipped`; one that warms up is passed over in proportion.
+ */
+const pickWarm = (tier: UsedTier, skipped: number, choice: EndpointChoice): number => {
+  const { evidence, random, now } = choice;
+  const { endpoints } = tier;
+  const highest = highestShare(tier, skipped, choice);
+  const count = skipped === noIndex ? endpoints.length : endpoints.length - 1;
+  let picked = noIndex;
   for (let tries = 0; tries < warmUpTries; tries += 1) {
-    picked = endpoints[Math.floor(random() * endpoints.length)];
-    if (picked && random() * highest < shareOf(picked)) {
+    const drawn = Math.floor(random() * count);
+    picked = skipped !== noIndex && drawn >= skipped ? drawn + 1 : drawn;
+    if (random() * highest < warmShare(evidence.queries.of(endpoints[picked]!.id), now)) {
       return picked;
     }
   }
@@ -89,34 +160,40 @@
 
 type Cost = (endpoint: Endpoint) => number;
 
-const chooseOfTwo = (
-  tier: readonly Endpoint[],
-  choice: EndpointChoice,
-  cost: Cost,
-): Endpoint | undefined => {
-  const first = pickWarm(tier, choice);
-  const others = tier.filter((endpoint) => endpoint !== first);
-  const second = others.length > 0 ? pickWarm(others, choice) : undefined;
-  if (!first || !second) {
+interface Candidate {
+  readonly endpoint: Endpoint;
+  readonly costMs: number;
+}
+
+const chooseOfTwo = (tier: UsedTier, choice: EndpointChoice, cost: Cost): Candidate => {
+  const firstIndex = pickWarm(tier, noIndex, choice);
+  const endpoint = tier.endpoints[firstIndex]!;
+  const first = { endpoint, costMs: cost(endpoint) };
+  if (tier.endpoints.length === 1) {
     return first;
   }
-  return cost(second) < costMargin * cost(first) ? second : first;
+  const other = tier.endpoints[pickWarm(tier, firstIndex, choice)]!;
+  const second = { endpoint: other, costMs: cost(other) };
+  return second.costMs < costMargin * first.costMs ? second : first;
 };
 
 const chooseOfTiers = (
-  inUse: readonly Endpoint[],
+  { inUse, own, tiers }: Used,
   choice: EndpointChoice,
 ): Endpoint | undefined => {
-  const { evidence, home, answerBytes = 0, now } = choice;
-  const usualMs = usualLatencyMs(evidence, inUse);
+  const { evidence, answerBytes = 0, now } = choice;
+  let usualMs: number | undefined;
+  const usualLatency = (): number => {
+    usualMs ??= usualLatencyMs(evidence, inUse);
+    return usualMs;
+  };
   const cost: Cost = (endpoint) =>
-    predictedMs(endpoint, evidence.queries.of(endpoint.id), usualMs, now);
-  const own = inUse.find(({ node }) => node === home.name);
-  let cheapest = own && { endpoint: own, costMs: cost(own) };
-  groupByDistance(inUse, home).forEach(({ distance, endpoints }) => {
-    const endpoint = chooseOfTwo(endpoints, choice, cost);
-    const costMs = endpoint ? cost(endpoint) + wayCostMs(distance, answerBytes) + hopMs : Infinity;
-    if (endpoint && costMs < (cheapest?.costMs ?? Infinity)) {
+    predictedMs(endpoint, evidence.queries.of(endpoint.id), usualLatency, now);
+  let cheapest: Candidate | undefined = own && { endpoint: own, costMs: cost(own) };
+  tiers.forEach((tier) => {
+    const { endpoint, costMs: workMs } = chooseOfTwo(tier, choice, cost);
+    const costMs = workMs + wayCostMs(tier.distance, answerBytes) + hopMs;
+    if (costMs < (cheapest?.costMs ?? Infinity)) {
       cheapest = { endpoint, costMs };
     }
   });
@@ -125,12 +202,13 @@
 
 /** Chooses an endpoint that was not tried yet, or returns undefined if none is left. */
 export const chooseEndpoint = (choice: EndpointChoice): Endpoint | undefined => {
-  const { cluster, evidence, exclude, now } = choice;
-  const ready = readyOf(cluster);
-  const probe = dueForProbe(ready, choice);
+  const { exclude, home } = choice;
+  const use = useOf(choice);
+  const probe = dueForProbe(use.ejected, choice);
   if (probe) {
     return probe;
   }
-  const inUse = endpointsInUse(ready, evidence, now).filter(({ id }) => !exclude.has(id));
-  return chooseOfTiers(inUse, choice);
+  const isLeft = ({ id }: Endpoint) => !exclude.has(id);
+  const used = exclude.size === 0 ? use : arrange(use.inUse.filter(isLeft), home);
+  return chooseOfTiers(used, choice);
 };
