--- a/__tests__/distribution.test.ts
+++ b/__tests__/distribution.test.ts
@@ -394,6 +394,37 @@
     assert.equal(held?.clusters.has('beta'), false, 'a reference in use has changed');
   });
 
+  // Guards against work for each call after each change of any cluster: what routing keeps with a
+  // cluster is lost when the object is replaced.
+  it('keeps the object of a cluster when another one changes, unless an endpoint is drained', () => {
+    const holding = createHolding(derivePolicies);
+    const first = stored(1, ['alpha', 'beta']);
+    const endpoints = [endpointOf('a1', 'alpha'), endpointOf('a2', 'alpha')];
+    holding.commands.stageConfiguration(first, 0);
+    holding.commands.stageCluster({ service: 'alpha', endpoints });
+    holding.commands.stageCluster({ service: 'beta', endpoints: [] });
+    const alpha = holding.commands.activate(0)?.clusters.get('alpha');
+    holding.commands.stageCluster({ service: 'beta', endpoints: [endpointOf('b1', 'beta')] });
+    const held = holding.commands.activate(1);
+    assert.equal(held?.clusters.get('beta')?.endpoints.length, 1);
+    assert.equal(held?.clusters.get('alpha'), alpha);
+    const drains = { [endpoints[1]!.id]: { since: 0 } } as unknown as Configuration['drains'];
+    const drained = { ...stored(2, ['alpha', 'beta']) };
+    holding.commands.stageConfiguration(
+      { ...drained, configuration: { ...drained.configuration, drains } },
+      2,
+    );
+    const states = holding.commands
+      .activate(2)
+      ?.clusters.get('alpha')
+      ?.endpoints.map(({ state }) => state);
+    assert.deepEqual(states, ['ready', 'leaving']);
+    assert.deepEqual(
+      endpoints.map(({ state }) => state),
+      ['ready', 'ready'],
+    );
+  });
+
   it('is not put off by a stream of changes that each add a route', () => {
     const holding = createHolding(derivePolicies);
     for (let second = 0; second <= 3; second += 1) {
