Keep the object of a held cluster that did not change

Cause: a swap of what a node holds copied every cluster and endpoint to mark the drained ones, also without any drain, so each change of one cluster made new objects of all of them.

Change: a cluster without a drained endpoint is held as it arrived. The choice of an endpoint then keeps its groups over changes of other clusters.

--- a/__tests__/distribution.test.ts
+++ b/__tests__/distribution.test.ts
@@ -408,8 +408,8 @@
     const held = holding.commands.activate(1);
     assert.equal(held?.clusters.get('beta')?.endpoints.length, 1);
     assert.equal(held?.clusters.get('alpha'), alpha);
-    const drains = { [endpoints[1]!.id]: { since: 0 } } as unknown as Configuration['drains'];
-    const drained = { ...stored(2, ['alpha', 'beta']) };
+    const drains = { [endpoints[1]!.id]: { name: endpoints[1]!.id } };
+    const drained = stored(2, ['alpha', 'beta']);
     holding.commands.stageConfiguration(
       { ...drained, configuration: { ...drained.configuration, drains } },
       2,
--- a/src/core/distribution/holding.ts
+++ b/src/core/distribution/holding.ts
@@ -4,7 +4,7 @@
  * of one reference. A version never goes back, and a route whose cluster has not arrived is
  * withheld.
  */
-import type { Cluster, Configuration, Policy, Version } from '../../types/public.js';
+import type { Cluster, Configuration, Endpoint, Policy, Version } from '../../types/public.js';
 import type { Held } from '../../types/internal.js';
 import type { StoredConfiguration } from './configurationStore.js';
 import { isNewer, noVersion } from '../agreement/version.js';
@@ -101,12 +101,19 @@
   const isReady = ({ awaited, since }: Staged, now: number): boolean =>
     now - since >= clusterWaitMs || [...awaited].every((service) => clusters.has(service));
 
-  const markDrained = (cluster: Cluster, { drains = {} }: Configuration): Cluster => ({
-    ...cluster,
-    endpoints: cluster.endpoints.map((endpoint) =>
-      Object.hasOwn(drains, endpoint.id) ? { ...endpoint, state: 'leaving' } : endpoint,
-    ),
-  });
+  /** A cluster without drained endpoints stays the same object, since routing keeps more with it. */
+  const markDrained = (cluster: Cluster, { drains = {} }: Configuration): Cluster => {
+    const isDrained = ({ id }: Endpoint) => Object.hasOwn(drains, id);
+    if (!cluster.endpoints.some(isDrained)) {
+      return cluster;
+    }
+    return {
+      ...cluster,
+      endpoints: cluster.endpoints.map((endpoint) =>
+        isDrained(endpoint) ? { ...endpoint, state: 'leaving' } : endpoint,
+      ),
+    };
+  };
 
   const swap = (next: Pick<Held, 'version' | 'digest' | 'configuration' | 'policies'>): Held => {
     clustersChanged = false;
