Let all gates serve the same calls when they are short of slots

Cause: a call and the calls that its upstream makes for it wait in order of arrival at each gate on the way. Short of slots, all of them wait at each gate, most are dropped half way after they have used slots, and what is served is late. Class of fault: independent decisions about parts of one piece of work.

Change: waiting calls of one caller are ordered by a rank that follows from the request id, and calls that an upstream makes have the rank of their parent, so that all gates prefer the same parents. Calls at the end of a line that can no longer be reached in time are refused at once. On the platform all callers of a machine connect from one address and are no callers of their own, so they share one line.

--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -71,6 +71,7 @@
         },
         policy,
         service: policy.service,
+        rank: 0.5,
         caller: 'x',
         method: 'GET',
         path: '/',
--- a/__tests__/nodeLines.test.ts
+++ b/__tests__/nodeLines.test.ts
@@ -32,6 +32,7 @@
         service: 's',
         caller: 'x',
         priority: 10,
+        rank: 0,
         maxWaitMs: 5_000,
         method: 'GET',
         path: '/',
--- a/__tests__/shedUpstream.test.ts
+++ b/__tests__/shedUpstream.test.ts
@@ -50,6 +50,7 @@
         service: 's',
         caller: 'x',
         priority: 50,
+        rank: 0,
         maxWaitMs: 1_000,
         method: 'GET',
         path: '/',
--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -55,6 +55,7 @@
           service: 's',
           caller: '',
           priority: 1,
+          rank: 0,
           maxWaitMs: 1_000,
           method: 'GET',
           path: '/',
--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -118,6 +118,7 @@
         service: 's',
         caller: 'x',
         priority: 1,
+        rank: 0,
         maxWaitMs: 0,
         method: 'GET',
         path: '/',
--- a/src/core/calls/admission.ts
+++ b/src/core/calls/admission.ts
@@ -17,6 +17,12 @@
   readonly caller: string;
   /** Importance from 1 to 100. */
   readonly priority: number;
+  /**
+   * Place among the waiting calls of its class and caller: the highest goes first. A call and those
+   * that an upstream makes for it share their rank, so that under overload all gates serve the same
+   * ones instead of starting more than can be finished.
+   */
+  readonly rank?: number;
   /** Longest time in ms that the call may wait. */
   readonly maxWaitMs: number;
   /** Time on the scale of `now` after which the answer is of no use. */
@@ -253,8 +259,8 @@
     return (shared * state.weight) / (state.weight + otherWeights);
   };
 
-  const expectedWaitMs = (state: ClassState, { caller }: AdmissionCall): number =>
-    ((state.line.queries.callsAhead(caller) + 1) * (state.usualMs ?? 0)) / expectedSlots(state);
+  const expectedWaitMs = (state: ClassState, call: AdmissionCall): number =>
+    ((state.line.queries.callsAhead(call) + 1) * (state.usualMs ?? 0)) / expectedSlots(state);
 
   const backlogMs = (className: string): number => {
     const state = states.get(className);
@@ -289,10 +295,22 @@
     if (least === state && sizeOf(call.caller) + 1 >= longestOfCallers()) {
       return undefined;
     }
-    const dropped = least.line.commands.dropNewest();
+    const dropped = least.line.commands.dropLast();
     return dropped && refuse(dropped.call.id, 'overloaded');
   };
 
+  /** Refuses the calls at the end of a line at once that others have pushed back too far. */
+  const dropHopeless = (state: ClassState, now: number): AdmissionEffect[] => {
+    const { size, last } = state.line.queries;
+    const effects: AdmissionEffect[] = [];
+    const slotMs = (state.usualMs ?? 0) / expectedSlots(state);
+    while (size() > 1 && now + size() * slotMs > (last()?.waitsUntil ?? Infinity)) {
+      const dropped = state.line.commands.dropLast()!;
+      effects.push(refuse(dropped.call.id, 'overloaded'));
+    }
+    return effects;
+  };
+
   const wait = (state: ClassState, call: AdmissionCall, now: number): AdmissionEffect[] => {
     const effects: AdmissionEffect[] = [];
     if (waitingClass.size >= maxWaiting) {
@@ -310,7 +328,12 @@
     state.line.commands.push({ call, waitsUntil });
     waitingClass.set(call.id, state);
     earliestEnd = Math.min(earliestEnd, waitsUntil);
-    return [...effects, { type: 'waiting', id: call.id }, ...fill(now)];
+    return [
+      ...effects,
+      { type: 'waiting', id: call.id },
+      ...dropHopeless(state, now),
+      ...fill(now),
+    ];
   };
 
   const request = (call: AdmissionCall, now: number): AdmissionEffect[] => {
--- a/src/core/calls/classLine.ts
+++ b/src/core/calls/classLine.ts
@@ -1,6 +1,6 @@
 /**
- * Waiting calls of one class. Callers are served in turn and the calls of one caller in order, so
- * that one caller's burst delays only its own calls.
+ * Waiting calls of one class. Callers are served in turn, so that one caller's burst delays only its
+ * own calls. The calls of one caller are served by rank, and in order of arrival for equal ranks.
  */
 import type { AdmissionCall } from './admission.js';
 
@@ -15,8 +15,8 @@
     push(waiting: WaitingCall): void;
     /** Takes the call whose turn it is. */
     shift(): WaitingCall | undefined;
-    /** Takes the newest call of the caller that has most calls here. */
-    dropNewest(): WaitingCall | undefined;
+    /** Takes the call of lowest rank, the newest of these, of the caller that has most calls here. */
+    dropLast(): WaitingCall | undefined;
     remove(id: string): WaitingCall | undefined;
     /** Takes all calls that have waited as long as they may. */
     takeExpired(now: number): WaitingCall[];
@@ -28,11 +28,22 @@
     earliestEnd(): number;
     sizeOf(caller: string): number;
     longestOfCallers(): number;
-    /** Calls that would be served before a new call of this caller. */
-    callsAhead(caller: string): number;
+    /** The call that `dropLast` takes. */
+    last(): WaitingCall | undefined;
+    /** Calls that would be served before this new one. */
+    callsAhead(call: AdmissionCall): number;
   };
 }
 
+/** Where a new call goes among the calls of its caller, the highest rank first. */
+const placeOf = ({ rank = 0 }: AdmissionCall, calls: readonly WaitingCall[]): number => {
+  let place = calls.length;
+  while (place > 0 && (calls[place - 1]!.call.rank ?? 0) < rank) {
+    place -= 1;
+  }
+  return place;
+};
+
 /** Creates the line of one class. */
 export const createClassLine = (): ClassLine => {
   // A Map keeps insertion order: the first caller is next, a served caller moves to the end.
@@ -51,7 +62,7 @@
   const push = (waiting: WaitingCall): void => {
     const { id, caller } = waiting.call;
     const calls = callers.get(caller) ?? [];
-    calls.push(waiting);
+    calls.splice(placeOf(waiting.call, calls), 0, waiting);
     callers.set(caller, calls);
     callerById.set(id, caller);
   };
@@ -70,7 +81,7 @@
   const longest = (): WaitingCall[] =>
     [...callers.values()].reduce((most, calls) => (calls.length > most.length ? calls : most), []);
 
-  const dropNewest = (): WaitingCall | undefined => {
+  const dropLast = (): WaitingCall | undefined => {
     const waiting = longest().pop();
     return waiting && forget(waiting);
   };
@@ -92,17 +103,21 @@
   const earliestEnd = (): number =>
     all().reduce((earliest, { waitsUntil }) => Math.min(earliest, waitsUntil), Infinity);
 
-  const callsAhead = (caller: string): number => {
-    const own = callers.get(caller)?.length ?? 0;
-    return [...callers.values()].reduce((sum, calls) => sum + Math.min(calls.length, own + 1), 0);
+  const callsAhead = (call: AdmissionCall): number => {
+    const ownCalls = callers.get(call.caller) ?? [];
+    const ahead = placeOf(call, ownCalls);
+    return [...callers.values()]
+      .filter((calls) => calls !== ownCalls)
+      .reduce((sum, calls) => sum + Math.min(calls.length, ahead + 1), ahead);
   };
 
   return {
-    commands: { push, shift, dropNewest, remove, takeExpired },
+    commands: { push, shift, dropLast, remove, takeExpired },
     queries: {
       size: () => callerById.size,
       ids: () => [...callerById.keys()],
       earliestEnd,
+      last: () => longest().at(-1),
       sizeOf: (caller) => callers.get(caller)?.length ?? 0,
       longestOfCallers: () => longest().length,
       callsAhead,
--- a/src/platform/callInterface.ts
+++ b/src/platform/callInterface.ts
@@ -96,6 +96,8 @@
       key: undefined,
     };
   },
+  // All callers of a machine connect from its own address, so they can't be told apart.
+  readCaller: () => '',
   readRequestId,
   passHeaders: (raw) => [...passOn(raw, ownRequestHeaders), originHeader, service()],
   answerHeaders: () => [],
--- a/src/plugins/calls/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -30,6 +30,7 @@
 /** The caller's own `authorization` while that header carries the cluster token between nodes. */
 export const callerAuthorizationHeader = 'x-caller-authorization';
 export const priorityHeader = 'x-priority';
+export const rankHeader = 'x-rank';
 export const maxWaitHeader = 'x-max-wait-ms';
 
 const maxDeadlineMs = 24 * 60 * 60 * 1_000;
@@ -60,6 +61,7 @@
   deadlineHeader,
   maxWaitHeader,
   priorityHeader,
+  rankHeader,
   requestIdHeader,
   serviceHeader,
 ]);
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -57,6 +57,8 @@
   /** Service that does the work: one of those of the policy. */
   readonly service: string;
   readonly caller: string;
+  /** Place among the calls of its class that wait, from 0 to 1. */
+  readonly rank: number;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -318,6 +320,7 @@
       service: plan.service,
       caller: plan.caller,
       priority: policy.priority,
+      rank: plan.rank,
       // A call that is rerouted must not wait its whole limit at each endpoint.
       maxWaitMs: Math.max(0, policy.maxWaitMs - (timer.now() - beganAt)),
       method: plan.method,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -8,6 +8,7 @@
 import { formatVersion } from '../../core/agreement/version.js';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
 import { usualRetryAfterMs } from '../../core/calls/retryAfter.js';
+import { callRank } from '../../core/calls/callRank.js';
 import { matchClass } from '../../core/calls/classMatching.js';
 import type { AttemptFailureReport } from '../../types/calls.js';
 import type { CallerInterface, CallHeaders } from '../../types/callInterface.js';
@@ -38,6 +39,10 @@
 /** Time that a call waits for the endpoints of a service that the node does not hold yet. */
 const clusterWaitMs = 1_000;
 
+/** Id that decides the rank: a call that an upstream makes ranks as its parent does. */
+const rankedId = ({ origin, headers, requestId }: Call): string =>
+  origin === 'upstream' ? (headers.parentId ?? requestId) : requestId;
+
 export interface CallServerOptions {
   readonly address: Address;
   readonly dataCentre: string;
@@ -231,7 +236,8 @@
     held,
     policy: call.policy,
     service: call.service,
-    caller: call.request.socket.remoteAddress ?? '',
+    caller: callers.readCaller(call.request),
+    rank: callRank(rankedId(call)),
     method: call.request.method ?? 'GET',
     path: call.request.originalUrl,
     headers: callers.passHeaders(call.request.rawHeaders),
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -272,6 +272,7 @@
             className: request.className,
             caller: request.caller,
             priority: request.priority,
+            rank: request.rank,
             maxWaitMs: request.maxWaitMs,
             deadlineAt: request.deadlineAt,
           },
--- a/src/plugins/calls/nodeLines.ts
+++ b/src/plugins/calls/nodeLines.ts
@@ -43,7 +43,7 @@
     listener: AttemptListener,
   ): RunningAttempt => {
     const line = lineTo(endpoint.forwardAddress);
-    const { attemptId, caller, className, deadlineAt, maxWaitMs, priority } = request;
+    const { attemptId, caller, className, deadlineAt, maxWaitMs, priority, rank } = request;
     const requestedAt = timer.now();
     let running: RunningAttempt | undefined;
     let isOver = false;
@@ -75,7 +75,7 @@
     };
 
     line.commands.request(
-      { id: attemptId, className, caller, priority, maxWaitMs, deadlineAt },
+      { id: attemptId, className, caller, priority, rank, maxWaitMs, deadlineAt },
       (refusal) => {
         if (refusal === undefined) {
           start();
--- a/src/plugins/calls/ownCallInterface.ts
+++ b/src/plugins/calls/ownCallInterface.ts
@@ -32,6 +32,7 @@
     [deadlineHeader]: String(deadlineMs),
   }),
   readCall: readCallHeaders,
+  readCaller: ({ socket }) => socket.remoteAddress ?? '',
   readRequestId,
   passHeaders: passRequestHeaders,
   answerHeaders: ({ requestId, version, isStale }) => [
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -25,6 +25,7 @@
   loadHeader,
   maxWaitHeader,
   priorityHeader,
+  rankHeader,
   refusalHeader,
   requestIdHeader,
   retryAfterMsHeader,
@@ -34,6 +35,9 @@
 import { startExchange } from './exchange.js';
 import type { NodePools } from './upstreamPool.js';
 
+/** Digits of a rank on the way: few of the calls that wait at a gate have the same one. */
+const rankDigits = 4;
+
 export interface RemoteNodes {
   send(endpoint: Endpoint, request: AttemptRequest, listener: AttemptListener): RunningAttempt;
 }
@@ -106,6 +110,8 @@
       request.caller,
       priorityHeader,
       String(request.priority),
+      rankHeader,
+      request.rank.toFixed(rankDigits),
       maxWaitHeader,
       String(request.maxWaitMs),
       deadlineHeader,
--- a/src/types/callInterface.ts
+++ b/src/types/callInterface.ts
@@ -37,6 +37,8 @@
   callHeaders(requestId: string, deadlineMs: number): Readonly<Record<string, string>>;
   /** Reads the headers of a call. Throws `bad_request` or `deadline_past`. */
   readCall(request: IncomingMessage): CallHeaders;
+  /** Whom the call is from: waiting calls of different callers take turns. */
+  readCaller(request: IncomingMessage): string;
   /** Request id of a request that may be malformed, for its refusal. */
   readRequestId(request: IncomingMessage): string | undefined;
   /** Headers that go on to the upstream, from the raw ones of the caller. */
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -20,6 +20,8 @@
   readonly service: string;
   readonly caller: string;
   readonly priority: number;
+  /** Place among the waiting calls of its class and caller, from 0 to 1; the highest goes first. */
+  readonly rank: number;
   readonly maxWaitMs: number;
   readonly method: string;
   readonly path: string;
