Refuse calls whose own calls are nearly all refused

Cause: when a service has no capacity left, the calls of other services that depend on it still run, make their calls, fail with 500 and come again. They take slots from calls that could be served, and their callers learn it late.

Change: the node beside an upstream counts the calls of a class that the upstream failed after a call of theirs was refused for want of capacity. If more than 9 of 10 of at least 30 were, it admits a twentieth and refuses the others with dependency_overloaded (E318, not run); the share grows again by itself. It is no failure of the endpoint, and no other endpoint is tried, since all share the cause. Failures of the upstream itself do not count. What this needs: node and upstream have to name the parent of a call.

--- a/src/core/operators/burn.ts
+++ b/src/core/operators/burn.ts
@@ -165,6 +165,9 @@
   elapsedMs: number,
   maxWaitMs: number,
 ): CallOutcome => {
+  if (reason === 'dependency_overloaded') {
+    return 'shed';
+  }
   if (reason !== 'overloaded') {
     return 'failed';
   }
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -96,6 +96,7 @@
 }
 
 const outcomeByReason: Partial<Record<FailureReason, AttemptOutcome>> = {
+  dependency_overloaded: 'starved',
   overloaded: 'refused',
   leaving: 'refused',
   deadline_past: 'refused',
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -10,6 +10,7 @@
   type FinishOutcome,
 } from '../../core/calls/admission.js';
 import type { EndpointLoad } from '../../core/calls/evidence.js';
+import { createStarvationThrottle } from '../../core/calls/starvation.js';
 import { retryAfterMs } from '../../core/calls/retryAfter.js';
 import type {
   AttemptFailureReport,
@@ -47,6 +48,8 @@
     resume(): void;
     /** Refuses later calls with `leaving` while an operator has drained the endpoint. */
     setDrained(drained: boolean): void;
+    /** Notes that a call which the upstream made for this one was refused for want of capacity. */
+    noteStarved(requestId: string): void;
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
     stop(): Promise<void>;
   };
@@ -68,6 +71,11 @@
 
 const noLoad: EndpointLoad = { inFlight: 0, limit: 0, waiting: 0 };
 
+interface WorkedCall {
+  readonly className: string;
+  isStarved: boolean;
+}
+
 interface Entry {
   /** Called when the admission decided about a call that waited. */
   decide(refusal: AdmissionRefusal | undefined): void;
@@ -98,8 +106,9 @@
   let cancelTick: Cancel | undefined;
   let tickAt = Infinity;
   const entries = new Map<string, Entry>();
-  /** Classes of the calls that the upstream works on, by request id. */
-  const runningClasses = new Map<string, string>();
+  /** Calls that the upstream works on, by request id. */
+  const runningCalls = new Map<string, WorkedCall>();
+  const throttle = createStarvationThrottle();
 
   const load = (): EndpointLoad => admission?.queries.load() ?? noLoad;
 
@@ -154,8 +163,13 @@
     const finish = (outcome: FinishOutcome['outcome']) => {
       isOver = true;
       entries.delete(attemptId);
-      runningClasses.delete(request.requestId);
+      const isStarved = runningCalls.get(request.requestId)?.isStarved ?? false;
+      runningCalls.delete(request.requestId);
       const now = timer.now();
+      if (admittedAt !== undefined && (isStarved || outcome === 'ok')) {
+        const { className } = request;
+        throttle.commands.recordEnd(className, { startedAt: admittedAt, isStarved }, now);
+      }
       const latencyMs = now - (admittedAt ?? now);
       const effects =
         admittedAt === undefined
@@ -207,7 +221,7 @@
     const start = () => {
       const now = timer.now();
       admittedAt = now;
-      runningClasses.set(request.requestId, request.className);
+      runningCalls.set(request.requestId, { className: request.className, isStarved: false });
       const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
       exchange = startExchange({
         dispatcher: upstreamPool!.pool,
@@ -228,7 +242,7 @@
       });
     };
 
-    const logRefusal = (reason: AdmissionRefusal) => {
+    const logRefusal = (reason: FailureReason) => {
       const { inFlight, limit, waiting, workMs } = load();
       logDecision?.('call not admitted', {
         request_id: request.requestId,
@@ -263,6 +277,10 @@
     if (!admission || !upstreamPool || isDrained || isForOther) {
       isOver = true;
       listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream', request.className));
+    } else if (!throttle.commands.admit(request.className, requestedAt)) {
+      isOver = true;
+      logRefusal('dependency_overloaded');
+      listener.onFailure(refusedReport('dependency_overloaded', request.className));
     } else {
       entries.set(attemptId, { decide });
       carryOut(
@@ -353,6 +371,12 @@
       setDrained: (drained) => {
         isDrained = drained;
       },
+      noteStarved: (requestId) => {
+        const call = runningCalls.get(requestId);
+        if (call) {
+          call.isStarved = true;
+        }
+      },
       send,
       stop: async () => {
         cancelTick?.();
@@ -361,7 +385,7 @@
     },
     queries: {
       description: () => description,
-      classOfRunning: (requestId) => runningClasses.get(requestId),
+      classOfRunning: (requestId) => runningCalls.get(requestId)?.className,
       isLeaving: () => isLeaving,
       hasFreeSlot: (service) => inFlightShare(service) < 1,
       isQuiet: (service) => inFlightShare(service) < quietBelow,
