Take the rate of an instance's link from the settings

A node may be told the rate of its link as link.rate_mbps; the platform states it for each machine. Nothing uses it yet: it is what the pacing of large answers needs. A rate of 0 on the platform means no limit.

--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -26,6 +26,7 @@
   'bootstrap=true',
   'data_dir=/data/my-core',
   'heartbeat_ms=1500',
+  'limits.link_mbps=7.5',
   'bounds=drain_ms=2000,grace_s=8,recovery_s=15',
   'something.later=1',
 ].join('\n');
@@ -39,6 +40,7 @@
     assert.equal(control.cluster.members[0]?.address, '10.1.0.42:7380');
     assert.equal(control.discovery?.isFirstStart, true);
     const node = toNodeSettings(settings, 9464);
+    assert.equal(node.link?.rate_mbps, 7.5);
     assert.deepEqual(
       node.cluster.control.map(({ address }) => address),
       ['10.1.0.42:7380', '10.2.0.43:7380'],
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -9,6 +9,7 @@
 import { createAccess } from '../../src/plugins/operators/access.js';
 import { createMetrics } from '../../src/plugins/metrics.js';
 import { createNodeRuntime, type BoundAddresses } from '../../src/plugins/calls/nodeRuntime.js';
+import type { CallInterface } from '../../src/types/callInterface.js';
 import type {
   Announcer,
   ClaimOutcome,
@@ -232,6 +233,9 @@
   readonly targets?: string;
   readonly slots?: number;
   readonly connections?: number;
+  /** Rate of the link of each node in Mbit/s. */
+  readonly linkMbps?: number;
+  readonly callInterface?: CallInterface;
   /** Address that the caller's node uses for the other node, such as that of a fault proxy. */
   readonly forwardThrough?: (forward: string) => Promise<string>;
 }
@@ -293,6 +297,8 @@
       timer,
       log: createSilentLog(),
       random: () => 0.5,
+      linkMbps: options.linkMbps,
+      callInterface: options.callInterface,
     });
     const bound: BoundAddresses = await runtime.start();
     if (name === 'beside') {
--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -112,6 +112,7 @@
     stopTimes: adapter?.stopTimes,
     retryBudgets: adapter?.retryBudgets,
     renewWithinMs: adapter?.renewWithinMs,
+    linkMbps: settings.link?.rate_mbps,
     access,
     holding: feed.holding,
     announcer: feed.announcer,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -54,6 +54,8 @@
   readonly graceMs: number;
   /** What endpoints of a service may see of repeats, over all nodes. */
   readonly repeats: RepeatLimit;
+  /** Rate of the machine's link in Mbit/s, if it is limited. */
+  readonly linkMbps: number | undefined;
 }
 
 /** In any window: `share` of the requests for a service, and `spare` more. */
@@ -138,6 +140,10 @@
   if (!(checkInMs > 0)) {
     report('heartbeat_ms', 'not a duration', 'milliseconds above 0');
   }
+  const linkMbps = Number(optional('limits.link_mbps'));
+  if (!(linkMbps >= 0)) {
+    report('limits.link_mbps', 'not a rate', 'Mbit/s, 0 for no limit');
+  }
   const graceSeconds = boundIn(optional('bounds'), 'grace_s') ?? defaultGraceSeconds;
   const bounds = optional('bounds');
   const settings: PlatformSettings = {
@@ -158,6 +164,7 @@
       windowMs: (boundIn(bounds, 'budget_window_s') ?? defaultRepeats.windowSeconds) * 1_000,
       spare: boundIn(bounds, 'retry_budget_slack') ?? defaultRepeats.spare,
     },
+    linkMbps: linkMbps > 0 ? linkMbps : undefined,
   };
   if (findings.length > 0) {
     throw new FindingsError('invalid_settings', findings);
@@ -216,7 +223,7 @@
 
 /** What the settings mean for a node. */
 export const toNodeSettings = (settings: PlatformSettings, adminPort: number): NodeSettings => {
-  const { node, ip, dataCentre, region, listen, peerPort } = settings;
+  const { node, ip, dataCentre, region, listen, peerPort, linkMbps } = settings;
   return {
     node: { name: node, data_centre: dataCentre, region },
     listen: {
@@ -232,6 +239,7 @@
       control: peerSeeds(settings).map((address) => ({ address, data_centre: '' })),
       peers: [],
     },
+    link: { rate_mbps: linkMbps },
     log: { level: 'info' },
     token: clusterToken,
   };
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -44,6 +44,8 @@
   /** Time within which the upstream renews its announcement, in ms. Default: 3 s. */
   readonly renewWithinMs?: number;
   readonly stopTimes?: StopTimes;
+  /** Rate of the instance's link in Mbit/s. Default: not limited. */
+  readonly linkMbps?: number;
   readonly access: Access;
   readonly holding: Holding;
   readonly announcer: Announcer;
--- a/src/plugins/operators/nodeSettings.ts
+++ b/src/plugins/operators/nodeSettings.ts
@@ -31,6 +31,8 @@
       .max(maxListed),
     peers: z.array(address).max(maxListed).default([]),
   }),
+  /** Link of the instance, whose rate the node cannot find out itself. */
+  link: z.strictObject({ rate_mbps: z.number().positive().optional() }).optional(),
   log: z
     .strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') })
     .default({ level: 'info' }),
