Pace large answers on a link whose rate is known

A node wrote all answers as fast as they came, so a few large ones filled the queue of the machine's link and small answers waited behind them.

Answers of both servers of a node now share one pacing. An answer up to 16 KB, and the head of every answer, goes at once and is only counted; the bytes of a larger one go in pieces of 20 ms of the link, in turn between the answers, at 0.9 of the rate less what small answers use, and at least one piece in 200 ms. An answer pauses its upstream while more than 64 KB of it wait. One that cannot be paused is kept up to 1 MB; what exceeds that is written at once. A peer that does not read, or leaves, gives its turns to the others. Answers to a peer with the node's own address do not cross the link and are not paced, and without link.rate_mbps nothing changes.

Open: an answer under way holds one of the eight connections between two nodes until its end, so eight downloads from one node to another still keep its other calls to that node waiting (lookups without a wait limit are refused).

--- /dev/null
+++ b/__tests__/linkPacing.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { createLinkPacing, type LinkPacing } from '../src/core/calls/linkPacing.js';
+
+const linkMbps = 8;
+/** Bytes of the link in a ms. */
+const linkRate = 1_000;
+/** Longest time of the link for one piece, and what a late timer may make up for, in ms. */
+const burstMs = 20 + 10;
+
+interface Sent {
+  readonly id: number;
+  readonly bytes: number;
+  readonly at: number;
+}
+
+/** Takes pieces whenever one is due, until nothing waits or the time is over. */
+const run = (pacing: LinkPacing, fromMs: number, toMs: number): Sent[] => {
+  const sent: Sent[] = [];
+  let now = fromMs;
+  let waitMs = pacing.queries.nextInMs(now);
+  while (waitMs !== undefined && now + waitMs <= toMs) {
+    // The step makes up for the rounding of numbers.
+    now += waitMs + 1e-9;
+    for (let piece = pacing.commands.take(now); piece; piece = pacing.commands.take(now)) {
+      sent.push({ ...piece, at: now });
+    }
+    waitMs = pacing.queries.nextInMs(now);
+  }
+  return sent;
+};
+
+const bytesOf = (sent: readonly Sent[], id?: number): number =>
+  sent
+    .filter((piece) => id === undefined || piece.id === id)
+    .reduce((sum, { bytes }) => sum + bytes, 0);
+
+/** Fails if the pieces of any window need more time of the link than it has and a burst. */
+const assertRate = (sent: readonly Sent[], rate: number) =>
+  sent.forEach((first, index) => {
+    let bytes = 0;
+    sent.slice(index).forEach((piece) => {
+      bytes += piece.bytes;
+      const most = rate * (piece.at - first.at + burstMs) + 1;
+      assert.ok(bytes <= most, `${bytes} bytes in ${piece.at - first.at} ms`);
+    });
+  });
+
+describe('pacing of large answers on a link', () => {
+  it('keeps the rate in every window, so that the queue of the link stays short', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: 300_000 }), { minLength: 1, maxLength: 12 }),
+        (sizes) => {
+          const pacing = createLinkPacing(linkMbps);
+          sizes.forEach((bytes, id) => pacing.commands.offer(id, bytes, 0));
+          const sent = run(pacing, 0, 60_000);
+          sizes.forEach((bytes, id) => assert.equal(bytesOf(sent, id), bytes));
+          assertRate(sent, linkRate);
+        },
+      ),
+      { seed: 15 },
+    );
+  });
+
+  it('uses most of the link while large answers wait', () => {
+    const pacing = createLinkPacing(linkMbps);
+    pacing.commands.offer(1, 1_000_000, 0);
+    const sent = run(pacing, 0, 1_000);
+    assert.ok(bytesOf(sent) > 0.85 * linkRate * 1_000, `${bytesOf(sent)} bytes`);
+  });
+
+  it('lets a timer that is late make up for it, without a burst after idle time', () => {
+    const pacing = createLinkPacing(linkMbps);
+    pacing.commands.offer(1, 10_000_000, 0);
+    let bytes = 0;
+    for (let now = 10_000; now < 11_000; now += 5) {
+      for (let piece = pacing.commands.take(now); piece; piece = pacing.commands.take(now)) {
+        bytes += piece.bytes;
+      }
+    }
+    assert.ok(bytes > 0.85 * linkRate * 1_000, `${bytes} bytes`);
+    assert.ok(bytes < linkRate * (1_000 + burstMs), `${bytes} bytes`);
+  });
+
+  it('sends large answers in turn, so that one of them does not hold up the others', () => {
+    const pacing = createLinkPacing(linkMbps);
+    [1, 2, 3].forEach((id) => pacing.commands.offer(id, 1_000_000, 0));
+    const turns = run(pacing, 0, 500).map(({ id }) => id);
+    assert.ok(turns.length > 9);
+    turns.forEach((id, index) => assert.equal(id, (index % 3) + 1));
+  });
+
+  it('keeps the turn of an answer whose upstream sends more', () => {
+    const pacing = createLinkPacing(linkMbps);
+    [1, 2].forEach((id) => pacing.commands.offer(id, 100_000, 0));
+    assert.equal(pacing.commands.take(0)?.id, 1);
+    pacing.commands.offer(1, 200_000, 0);
+    pacing.commands.offer(2, 200_000, 0);
+    assert.equal(run(pacing, 0, 100)[0]?.id, 2);
+  });
+
+  it('never holds up a small answer: it is counted, and large ones make room for it', () => {
+    const pacing = createLinkPacing(linkMbps);
+    pacing.commands.offer(1, 10_000_000, 0);
+    let large = 0;
+    let small = 0;
+    for (let now = 0; now < 2_000; now += 10) {
+      pacing.commands.pass(4_000, now);
+      small += 4_000;
+      large += bytesOf(run(pacing, now, now + 10));
+    }
+    assert.ok(large + small <= linkRate * (2_000 + burstMs), `${large} and ${small} bytes`);
+    assert.ok(large > 0.4 * linkRate * 2_000, `${large} bytes`);
+  });
+
+  it('lets no large answer stand still while small ones fill the link', () => {
+    const pacing = createLinkPacing(linkMbps);
+    pacing.commands.offer(1, 10_000_000, 0);
+    let large = 0;
+    for (let now = 0; now < 5_000; now += 100) {
+      pacing.commands.pass(50 * linkRate, now);
+      pacing.commands.pass(70 * linkRate, now);
+      large += bytesOf(run(pacing, now, now + 100));
+    }
+    // A piece of 20 ms in each 200 ms.
+    assert.ok(large > 0.08 * linkRate * 5_000, `${large} bytes`);
+  });
+
+  it('gives the part of an answer that is taken out to the others', () => {
+    const pacing = createLinkPacing(linkMbps);
+    [1, 2].forEach((id) => pacing.commands.offer(id, 1_000_000, 0));
+    const before = run(pacing, 0, 500);
+    pacing.commands.offer(1, 0, 500);
+    const after = run(pacing, 500, 1_000);
+    assert.equal(bytesOf(after, 1), 0);
+    assert.ok(bytesOf(after, 2) > 1.7 * bytesOf(before, 2));
+  });
+});
--- /dev/null
+++ b/src/plugins/calls/answerWriters.ts
@@ -0,0 +1,245 @@
+/**
+ * Writes answers of upstreams to the peers of a node. On a link whose rate is known, the answers of
+ * all servers of the node share one pacing, see `core/calls/linkPacing.ts`.
+ */
+import type { ServerResponse } from 'node:http';
+import { createLinkPacing, type LinkPacing } from '../../core/calls/linkPacing.js';
+import type { AnswerHead } from '../../types/calls.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
+import { writeAnswerHead, writeAnswerPart } from './callAnswers.js';
+import { headerIn } from './callHeaders.js';
+
+/** Answers up to this size are small, and so is the start of an answer of unknown size, in bytes. */
+const smallBytes = 16 * 1_024;
+/** Bytes of an answer that wait before its upstream is paused, and before it goes on. */
+const pauseAboveBytes = 64 * 1_024;
+const resumeBelowBytes = 32 * 1_024;
+/** Bytes of an answer that wait at most: beyond it an upstream that cannot be paused sets the rate. */
+const maxWaitingBytes = 1_024 * 1_024;
+
+export interface AnswerWriter {
+  head(head: AnswerHead, extraHeaders: readonly string[]): void;
+  /** Returns false if the answer should pause until `resume` is called. */
+  part(chunk: Buffer, resume: () => void): boolean;
+  /** Ends the answer once all of it is written. */
+  end(): void;
+}
+
+export interface AnswerWriters {
+  /** Creates the writer of an answer that leaves the machine. */
+  acrossLink(response: ServerResponse): AnswerWriter;
+  /** Creates the writer of an answer to a peer that may be on the same machine. */
+  toPeer(response: ServerResponse): AnswerWriter;
+}
+
+const createPlainWriter = (response: ServerResponse): AnswerWriter => ({
+  head: (head, extraHeaders) => writeAnswerHead(response, head, extraHeaders),
+  part: (chunk, resume) => writeAnswerPart(response, chunk, resume),
+  end: () => response.end(),
+});
+
+/** Part of an answer that waits for its turns on the link. */
+interface PacedAnswer {
+  part: AnswerWriter['part'];
+  end(): void;
+  /** Sends bytes that wait. */
+  send(bytes: number): void;
+}
+
+interface PacedAnswerOptions {
+  readonly response: ServerResponse;
+  readonly id: number;
+  readonly pacing: LinkPacing;
+  readonly timer: Timer;
+  /** Sends the pieces that are due. */
+  readonly pump: () => void;
+}
+
+const createPacedAnswer = (options: PacedAnswerOptions): PacedAnswer => {
+  const { response, id, pacing, timer, pump } = options;
+  let waiting: Buffer[] = [];
+  let waitingBytes = 0;
+  let isHeadSent = false;
+  /** The peer has not taken what was written. */
+  let isBlocked = response.writableNeedDrain;
+  let isEnding = false;
+  let onRoom: (() => void) | undefined;
+
+  const hasRoom = () =>
+    waitingBytes === 0 ? !isBlocked : waitingBytes <= (onRoom ? resumeBelowBytes : pauseAboveBytes);
+
+  const offer = () => pacing.commands.offer(id, isBlocked ? 0 : waitingBytes, timer.now());
+
+  const askForMore = () => {
+    if (onRoom && hasRoom()) {
+      const resume = onRoom;
+      onRoom = undefined;
+      resume();
+    }
+  };
+
+  const onDrain = () => {
+    isBlocked = false;
+    offer();
+    askForMore();
+    pump();
+  };
+
+  const write = (chunk: Buffer) => {
+    if (!response.write(chunk) && !isBlocked) {
+      isBlocked = true;
+      response.once('drain', onDrain);
+    }
+  };
+
+  const takeWaiting = (bytes: number): Buffer => {
+    const taken: Buffer[] = [];
+    let missing = bytes;
+    while (missing > 0) {
+      const first = waiting[0]!;
+      if (first.length <= missing) {
+        waiting.shift();
+      } else {
+        waiting[0] = first.subarray(missing);
+      }
+      taken.push(first.subarray(0, missing));
+      missing -= Math.min(missing, first.length);
+    }
+    waitingBytes -= bytes;
+    return taken.length === 1 ? taken[0]! : Buffer.concat(taken);
+  };
+
+  const send = (bytes: number) => {
+    if (response.destroyed) {
+      return;
+    }
+    isHeadSent = true;
+    const chunk = takeWaiting(bytes);
+    if (isEnding && waitingBytes === 0) {
+      response.end(chunk);
+      return;
+    }
+    write(chunk);
+    if (isBlocked) {
+      offer();
+    }
+    askForMore();
+  };
+
+  const part: AnswerWriter['part'] = (chunk, resume) => {
+    if (response.destroyed) {
+      return true;
+    }
+    waiting.push(chunk);
+    waitingBytes += chunk.length;
+    if (waitingBytes > maxWaitingBytes) {
+      const excess = takeWaiting(waitingBytes - maxWaitingBytes);
+      pacing.commands.pass(excess.length, timer.now());
+      write(excess);
+    }
+    offer();
+    pump();
+    if (!isHeadSent) {
+      isHeadSent = true;
+      response.flushHeaders();
+    }
+    if (hasRoom()) {
+      return true;
+    }
+    onRoom = resume;
+    return false;
+  };
+
+  if (isBlocked) {
+    response.once('drain', onDrain);
+  }
+  response.once('close', () => {
+    waiting = [];
+    waitingBytes = 0;
+    pacing.commands.offer(id, 0, timer.now());
+  });
+
+  const end = () => {
+    isEnding = true;
+    if (waitingBytes === 0) {
+      response.end();
+    }
+  };
+
+  return { part, end, send };
+};
+
+const plainWriters: AnswerWriters = { acrossLink: createPlainWriter, toPeer: createPlainWriter };
+
+/** Creates the writers of a node. Without a rate of the link, answers are written as they come. */
+export const createAnswerWriters = (timer: Timer, linkMbps?: number): AnswerWriters => {
+  if (linkMbps === undefined) {
+    return plainWriters;
+  }
+  const pacing = createLinkPacing(linkMbps);
+  const answers = new Map<number, PacedAnswer>();
+  let lastId = 0;
+  let isPumping = false;
+  let cancelTurn: Cancel | undefined;
+
+  const pump = () => {
+    // A piece can make room for more of the same answer, which is offered while it is sent.
+    if (isPumping) {
+      return;
+    }
+    isPumping = true;
+    let piece = pacing.commands.take(timer.now());
+    while (piece) {
+      answers.get(piece.id)?.send(piece.bytes);
+      piece = pacing.commands.take(timer.now());
+    }
+    isPumping = false;
+    const waitMs = pacing.queries.nextInMs(timer.now());
+    if (waitMs !== undefined && !cancelTurn) {
+      cancelTurn = timer.after(waitMs, () => {
+        cancelTurn = undefined;
+        pump();
+      });
+    }
+  };
+
+  const paceAnswer = (response: ServerResponse): PacedAnswer => {
+    lastId += 1;
+    const id = lastId;
+    const answer = createPacedAnswer({ response, id, pacing, timer, pump });
+    answers.set(id, answer);
+    response.once('close', () => answers.delete(id));
+    return answer;
+  };
+
+  const acrossLink: AnswerWriters['acrossLink'] = (response) => {
+    let smallLeft = smallBytes;
+    let paced: PacedAnswer | undefined;
+    return {
+      head: (head, extraHeaders) => {
+        writeAnswerHead(response, head, extraHeaders);
+        if (Number(headerIn(head.headers, 'content-length') ?? 0) > smallBytes) {
+          smallLeft = 0;
+        }
+      },
+      part: (chunk, resume) => {
+        smallLeft -= chunk.length;
+        if (!paced && smallLeft >= 0) {
+          pacing.commands.pass(chunk.length, timer.now());
+          return writeAnswerPart(response, chunk, resume);
+        }
+        paced ??= paceAnswer(response);
+        return paced.part(chunk, resume);
+      },
+      end: () => (paced ?? response).end(),
+    };
+  };
+
+  return {
+    acrossLink,
+    toPeer: (response) => {
+      const { remoteAddress, localAddress } = response.req.socket;
+      return remoteAddress === localAddress ? createPlainWriter(response) : acrossLink(response);
+    },
+  };
+};
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -18,7 +18,8 @@
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
-import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
+import type { AnswerWriters } from './answerWriters.js';
+import { reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import { createCallStarts } from './callStarts.js';
@@ -47,6 +48,7 @@
   readonly log: Log;
   readonly holding: Holding;
   readonly upstream: LocalUpstream;
+  readonly writers: AnswerWriters;
   readonly runner: CallRunner;
   readonly atMostOnce: AtMostOnce;
   readonly burn: Burn;
@@ -158,6 +160,7 @@
   };
 
   const listenerOf = (call: Call): OutcomeListener => {
+    const writer = options.writers.toPeer(call.response);
     let outcome: CallOutcome = 'good';
     return {
       onHead: (head) => {
@@ -165,12 +168,12 @@
         if (outcome === 'failed') {
           logFailedAnswer(call, head.status);
         }
-        writeAnswerHead(call.response, head, answerHeaders(call));
+        writer.head(head, answerHeaders(call));
       },
-      onData: (chunk) => writeAnswerPart(call.response, chunk, () => call.running?.resume()),
+      onData: (chunk) => writer.part(chunk, () => call.running?.resume()),
       onEnd: () => {
         finish(call, outcome, 'ok');
-        call.response.end();
+        writer.end();
       },
       onRefusal: (failure) => refuse(call, failure),
     };
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -7,7 +7,8 @@
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
 import type { StopTimes } from '../../types/internal.js';
 import type { Access } from '../operators/access.js';
-import { reportOf, writeAnswerHead, writeAnswerPart, writeRefusal } from './callAnswers.js';
+import type { AnswerWriters } from './answerWriters.js';
+import { reportOf, writeRefusal } from './callAnswers.js';
 import {
   attemptIdHeader,
   callerAuthorizationHeader,
@@ -44,6 +45,7 @@
   readonly timer: Timer;
   readonly log: Log;
   readonly upstream: LocalUpstream;
+  readonly writers: AnswerWriters;
 }
 
 const single = (request: PolkaRequest, name: string): string | undefined => {
@@ -86,6 +88,7 @@
       loadHeader,
       formatLoad(upstream.queries.load()),
     ];
+    const writer = options.writers.acrossLink(response);
     let attempt: RunningAttempt | undefined;
     let isOver = false;
 
@@ -126,11 +129,9 @@
           headTimeoutMs: deadlineMs,
         },
         {
-          onHead: (head) => {
-            writeAnswerHead(response, head, [...echo(), 'x-request-id', requestId]);
-          },
-          onData: (chunk) => writeAnswerPart(response, chunk, () => attempt?.resume()),
-          onEnd: () => response.end(),
+          onHead: (head) => writer.head(head, [...echo(), 'x-request-id', requestId]),
+          onData: (chunk) => writer.part(chunk, () => attempt?.resume()),
+          onEnd: () => writer.end(),
           onFailure: refuse,
         },
       );
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -16,6 +16,7 @@
 import type { Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
 import { createAdminServer, sendJson, type CheckState } from '../operators/adminServer.js';
+import { createAnswerWriters } from './answerWriters.js';
 import { createAtMostOnce } from './atMostOnce.js';
 import { createCallMetrics } from './callMetrics.js';
 import { createCallRunner } from './callRun.js';
@@ -93,6 +94,7 @@
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createBoundedLog(log.part('calls'), timer);
   const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision);
+  const writers = createAnswerWriters(timer, options.linkMbps);
   const pools = createNodePools();
   const remote = createRemoteNodes({
     pools,
@@ -128,6 +130,7 @@
     log: log.part('calls'),
     holding,
     upstream,
+    writers,
     runner,
     atMostOnce,
     burn,
@@ -141,6 +144,7 @@
     timer,
     log: log.part('forward'),
     upstream,
+    writers,
   });
   let forwardAddress = options.advertisedForward ?? '';
   let isStarted = false;
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -17,6 +17,7 @@
 import type { Access } from '../operators/access.js';
 import { listenHttp } from '../httpListen.js';
 import { formatAddress, type Address } from '../rpc.js';
+import { createAnswerWriters } from './answerWriters.js';
 import { createAtMostOnce } from './atMostOnce.js';
 import { passOn } from './callHeaders.js';
 import { createCallRunner } from './callRun.js';
@@ -84,6 +85,7 @@
   const log = createSilentLog();
   const random = () => 0.5;
   const localUpstream = createLocalUpstream(timer, callInterface.upstreams, random);
+  const writers = createAnswerWriters(timer);
   const slots = callsAtATime;
   localUpstream.commands.describe({
     service,
@@ -98,6 +100,7 @@
     timer,
     log,
     upstream: localUpstream,
+    writers,
   });
   const endpoint: Endpoint = {
     id: service,
@@ -159,6 +162,7 @@
       log,
       holding,
       upstream: beside,
+      writers,
       runner,
       atMostOnce: createAtMostOnce({ runner, ledger: {} as LedgerClient, timer, log }),
       burn: createBurn(),
