--- a/src/plugins/calls/callAnswers.ts
+++ b/src/plugins/calls/callAnswers.ts
@@ -79,11 +79,16 @@
 export interface AnswerWriter {
   /** Takes the head of the answer, with headers of this system to add. */
   head(head: AnswerHead, extraHeaders: readonly string[]): void;
-  /** Writes a part. Returns false until the peer has taken what was written. */
+  /** Writes a part. Returns false if the answer should pause until `resume` is called. */
   part(chunk: Buffer, resume: () => void): boolean;
   end(): void;
 }
 
+/** Writer that can write the head before the first part. */
+export interface HeadWriter extends AnswerWriter {
+  begin(): void;
+}
+
 const writeAnswerHead = (
   response: ServerResponse,
   head: AnswerHead,
@@ -101,7 +106,7 @@
  * Creates the writer of an answer. The head is written with the first part: until then an answer
  * that breaks can be replaced by a refusal, instead of closing the connection without an answer.
  */
-export const createAnswerWriter = (response: ServerResponse): AnswerWriter => {
+export const createAnswerWriter = (response: ServerResponse): HeadWriter => {
   let writeHead: (() => void) | undefined;
   let isFull = false;
 
@@ -112,6 +117,7 @@
   };
 
   return {
+    begin,
     head: (head, extraHeaders) => {
       writeHead = () => writeAnswerHead(response, head, extraHeaders);
     },
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -19,7 +19,8 @@
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AtMostOnce } from './atMostOnce.js';
-import { createAnswerWriter, reportOf, writeRefusal } from './callAnswers.js';
+import type { AnswerWriters } from './answerWriters.js';
+import { reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import { createCallStarts } from './callStarts.js';
@@ -61,6 +62,7 @@
   readonly log: Log;
   readonly holding: Holding;
   readonly upstream: LocalUpstream;
+  readonly writers: AnswerWriters;
   readonly runner: CallRunner;
   readonly atMostOnce: AtMostOnce;
   readonly burn: Burn;
@@ -181,20 +183,20 @@
   };
 
   const listenerOf = (call: Call): OutcomeListener => {
+    const writer = options.writers.toPeer(call.response);
     let outcome: CallOutcome = 'good';
-    const answer = createAnswerWriter(call.response);
     return {
       onHead: (head) => {
         outcome = outcomeOf(call, head.status);
         if (outcome === 'failed') {
           logFailedAnswer(call, head.status);
         }
-        answer.head(head, answerHeaders(call));
+        writer.head(head, answerHeaders(call));
       },
-      onData: (chunk) => answer.part(chunk, () => call.running?.resume()),
+      onData: (chunk) => writer.part(chunk, () => call.running?.resume()),
       onEnd: () => {
         finish(call, outcome, 'ok');
-        answer.end();
+        writer.end();
       },
       onRefusal: (failure) => refuse(call, failure),
     };
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -7,7 +7,8 @@
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
 import type { StopTimes } from '../../types/internal.js';
 import type { Access } from '../operators/access.js';
-import { createAnswerWriter, reportOf, writeRefusal } from './callAnswers.js';
+import type { AnswerWriters } from './answerWriters.js';
+import { reportOf, writeRefusal } from './callAnswers.js';
 import {
   attemptIdHeader,
   callerAuthorizationHeader,
@@ -45,6 +46,7 @@
   readonly timer: Timer;
   readonly log: Log;
   readonly upstream: LocalUpstream;
+  readonly writers: AnswerWriters;
 }
 
 const single = (request: PolkaRequest, name: string): string | undefined => {
@@ -87,7 +89,7 @@
       loadHeader,
       formatLoad(upstream.queries.load()),
     ];
-    const answer = createAnswerWriter(response);
+    const writer = options.writers.acrossLink(response);
     let attempt: RunningAttempt | undefined;
     let isOver = false;
 
@@ -129,11 +131,9 @@
           headTimeoutMs: deadlineMs,
         },
         {
-          onHead: (head) => {
-            answer.head(head, [...echo(), 'x-request-id', requestId]);
-          },
-          onData: (chunk) => answer.part(chunk, () => attempt?.resume()),
-          onEnd: answer.end,
+          onHead: (head) => writer.head(head, [...echo(), 'x-request-id', requestId]),
+          onData: (chunk) => writer.part(chunk, () => attempt?.resume()),
+          onEnd: () => writer.end(),
           onFailure: refuse,
         },
       );
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -16,6 +16,7 @@
 import type { Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
 import { createAdminServer, sendJson, type CheckState } from '../operators/adminServer.js';
+import { createAnswerWriters } from './answerWriters.js';
 import { createAtMostOnce } from './atMostOnce.js';
 import { createCallMetrics } from './callMetrics.js';
 import { createCallRunner } from './callRun.js';
@@ -44,6 +45,8 @@
   /** Time within which the upstream renews its announcement, in ms. Default: 3 s. */
   readonly renewWithinMs?: number;
   readonly stopTimes?: StopTimes;
+  /** Rate of the instance's link in Mbit/s. Default: not limited. */
+  readonly linkMbps?: number;
   readonly access: Access;
   readonly holding: Holding;
   readonly announcer: Announcer;
@@ -91,6 +94,7 @@
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createBoundedLog(log.part('calls'), timer);
   const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision);
+  const writers = createAnswerWriters(timer, options.linkMbps);
   const pools = createNodePools();
   const remote = createRemoteNodes({
     pools,
@@ -126,6 +130,7 @@
     log: log.part('calls'),
     holding,
     upstream,
+    writers,
     runner,
     atMostOnce,
     burn,
@@ -139,6 +144,7 @@
     timer,
     log: log.part('forward'),
     upstream,
+    writers,
   });
   let forwardAddress = options.advertisedForward ?? '';
   let isStarted = false;
