Order waiting calls only while one can start

Cause: each arrival and each end of a call at an admission listed, sorted and filtered the classes with waiting calls, also when none waits or no slot is free; the headroom of a class without calls in flight, which is none, was worked out from all classes. A two-hop call passes three admissions twice.

Change: both end early. The decisions are the same: no class is next without waiting calls or free slots, and headroomFor returned 0 in that case after the search. Mutations of the two conditions fail the tests of the admission.

--- a/src/core/calls/admission.ts
+++ b/src/core/calls/admission.ts
@@ -217,9 +217,11 @@
   };
 
   const nextClass = (now: number): ClassState | undefined =>
-    backlogged()
-      .sort((a, b) => a.usedShare - b.usedShare || b.weight - a.weight)
-      .find((state) => canStart(state, now));
+    waitingClass.size === 0 || running.size >= limit()
+      ? undefined
+      : backlogged()
+          .sort((a, b) => a.usedShare - b.usedShare || b.weight - a.weight)
+          .find((state) => canStart(state, now));
 
   const fill = (now: number): AdmissionEffect[] => {
     const effects = expire(now);
--- a/src/core/calls/headroom.ts
+++ b/src/core/calls/headroom.ts
@@ -43,12 +43,15 @@
   now: number,
 ): number => {
   const { inFlight, usualMs = 0, weight } = use;
+  if (inFlight === 0) {
+    return 0;
+  }
   const untilFreeMs = usualMs / Math.max(1, limit);
   const served = classes.filter(
     (other) =>
       other.weight > weight && isActive(other, now) && untilFreeMs > waitShare * other.maxWaitMs,
   );
-  if (inFlight === 0 || served.length === 0) {
+  if (served.length === 0) {
     return 0;
   }
   const active = classes.filter((other) => other === use || isActive(other, now));
