Take calls without a router in front

Cause: polka matched each call against an empty list of routes: it split the path, parsed the query and made objects that nothing reads.

Change: the listener hands the request on itself. The path sent on is request.url, which polka copied to originalUrl.

--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -9,7 +9,6 @@
   type ServerResponse,
 } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
-import polka, { type PolkaRequest } from 'polka';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
@@ -45,7 +44,7 @@
   readonly stopTimes: StopTimes;
   /** Time after which a peer that does not take its answer is cut off, in ms. */
   readonly peerSilenceMs?: number;
-  readonly onCall: (request: PolkaRequest, response: ServerResponse) => void;
+  readonly onCall: (request: IncomingMessage, response: ServerResponse) => void;
 }
 
 export interface CallListener {
@@ -99,7 +98,7 @@
     server.keepAliveTimeout = limits?.idleTimeoutMs ?? defaultKeepAliveMs;
   };
 
-  const onRequest = (request: PolkaRequest, response: ServerResponse) => {
+  const onRequest = (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
     takeLimits();
     running.set(socket, response);
@@ -112,10 +111,9 @@
     options.onCall(request, response);
   };
 
-  const router = polka({ server, onNoMatch: onRequest });
   server.on('request', (request, response) => {
     try {
-      router.handler(request, response);
+      onRequest(request, response);
     } catch (error) {
       options.log.error('call failed', { message: String(error) });
       response.destroy();
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -3,8 +3,7 @@
  * writes the answer. A call keeps the configuration that it began with.
  */
 import { randomUUID } from 'node:crypto';
-import type { ServerResponse } from 'node:http';
-import type { PolkaRequest } from 'polka';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
 import { usualRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { matchClass } from '../../core/calls/classMatching.js';
@@ -57,7 +56,7 @@
 
 /** What is known about a call before its first attempt. */
 interface Call {
-  readonly request: PolkaRequest;
+  readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly requestId: string;
   readonly headers: CallHeaders;
@@ -77,7 +76,7 @@
 };
 
 /** Host that the caller named, in lower case and without the port. */
-const hostOf = ({ headers: { host } }: PolkaRequest): string | undefined =>
+const hostOf = ({ headers: { host } }: IncomingMessage): string | undefined =>
   host?.replace(/:\d+$/, '').toLowerCase();
 
 /** Creates the server of a node's calls address. */
@@ -142,17 +141,18 @@
     };
   };
 
-  const begin = (request: PolkaRequest, response: ServerResponse): Call => {
+  const begin = (request: IncomingMessage, response: ServerResponse): Call => {
     const headers = callers.readCall(request);
     const held = holding.queries.current();
     if (!held) {
       throw new Failure('no_configuration');
     }
-    if (!request.originalUrl.startsWith('/')) {
+    const { url = '' } = request;
+    if (!url.startsWith('/')) {
       throw new Failure('bad_request', 'the request target is not a path');
     }
     const method = request.method ?? 'GET';
-    const path = pathOf(request.originalUrl);
+    const path = pathOf(url);
     const { className } = headers;
     const host = hostOf(request);
     const trafficClass = matchClass(held.configuration, { method, path, host, className });
@@ -191,7 +191,7 @@
     service: call.service,
     caller: call.request.socket.remoteAddress ?? '',
     method: call.request.method ?? 'GET',
-    path: call.request.originalUrl,
+    path: call.request.url ?? '',
     headers: callers.passHeaders(call.request.rawHeaders),
     body,
     deadlineAt: call.deadlineAt,
@@ -239,7 +239,7 @@
     }
   };
 
-  const handle = (request: PolkaRequest, response: ServerResponse) => {
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
     let call: Call;
     try {
       call = begin(request, response);
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -2,8 +2,7 @@
  * Takes calls from other nodes for the upstream beside this one. The sender's node proves itself by
  * the cluster token, and every answer echoes the attempt id and carries the load.
  */
-import type { ServerResponse } from 'node:http';
-import type { PolkaRequest } from 'polka';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
 import type { StopTimes } from '../../types/internal.js';
 import type { Access } from '../operators/access.js';
@@ -46,12 +45,12 @@
   readonly upstream: LocalUpstream;
 }
 
-const single = (request: PolkaRequest, name: string): string | undefined => {
+const single = (request: IncomingMessage, name: string): string | undefined => {
   const value = request.headers[name];
   return typeof value === 'string' ? value : undefined;
 };
 
-const numberIn = (request: PolkaRequest, name: string, otherwise: number): number => {
+const numberIn = (request: IncomingMessage, name: string, otherwise: number): number => {
   const value = Number(single(request, name) ?? otherwise);
   if (!Number.isFinite(value) || value < 0) {
     throw new Failure('bad_request', `header ${name}: a number of at least 0`);
@@ -60,7 +59,7 @@
 };
 
 /** Headers for the upstream: the caller's, with its own `authorization` put back. */
-const headersForUpstream = (request: PolkaRequest): string[] => {
+const headersForUpstream = (request: IncomingMessage): string[] => {
   const headers: string[] = [];
   const passed = passRequestHeaders(request.rawHeaders);
   for (let index = 0; index + 1 < passed.length; index += 2) {
@@ -77,7 +76,7 @@
   const { access, timer, upstream } = options;
   const starts = createCallStarts(timer);
 
-  const handle = (request: PolkaRequest, response: ServerResponse) => {
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
     const requestId = readRequestId(request) ?? '';
     const attemptId = single(request, attemptIdHeader) ?? '';
     const echo = () => [
@@ -119,7 +118,7 @@
           priority: numberIn(request, priorityHeader, defaultPriority),
           maxWaitMs: numberIn(request, maxWaitHeader, 0),
           method: request.method ?? 'GET',
-          path: request.originalUrl,
+          path: request.url ?? '',
           headers: headersForUpstream(request),
           body: streamBody(request),
           deadlineAt: timer.now() + deadlineMs,
