--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -2,8 +2,7 @@
  * Takes calls from other nodes for the upstream beside this one. The sender's node proves itself by
  * the cluster token, and every answer echoes the attempt id and carries the load.
  */
-import type { ServerResponse } from 'node:http';
-import type { PolkaRequest } from 'polka';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
 import type { StopTimes } from '../../types/internal.js';
 import type { Access } from '../operators/access.js';
@@ -49,12 +48,12 @@
   readonly writers: AnswerWriters;
 }
 
-const single = (request: PolkaRequest, name: string): string | undefined => {
+const single = (request: IncomingMessage, name: string): string | undefined => {
   const value = request.headers[name];
   return typeof value === 'string' ? value : undefined;
 };
 
-const numberIn = (request: PolkaRequest, name: string, otherwise: number): number => {
+const numberIn = (request: IncomingMessage, name: string, otherwise: number): number => {
   const value = Number(single(request, name) ?? otherwise);
   if (!Number.isFinite(value) || value < 0) {
     throw new Failure('bad_request', `header ${name}: a number of at least 0`);
@@ -63,7 +62,7 @@
 };
 
 /** Headers for the upstream: the caller's, with its own `authorization` put back. */
-const headersForUpstream = (request: PolkaRequest): string[] => {
+const headersForUpstream = (request: IncomingMessage): string[] => {
   const headers: string[] = [];
   const passed = passRequestHeaders(request.rawHeaders);
   for (let index = 0; index + 1 < passed.length; index += 2) {
@@ -80,7 +79,7 @@
   const { access, timer, upstream } = options;
   const starts = createCallStarts(timer);
 
-  const handle = (request: PolkaRequest, response: ServerResponse) => {
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
     const requestId = readRequestId(request) ?? '';
     const attemptId = single(request, attemptIdHeader) ?? '';
     const echo = () => [
@@ -124,7 +123,7 @@
           rank: numberIn(request, rankHeader, 0),
           maxWaitMs: numberIn(request, maxWaitHeader, 0),
           method: request.method ?? 'GET',
-          path: request.originalUrl,
+          path: request.url ?? '',
           headers: headersForUpstream(request),
           body: streamBody(request),
           deadlineAt: timer.now() + deadlineMs,
