Let an answer pause for as long as its call has time

Cause: a node ended an answer whose upstream sent nothing for 5 s within the body, although the caller waited on. Change: the limit between two parts of a body is the time that is left for the call, and 5 s at least, at both hops. Before: aborted after 5.5 s of a limit of 12 s. After: whole after a pause of 7.5 s, directly and over two nodes.

--- a/__tests__/wholeAnswers.test.ts
+++ b/__tests__/wholeAnswers.test.ts
@@ -194,3 +194,36 @@
     }),
   );
 });
+
+describe('answers that pause', () => {
+  // Guards against a silence that ends an answer although its caller still waits for it.
+  it('are passed on whole if they go on within the time limit of their call', async () => {
+    const mesh = await startMesh({
+      targets: `
+[class.long]
+service = "s"
+match = [{ method = "POST", path = "/long" }]
+answer_within = "1s"
+timeout = "12s"
+`,
+    });
+    try {
+      mesh.upstream.onRequest((request) => {
+        const text = answerText(request);
+        request.socket.write(text.slice(0, -3));
+        setTimeout(() => request.socket.write(text.slice(-3)), 7_500);
+      });
+      const answers = await Promise.all(
+        [mesh.caller, mesh.beside].map((address) =>
+          mesh.call(address, '/long', { method: 'POST', body: 'b' }),
+        ),
+      );
+      answers.forEach(({ status, body }) => {
+        assert.equal(status, 200);
+        assert.equal(JSON.parse(body).body, 'b');
+      });
+    } finally {
+      await mesh.stop();
+    }
+  });
+});
--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -14,7 +14,10 @@
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 
-/** Longest time between two parts of an answer's body before its connection counts as silent. */
+/**
+ * Time between two parts of an answer's body after which its connection counts as silent, in ms. A
+ * call that has more time left waits for as long.
+ */
 const bodySilenceMs = 5_000;
 
 export interface ExchangeOptions {
@@ -25,6 +28,8 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly headTimeoutMs: number;
+  /** Time that is left for the call. */
+  readonly remainingMs: number;
   /** Says why the head is not the answer to this request, or undefined if it is. */
   readonly judgeHead: (status: number, headers: readonly string[]) => string | undefined;
   /** An answer may be ended by the end of its connection. */
@@ -183,7 +188,7 @@
         body: bodyOf(options.body) as Dispatcher.DispatchOptions['body'],
         // The head is bounded by the timer above: undici's own limit is only exact to a second.
         headersTimeout: 0,
-        bodyTimeout: bodySilenceMs,
+        bodyTimeout: Math.max(bodySilenceMs, options.remainingMs),
         // Keeps undici from writing the request behind another one on the same connection.
         idempotent: false,
       },
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -194,7 +194,8 @@
     const start = () => {
       const now = timer.now();
       admittedAt = now;
-      const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
+      const remainingMs = request.deadlineAt - now;
+      const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
       exchange = startExchange({
         dispatcher: upstreamPool!.pool,
         isResetting: upstreamPool!.isResetting,
@@ -202,9 +203,10 @@
         timer,
         method: request.method,
         path: request.path,
-        headers: upstreams.requestHeaders(request, description?.instance, request.deadlineAt - now),
+        headers: upstreams.requestHeaders(request, description?.instance, remainingMs),
         body: request.body,
         headTimeoutMs: Math.max(1, headTimeoutMs),
+        remainingMs,
         judgeHead: (answerStatus, headers) =>
           upstreams.judgeAnswer(answerStatus, headers, request) === 'mismatch'
             ? 'the answer belongs to another request'
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -120,7 +120,8 @@
     if (request.needsFreshConnection) {
       pools.renew(endpoint.forwardAddress, now);
     }
-    const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
+    const remainingMs = request.deadlineAt - now;
+    const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
     return startExchange({
       dispatcher: pools.to(endpoint.forwardAddress, now),
       timer,
@@ -129,6 +130,7 @@
       headers: headersTo(request),
       body: request.body,
       headTimeoutMs: Math.max(1, headTimeoutMs),
+      remainingMs,
       judgeHead: (_status, headers) =>
         headerIn(headers, attemptIdHeader) === request.attemptId &&
         (headerIn(headers, requestIdHeader) ?? request.requestId) === request.requestId
