--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -16,6 +16,7 @@
   Holding,
   LedgerClient,
 } from '../../src/types/internal.js';
+import type { CallInterface } from '../../src/types/callInterface.js';
 import type { Cluster, Endpoint } from '../../src/types/public.js';
 import { createSilentLog } from '../../src/utils/log.js';
 import { createTimer } from '../../src/utils/timer.js';
@@ -234,6 +235,8 @@
   readonly connections?: number;
   /** Address that the caller's node uses for the other node, such as that of a fault proxy. */
   readonly forwardThrough?: (forward: string) => Promise<string>;
+  /** What callers and the upstream speak. Default: the product's own interface. */
+  readonly callInterface?: CallInterface;
 }
 
 /** Starts a node without an upstream, a node beside a scripted upstream, and the upstream. */
@@ -285,6 +288,7 @@
     const runtime = createNodeRuntime({
       node: { name, dataCentre: 'd', region: 'r' },
       listen: { calls: any, forward: any, admin: any },
+      callInterface: options.callInterface,
       access: createAccess({ clusterToken: 'token' }),
       holding,
       announcer,
