--- a/__tests__/stoppingListener.test.ts
+++ b/__tests__/stoppingListener.test.ts
@@ -75,8 +75,8 @@
     maxHeaderBytes: 1_024,
     callers: ownCallInterface.callers,
     stopTimes,
-    onCall: ({ originalUrl }, response) => {
-      read.push(originalUrl);
+    onCall: ({ url = '' }, response) => {
+      read.push(url);
       timer.after(callMs(read.length), () => response.end('done'));
     },
   });
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -235,9 +235,10 @@
   readonly connections?: number;
   /** Rate of the link of each node in Mbit/s. */
   readonly linkMbps?: number;
-  readonly callInterface?: CallInterface;
   /** Address that the caller's node uses for the other node, such as that of a fault proxy. */
   readonly forwardThrough?: (forward: string) => Promise<string>;
+  /** What callers and the upstream speak. Default: the product's own interface. */
+  readonly callInterface?: CallInterface;
 }
 
 /** Starts a node without an upstream, a node beside a scripted upstream, and the upstream. */
@@ -289,6 +290,7 @@
     const runtime = createNodeRuntime({
       node: { name, dataCentre: 'd', region: 'r' },
       listen: { calls: any, forward: any, admin: any },
+      callInterface: options.callInterface,
       access: createAccess({ clusterToken: 'token' }),
       holding,
       announcer,
@@ -298,7 +300,6 @@
       log: createSilentLog(),
       random: () => 0.5,
       linkMbps: options.linkMbps,
-      callInterface: options.callInterface,
     });
     const bound: BoundAddresses = await runtime.start();
     if (name === 'beside') {
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -126,7 +126,8 @@
     if (request.needsFreshConnection) {
       pools.renew(endpoint.forwardAddress, now);
     }
-    const headTimeoutMs = Math.min(request.headTimeoutMs, request.deadlineAt - now);
+    const remainingMs = request.deadlineAt - now;
+    const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
     return startExchange({
       dispatcher: pools.to(endpoint.forwardAddress, now),
       timer,
@@ -135,6 +136,7 @@
       headers: headersTo(request),
       body: request.body,
       headTimeoutMs: Math.max(1, headTimeoutMs),
+      remainingMs,
       judgeHead: (_status, headers) =>
         headerIn(headers, attemptIdHeader) === request.attemptId &&
         (headerIn(headers, requestIdHeader) ?? request.requestId) === request.requestId
