--- a/__tests__/support/platform.ts
+++ b/__tests__/support/platform.ts
@@ -212,7 +212,12 @@
   const createProcess = (name: string, script: string, extraArgs: readonly string[] = []) =>
     createManagedProcess({
       name,
-      args: [...extraArgs, resolvePath(options.programs ?? 'dist', script), '--admin-port', String(ports.admin)],
+      args: [
+        ...extraArgs,
+        resolvePath(options.programs ?? 'dist', script),
+        '--admin-port',
+        String(ports.admin),
+      ],
       cwd: folder,
       env: { AUBURNSILL_BOOT: join(folder, `${name}.conf`) },
     });
