Revert "Refuse calls whose own calls are nearly all refused"

Where it acts, its refusals were not rerouted, so that a gate that alone is cut from the dependency refused calls which others could serve, and a class with few calls stayed refused after its dependency was back.

--- a/src/core/calls/evidence.ts
+++ b/src/core/calls/evidence.ts
@@ -13,11 +13,8 @@
   type EjectionStatus,
 } from './ejection.js';
 
-/**
- * How an attempt ended. `refused` was not run and says nothing against the endpoint's health;
- * `starved` was not run for a reason that all endpoints of the service share.
- */
-export type AttemptOutcome = 'ok' | 'failed' | 'timed_out' | 'refused' | 'starved' | 'cancelled';
+/** How an attempt ended. `refused` was not run and says nothing against the endpoint's health. */
+export type AttemptOutcome = 'ok' | 'failed' | 'timed_out' | 'refused' | 'cancelled';
 
 /** Load of an endpoint as carried on answers by `x-load`. */
 export interface EndpointLoad {
@@ -147,10 +144,6 @@
     noteRefusal(state, 1, now);
     abandonAttempt(state.ejection);
   },
-  starved: (state, { now }) => {
-    noteAnswer(state, now);
-    abandonAttempt(state.ejection);
-  },
   cancelled: (state, { latencyMs }) => {
     // A cancelled attempt would have taken longer, so it can only raise the estimate.
     if (latencyMs > (state.latencyMs ?? 0)) {
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -94,7 +94,6 @@
   'body_too_large',
   'cancelled',
   'deadline_past',
-  'dependency_overloaded',
   'key_in_progress',
   'key_mismatch',
   'key_required',
--- a/src/core/calls/retryAfter.ts
+++ b/src/core/calls/retryAfter.ts
@@ -15,8 +15,6 @@
   // Other nodes have heard that an endpoint leaves.
   leaving: minRetryAfterMs,
   overloaded: 500,
-  // The throttle judges its share about twice a second.
-  dependency_overloaded: 500,
 };
 
 const spread = (ms: number, random: () => number): number => ms * (1 + random());
--- a/src/core/operators/burn.ts
+++ b/src/core/operators/burn.ts
@@ -165,9 +165,6 @@
   elapsedMs: number,
   maxWaitMs: number,
 ): CallOutcome => {
-  if (reason === 'dependency_overloaded') {
-    return 'shed';
-  }
   if (reason !== 'overloaded') {
     return 'failed';
   }
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -96,7 +96,6 @@
 }
 
 const outcomeByReason: Partial<Record<FailureReason, AttemptOutcome>> = {
-  dependency_overloaded: 'starved',
   overloaded: 'refused',
   leaving: 'refused',
   deadline_past: 'refused',
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -43,15 +43,6 @@
 const rankedId = ({ origin, headers, requestId }: Call): string =>
   origin === 'upstream' ? (headers.parentId ?? requestId) : requestId;
 
-/** Refusals that fewer calls would have prevented. */
-const capacityReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
-  'deadline_past',
-  'dependency_overloaded',
-  'leaving',
-  'no_upstream',
-  'overloaded',
-]);
-
 export interface CallServerOptions {
   readonly address: Address;
   readonly dataCentre: string;
@@ -142,14 +133,6 @@
       version: formatVersion(call.held.version),
     });
 
-  /** The upstream beside this node will fail the call that it made this one for. */
-  const noteStarvation = ({ origin, headers }: Call, { reason, run }: AttemptFailureReport) => {
-    const isForCapacity = run === 'not_run' && capacityReasons.has(reason);
-    if (origin === 'upstream' && headers.parentId !== undefined && isForCapacity) {
-      upstream.commands.noteStarved(headers.parentId);
-    }
-  };
-
   const logFailedAnswer = (call: Call, status: number) =>
     options.logDecision?.('upstream answered with a failure', {
       request_id: call.requestId,
@@ -169,7 +152,6 @@
     finish(call, outcome, failure.reason);
     metrics.recordRefusal(call.policy.className, failure.reason, call.origin);
     logRefusal(call, failure, elapsedMs);
-    noteStarvation(call, failure);
     writeRefusal(call.response, callers.refusal(withRetryAfter(failure), call.requestId), timer);
   };
 
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -10,7 +10,6 @@
   type FinishOutcome,
 } from '../../core/calls/admission.js';
 import type { EndpointLoad } from '../../core/calls/evidence.js';
-import { createStarvationThrottle } from '../../core/calls/starvation.js';
 import { retryAfterMs } from '../../core/calls/retryAfter.js';
 import type {
   AttemptFailureReport,
@@ -48,8 +47,6 @@
     resume(): void;
     /** Refuses later calls with `leaving` while an operator has drained the endpoint. */
     setDrained(drained: boolean): void;
-    /** Notes that a call which the upstream made for this one was refused for want of capacity. */
-    noteStarved(requestId: string): void;
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
     stop(): Promise<void>;
   };
@@ -71,11 +68,6 @@
 
 const noLoad: EndpointLoad = { inFlight: 0, limit: 0, waiting: 0 };
 
-interface WorkedCall {
-  readonly className: string;
-  isStarved: boolean;
-}
-
 interface Entry {
   /** Called when the admission decided about a call that waited. */
   decide(refusal: AdmissionRefusal | undefined): void;
@@ -106,9 +98,8 @@
   let cancelTick: Cancel | undefined;
   let tickAt = Infinity;
   const entries = new Map<string, Entry>();
-  /** Calls that the upstream works on, by request id. */
-  const runningCalls = new Map<string, WorkedCall>();
-  const throttle = createStarvationThrottle();
+  /** Classes of the calls that the upstream works on, by request id. */
+  const runningClasses = new Map<string, string>();
 
   const load = (): EndpointLoad => admission?.queries.load() ?? noLoad;
 
@@ -163,13 +154,8 @@
     const finish = (outcome: FinishOutcome['outcome']) => {
       isOver = true;
       entries.delete(attemptId);
-      const isStarved = runningCalls.get(request.requestId)?.isStarved ?? false;
-      runningCalls.delete(request.requestId);
+      runningClasses.delete(request.requestId);
       const now = timer.now();
-      if (admittedAt !== undefined && (isStarved || outcome === 'ok')) {
-        const { className } = request;
-        throttle.commands.recordEnd(className, { startedAt: admittedAt, isStarved }, now);
-      }
       const latencyMs = now - (admittedAt ?? now);
       const effects =
         admittedAt === undefined
@@ -221,7 +207,7 @@
     const start = () => {
       const now = timer.now();
       admittedAt = now;
-      runningCalls.set(request.requestId, { className: request.className, isStarved: false });
+      runningClasses.set(request.requestId, request.className);
       const remainingMs = request.deadlineAt - now;
       const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
       exchange = startExchange({
@@ -244,7 +230,7 @@
       });
     };
 
-    const logRefusal = (reason: FailureReason) => {
+    const logRefusal = (reason: AdmissionRefusal) => {
       const { inFlight, limit, waiting, workMs } = load();
       logDecision?.('call not admitted', {
         request_id: request.requestId,
@@ -279,10 +265,6 @@
     if (!admission || !upstreamPool || isDrained || isForOther) {
       isOver = true;
       listener.onFailure(refusedReport(isDrained ? 'leaving' : 'no_upstream', request.className));
-    } else if (!throttle.commands.admit(request.className, requestedAt)) {
-      isOver = true;
-      logRefusal('dependency_overloaded');
-      listener.onFailure(refusedReport('dependency_overloaded', request.className));
     } else {
       entries.set(attemptId, { decide });
       carryOut(
@@ -373,12 +355,6 @@
       setDrained: (drained) => {
         isDrained = drained;
       },
-      noteStarved: (requestId) => {
-        const call = runningCalls.get(requestId);
-        if (call) {
-          call.isStarved = true;
-        }
-      },
       send,
       stop: async () => {
         cancelTick?.();
@@ -387,7 +363,7 @@
     },
     queries: {
       description: () => description,
-      classOfRunning: (requestId) => runningCalls.get(requestId)?.className,
+      classOfRunning: (requestId) => runningClasses.get(requestId),
       isLeaving: () => isLeaving,
       hasFreeSlot: (service) => inFlightShare(service) < 1,
       isQuiet: (service) => inFlightShare(service) < quietBelow,
--- a/src/utils/failure.ts
+++ b/src/utils/failure.ts
@@ -112,12 +112,6 @@
   bad_request: { code: 'E314', status: 400, run: 'not_run', text: 'malformed request' },
   body_too_large: { code: 'E317', status: 413, run: 'not_run', text: 'the body is too large' },
   cancelled: { code: 'E315', status: 499, run: 'may_have_run', text: 'the caller cancelled' },
-  dependency_overloaded: {
-    code: 'E318',
-    status: 503,
-    run: 'not_run',
-    text: 'a service that calls of this class depend on has no capacity',
-  },
   answer_mismatch: {
     code: 'E316',
     status: 502,
