--- a/__tests__/feedCore.test.ts
+++ b/__tests__/feedCore.test.ts
@@ -13,6 +13,7 @@
 import { maxLaggards, mergeReports } from '../src/core/distribution/reports.js';
 import { createSubtree } from '../src/core/distribution/subtree.js';
 import { createUpwardReport } from '../src/core/distribution/upwardReport.js';
+import { remoteKeepMs } from '../src/plugins/distribution/controlExchange.js';
 import type { Endpoint } from '../src/types/public.js';
 import { check } from './support/arbitraries.js';
 import { endpointOf } from './support/feedFleet.js';
@@ -256,6 +257,37 @@
   });
 });
 
+describe('an endpoint that comes back after it was withdrawn', () => {
+  const withdrawn = { id: 'one', incarnation: 2_000, sequence: 1 };
+
+  it('is known again when the clock of its machine was set back meanwhile', () => {
+    const subtree = createSubtree(0);
+    subtree.commands.applyReport('a', fullReport({ ...one, incarnation: 2_000 }), [], 0);
+    subtree.commands.applyReport('a', { ...fullReport(), withdrawals: [withdrawn] }, [], 1);
+    subtree.commands.applyReport('a', fullReport({ ...one, incarnation: 1_000 }), [], 5_000);
+    // The time after which a record of the earlier process has expired anywhere.
+    subtree.commands.tick(5_000 + 2 * leaseMs);
+    subtree.commands.applyReport('a', fullReport({ ...one, incarnation: 1_000 }), [], 25_001);
+    assert.equal(subtree.queries.state().endpoints.size, 1);
+  });
+
+  it('is known again beside another node that started earlier', () => {
+    const subtree = createSubtree(0);
+    subtree.commands.applyReport('a', fullReport({ ...one, incarnation: 2_000 }), [], 0);
+    subtree.commands.applyReport('a', { ...fullReport(), withdrawals: [withdrawn] }, [], 1);
+    const elsewhere = { ...one, node: 'b', incarnation: 1_000 };
+    subtree.commands.applyReport('b', fullReport(elsewhere), [], 25_000);
+    assert.equal(subtree.queries.state().endpoints.size, 1);
+  });
+
+  it('stays withdrawn while records of a control instance that was lost are kept', () => {
+    const subtree = createSubtree(0);
+    subtree.commands.applyReport('a', { ...fullReport(), withdrawals: [withdrawn] }, [], 0);
+    subtree.commands.tick(remoteKeepMs - 1);
+    assert.equal(subtree.queries.isWithdrawn({ ...one, incarnation: 2_000 }), true);
+  });
+});
+
 describe('reports to the parent', () => {
   it('carry each change once, and everything to a new parent', () => {
     const upward = createUpwardReport();
--- a/src/plugins/distribution/controlExchange.ts
+++ b/src/plugins/distribution/controlExchange.ts
@@ -21,7 +21,7 @@
 import { readCluster, writeCursor, writeVersion, writeWithdrawal } from './feedMessages.js';
 
 /** Endpoints of a control instance that cannot be reached are kept for this time. */
-const remoteKeepMs = 600_000;
+export const remoteKeepMs = 600_000;
 const minBackoffMs = 100;
 const maxBackoffMs = 5_000;
 /** The least of this many round trips counts, so that a busy moment does not. */
