Refuse no stream of a peer when a server stops

Cause: createRpcServer closed its sessions at a stop, and Node.js sends a GOAWAY that names the last stream that the server has seen. A stream of the peer that was on its way is refused with it. If its request is still being written, nghttp2 in Node.js 20 keeps the frame of the destroyed stream, and the next reset of a stream on that session never returns from nghttp2_session_mem_send: the event loop of the peer is blocked and its memory grows by 100 to 300 MB a second. Class of fault: a stop that is orderly for one side only. It hits nodes and control instances whose parent or neighbour stops as planned.

Change: a server that stops sends a GOAWAY with the highest stream id, which refuses nothing; the peer ends the session once its streams have ended, and the limit of the stop cuts the rest as before. Connections beyond the most sessions are closed without a session.

Ruled out by trials: a reset that is deferred by a turn, the end of the session or of the socket in place of the reset; all of them run into the same loop.

--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -3,7 +3,7 @@
  * number of sessions; a transport keeps one session for each peer and notices by pings when it has
  * gone silent.
  */
-import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
+import { constants, createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
 import { isIP, type Socket } from 'node:net';
 import type { ConnectRouter, Interceptor, Transport } from '@connectrpc/connect';
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
@@ -13,6 +13,12 @@
 /** Largest message that a process accepts, in bytes. */
 export const maxMessageBytes = 4 * 1024 * 1024;
 const maxSessions = 512;
+/**
+ * Last stream that a stopping server names. If it named the last one that it has seen, streams under
+ * way to it would be refused, and a refused stream whose request is still being written blocks the
+ * event loop of the peer for good (nghttp2 in Node.js 20).
+ */
+const maxStreamId = 2 ** 31 - 1;
 /** The first packet of a connection that was lost on the way is sent again after 1 s. */
 const openTimeoutMs = 2_000;
 const pingIntervalMs = 2_000;
@@ -87,6 +93,11 @@
     sentBytes: sum.sentBytes + bytesWritten,
   });
   server.on('connection', (socket: Socket) => {
+    if (sockets.size >= maxSessions) {
+      // Ended without a session, since the end of a session refuses streams of its peer.
+      socket.destroy();
+      return;
+    }
     sockets.add(socket);
     socket.on('close', () => {
       sockets.delete(socket);
@@ -94,10 +105,6 @@
     });
   });
   server.on('session', (session) => {
-    if (sessions.size >= maxSessions) {
-      session.destroy();
-      return;
-    }
     sessions.add(session);
     session.on('error', () => session.destroy());
     session.on('close', () => sessions.delete(session));
@@ -117,7 +124,10 @@
           clearTimeout(deadline);
           resolve();
         });
-        sessions.forEach((session) => session.close());
+        // Peers end their sessions once their streams have ended.
+        [...sessions]
+          .filter((session) => !session.destroyed)
+          .forEach((session) => session.goaway(constants.NGHTTP2_NO_ERROR, maxStreamId));
       }),
   };
 };
