--- a/src/plugins/distribution/controlExchange.ts
+++ b/src/plugins/distribution/controlExchange.ts
@@ -1,8 +1,8 @@
 /**
  * Exchange between control instances: each one subscribes to the endpoints that the others lease
  * and reports the versions in force of its own tree and the endpoints that were withdrawn. A node
- * that changes its control instance leaves a lease at the one before, which only a withdrawal ends. The round trips of the reports give the delays
- * between data centres.
+ * that changes its control instance leaves a lease at the one before, which only a withdrawal ends.
+ * The round trips of the reports give the delays between data centres.
  */
 import type { DataCentreDelay } from '../../gen/auburnsill/v1/feed_pb.js';
 import type { Endpoint } from '../../types/public.js';
