Count callers that leave, and measure how long starts of calls wait

The landed code could not tell whether a node learns late of a caller's close or starts calls after it. auburnsill_callers_left_total counts the calls whose caller closed before the answer, by stage, and auburnsill_call_start_delay_seconds measures the time between reading a call and starting it. The starts of both servers of a node share one queue, so that one series shows the delay of the process.

--- a/src/plugins/calls/callMetrics.ts
+++ b/src/plugins/calls/callMetrics.ts
@@ -11,6 +11,10 @@
   recordCall(className: string, result: FailureReason | 'ok', durationMs: number): void;
   recordRetry(className: string): void;
   recordRefusal(className: string, reason: FailureReason, origin: CallOrigin): void;
+  /** A call was put off before its start, until connections were looked at once more. */
+  recordStartDelay(delayMs: number): void;
+  /** The caller has left before the answer; `wasRunning` if an attempt was under way. */
+  recordLeft(wasRunning: boolean): void;
 }
 
 /** Registers the metrics of calls. */
@@ -33,6 +37,15 @@
     'Calls that ended without an answer of an upstream, by reason and by who made them.',
     ['class', 'reason', 'origin'],
   );
+  const startDelay = metrics.latency(
+    'auburnsill_call_start_delay_seconds',
+    'Time for which the start of a call is put off until connections were looked at once more.',
+  );
+  const left = metrics.counter(
+    'auburnsill_callers_left_total',
+    'Calls whose caller closed its connection before the answer, by how far they were.',
+    ['stage'],
+  );
   return {
     recordCall: (className, result, durationMs) => {
       const name = boundClass(className);
@@ -42,5 +55,7 @@
     recordRetry: (className) => retries.inc({ class: boundClass(className) }),
     recordRefusal: (className, reason, origin) =>
       refusals.inc({ class: boundClass(className), reason, origin }),
+    recordStartDelay: (delayMs) => startDelay.observe(delayMs / 1_000),
+    recordLeft: (wasRunning) => left.inc({ stage: wasRunning ? 'running' : 'not_started' }),
   };
 };
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -22,7 +22,7 @@
 import { reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
-import { createCallStarts } from './callStarts.js';
+import type { CallStarts } from './callStarts.js';
 import type { CallMetrics, CallOrigin } from './callMetrics.js';
 import type {
   CallListener as OutcomeListener,
@@ -53,6 +53,7 @@
   readonly holding: Holding;
   readonly upstream: LocalUpstream;
   readonly writers: AnswerWriters;
+  readonly starts: CallStarts;
   readonly runner: CallRunner;
   readonly atMostOnce: AtMostOnce;
   readonly burn: Burn;
@@ -92,8 +93,7 @@
 
 /** Creates the server of a node's calls address. */
 export const createCallServer = (options: CallServerOptions): CallListener => {
-  const { timer, holding, upstream, runner, metrics, callers } = options;
-  const starts = createCallStarts(timer);
+  const { timer, holding, upstream, runner, metrics, callers, starts } = options;
 
   const answerHeaders = ({ held, requestId }: Call): string[] =>
     callers.answerHeaders({
@@ -284,6 +284,7 @@
 
   const cancel = (call: Call) => {
     if (!call.isOver) {
+      metrics.recordLeft(call.running !== undefined);
       call.running?.abort();
       finish(call, 'failed', 'cancelled');
     }
--- a/src/plugins/calls/callStarts.ts
+++ b/src/plugins/calls/callStarts.ts
@@ -13,11 +13,19 @@
 /** Longest time in ms that starts take before connections are looked at again. */
 const maxStartsMs = 5;
 
-/** Creates the starts of a listener. */
-export const createCallStarts = (timer: Timer): CallStarts => {
+interface DueStart {
+  readonly start: () => void;
+  readonly addedAt: number;
+}
+
+/** Creates the starts of a node. `onDelay` is told how long each of them was put off, in ms. */
+export const createCallStarts = (
+  timer: Timer,
+  onDelay: (delayMs: number) => void = () => undefined,
+): CallStarts => {
   /** Starts that were added since the connections were last looked at. */
-  let fresh: (() => void)[] = [];
-  let due: (() => void)[] = [];
+  let fresh: DueStart[] = [];
+  let due: DueStart[] = [];
   let isScheduled = false;
 
   const schedule = () => {
@@ -28,9 +36,13 @@
   const runDue = () => {
     const until = timer.now() + maxStartsMs;
     let count = 0;
-    while (count < due.length && (count === 0 || timer.now() < until)) {
-      due[count]?.();
+    let now = timer.now();
+    while (count < due.length && (count === 0 || now < until)) {
+      const { start, addedAt } = due[count]!;
+      onDelay(now - addedAt);
+      start();
       count += 1;
+      now = timer.now();
     }
     due = [...due.slice(count), ...fresh];
     fresh = [];
@@ -42,7 +54,7 @@
 
   return {
     add: (start) => {
-      fresh.push(start);
+      fresh.push({ start, addedAt: timer.now() });
       if (!isScheduled) {
         schedule();
       }
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -22,7 +22,7 @@
   retryAfterMsHeader,
   serviceHeader,
 } from './callHeaders.js';
-import { createCallStarts } from './callStarts.js';
+import type { CallStarts } from './callStarts.js';
 import { ownCallers } from './ownCallInterface.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import type { LocalUpstream } from './localUpstream.js';
@@ -46,6 +46,7 @@
   readonly log: Log;
   readonly upstream: LocalUpstream;
   readonly writers: AnswerWriters;
+  readonly starts: CallStarts;
 }
 
 const single = (request: IncomingMessage, name: string): string | undefined => {
@@ -76,8 +77,7 @@
 
 /** Creates the server of a node's forward address. */
 export const createForwardServer = (options: ForwardServerOptions): CallListener => {
-  const { access, timer, upstream } = options;
-  const starts = createCallStarts(timer);
+  const { access, starts, timer, upstream } = options;
 
   const handle = (request: IncomingMessage, response: ServerResponse) => {
     const requestId = readRequestId(request) ?? '';
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -20,6 +20,7 @@
 import { createAtMostOnce } from './atMostOnce.js';
 import { createCallMetrics } from './callMetrics.js';
 import { createCallRunner } from './callRun.js';
+import { createCallStarts } from './callStarts.js';
 import { createCallServer } from './callServer.js';
 import { createForwardServer } from './forwardServer.js';
 import { createLocalUpstream } from './localUpstream.js';
@@ -93,6 +94,7 @@
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createBoundedLog(log.part('calls'), timer);
+  const starts = createCallStarts(timer, callMetrics.recordStartDelay);
   const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision);
   const writers = createAnswerWriters(timer, options.linkMbps);
   const pools = createNodePools();
@@ -131,6 +133,7 @@
     holding,
     upstream,
     writers,
+    starts,
     runner,
     atMostOnce,
     burn,
@@ -145,6 +148,7 @@
     log: log.part('forward'),
     upstream,
     writers,
+    starts,
   });
   let forwardAddress = options.advertisedForward ?? '';
   let isStarted = false;
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -21,6 +21,7 @@
 import { createAtMostOnce } from './atMostOnce.js';
 import { passOn } from './callHeaders.js';
 import { createCallRunner } from './callRun.js';
+import { createCallStarts } from './callStarts.js';
 import { createCallServer } from './callServer.js';
 import { createForwardServer } from './forwardServer.js';
 import { createLocalUpstream } from './localUpstream.js';
@@ -84,6 +85,7 @@
   const upstream = await startUpstream();
   const log = createSilentLog();
   const random = () => 0.5;
+  const starts = createCallStarts(timer);
   const localUpstream = createLocalUpstream(timer, callInterface.upstreams, random);
   const writers = createAnswerWriters(timer);
   const slots = callsAtATime;
@@ -101,6 +103,7 @@
     log,
     upstream: localUpstream,
     writers,
+    starts,
   });
   const endpoint: Endpoint = {
     id: service,
@@ -163,6 +166,7 @@
       holding,
       upstream: beside,
       writers,
+      starts,
       runner,
       atMostOnce: createAtMostOnce({ runner, ledger: {} as LedgerClient, timer, log }),
       burn: createBurn(),
@@ -170,6 +174,8 @@
         recordCall: () => undefined,
         recordRetry: () => undefined,
         recordRefusal: () => undefined,
+        recordStartDelay: () => undefined,
+        recordLeft: () => undefined,
       },
     });
     return { calls, address: await calls.listen() };
