--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -348,6 +348,8 @@
     },
     stopRenewal: () => clearInterval(renewal),
     call: makeCall,
+    /** What a node reports on its admin address. */
+    report: async ({ admin }: typeof beside) => JSON.parse((await makeCall(admin, '/report')).body),
     stop: async () => {
       clearInterval(renewal);
       await upstream.stop();
--- a/__tests__/support/threadCaller.ts
+++ b/__tests__/support/threadCaller.ts
@@ -8,6 +8,13 @@
   const { connect } = require('node:net');
   const { parentPort, workerData: { host, port, shared, path } } = require('node:worker_threads');
   const done = new Int32Array(shared);
+  const open = new Set();
+  // The thread under test is blocked while it asks the callers to leave, so it sends no message.
+  setInterval(() => {
+    if (Atomics.exchange(done, 1, 0) === 1) {
+      open.forEach((socket) => socket.once('close', note).destroy());
+    }
+  }, 1);
   const note = () => {
     Atomics.add(done, 0, 1);
     Atomics.notify(done, 0);
@@ -16,12 +23,14 @@
     const outcomes = [];
     for (let index = 0; index < count; index += 1) {
       const socket = connect(port, host);
+      open.add(socket);
       let text = '';
       let code;
       socket.on('error', (error) => { code = error.code; });
       socket.on('data', (part) => { text += part; });
       socket.on('close', () => {
         outcomes.push(code ?? text.split('\\r\\n')[0]);
+        open.delete(socket);
         if (leaves) note();
         if (outcomes.length === count) parentPort.postMessage(outcomes);
       });
@@ -43,30 +52,38 @@
    * each connection at once. Resolves with the status lines or error codes.
    */
   callWhileBlocked(options: { count: number; leaves: boolean }): Promise<readonly string[]>;
+  /** Closes all connections of calls that have no answer yet while this thread is blocked. */
+  leaveWhileBlocked(count: number): void;
   stop(): Promise<unknown>;
 }
 
 export const startThreadCaller = async (address: string, path: string): Promise<ThreadCaller> => {
   const [host, port] = address.split(':');
-  const shared = new SharedArrayBuffer(4);
-  const sent = new Int32Array(shared);
+  const shared = new SharedArrayBuffer(8);
+  const state = new Int32Array(shared);
   const thread = new Worker(threadCode, {
     eval: true,
     workerData: { host, port: Number(port), shared, path },
   });
   await once(thread, 'message');
+
+  const block = (count: number, trigger: () => void, what: string) => {
+    const before = Atomics.load(state, 0);
+    trigger();
+    for (let now = before; now < before + count; now = Atomics.load(state, 0)) {
+      if (Atomics.wait(state, 0, now, blockLimitMs) === 'timed-out') {
+        throw new Error(`the thread did not ${what}`);
+      }
+    }
+  };
+
   return {
     callWhileBlocked: ({ count, leaves }) => {
       const outcomes = once(thread, 'message');
-      const before = Atomics.load(sent, 0);
-      thread.postMessage({ count, leaves });
-      for (let now = before; now < before + count; now = Atomics.load(sent, 0)) {
-        if (Atomics.wait(sent, 0, now, blockLimitMs) === 'timed-out') {
-          throw new Error('the calls were not sent');
-        }
-      }
+      block(count, () => thread.postMessage({ count, leaves }), 'send the calls');
       return outcomes.then(([texts]) => texts as readonly string[]);
     },
+    leaveWhileBlocked: (count) => block(count, () => Atomics.store(state, 1, 1), 'close'),
     stop: () => thread.terminate(),
   };
 };
