Start no call whose caller is known to have left

What callers saw: upstreams worked on calls that had been given up (GONE). Cause: a call was cancelled by the close event of its response. Node.js emits that a turn of the event loop or more after it has read the end of the connection, and calls start between the two. On a node without processor time a request and the end of its connection are read together, seconds late, so that each such call was started. Calls that had waited for a slot, retries, reroutes and hedges started without any look at their connection. Change: the end of the connection cancels the call at once, at both hops, and every later start goes through the queue that lets the event loop read connections once more. Ruled out: that a node reads closes late for another reason than its turns; the order of events alone fails without load.

--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -50,6 +50,7 @@
     timer,
     random,
     upstream: createLocalUpstream(timer, ownCallInterface.upstreams, () => 0.5),
+    starts: { add: (start) => start() },
     remote,
     evidence,
     budgetOf: () => budget,
--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -30,8 +30,16 @@
 /** Turns of the event loop that a stop waits for a quiet one, against peers that never pause. */
 const maxTurns = 200;
 
-/** Called when the peer breaks its request while the call runs; answers and ends the call. */
-export type OnBroken = (reason: FailureReason, detail: string) => void;
+/** What the peer of a call that runs can do to it. */
+export interface CallGuard {
+  /** The request turned out malformed: answers and ends the call. */
+  onBroken(reason: FailureReason, detail: string): void;
+  /**
+   * The peer has closed its side of the connection. The `close` event of the response comes a turn
+   * of the event loop later or more, and a call could be sent on in between.
+   */
+  onLeft(): void;
+}
 
 export interface CallListenerOptions {
   readonly address: Address;
@@ -49,8 +57,8 @@
 
 export interface CallListener {
   listen(): Promise<Address>;
-  /** Registers what ends the call on a connection when its request turns out malformed. */
-  guard(request: IncomingMessage, onBroken: OnBroken): void;
+  /** Registers what ends the call on a connection before its answer. */
+  guard(request: IncomingMessage, guard: CallGuard): void;
   /** Answers from now on close their connections. */
   drain(): void;
   isDraining(): boolean;
@@ -75,7 +83,7 @@
 /** Creates the server of an address that takes calls. */
 export const createCallListener = (options: CallListenerOptions): CallListener => {
   const { timer } = options;
-  const guards = new Map<Socket, OnBroken>();
+  const guards = new Map<Socket, CallGuard>();
   const sockets = new Set<Socket>();
   const running = new Map<Socket, ServerResponse>();
   let draining = false;
@@ -130,6 +138,7 @@
     accepted += 1;
     lastActiveAt = timer.now();
     sockets.add(socket);
+    socket.once('end', () => guards.get(socket)?.onLeft());
     socket.once('close', () => sockets.delete(socket));
   });
 
@@ -161,7 +170,7 @@
     const code = error.code ?? '';
     const guard = guards.get(socket);
     if (guard) {
-      guard('bad_request', `malformed request body (${code})`);
+      guard.onBroken('bad_request', `malformed request body (${code})`);
       return;
     }
     if (running.has(socket) || error.code === 'ECONNRESET') {
@@ -227,7 +236,9 @@
 
   return {
     listen: () => listenHttp(server, options.address),
-    guard: (request, onBroken) => guards.set(request.socket, onBroken),
+    guard: (request, guard) => {
+      guards.set(request.socket, guard);
+    },
     drain,
     isDraining: () => draining,
     active: () => running.size,
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -34,6 +34,7 @@
 import type { Cancel, Timer } from '../../utils/timer.js';
 import { reportOf } from './callAnswers.js';
 import { headerIn } from './callHeaders.js';
+import type { CallStarts } from './callStarts.js';
 import type { LocalUpstream } from './localUpstream.js';
 import type { RemoteNodes } from './remoteNode.js';
 
@@ -42,6 +43,8 @@
   readonly timer: Timer;
   readonly random: () => number;
   readonly upstream: LocalUpstream;
+  /** Start attempts after the first, once connections were looked at for callers that left. */
+  readonly starts: CallStarts;
   readonly remote: RemoteNodes;
   readonly evidence: Evidence;
   readonly budgetOf: RetryBudgetOf;
@@ -121,7 +124,7 @@
 
 /** Creates the runner of a node's calls. */
 export const createCallRunner = (options: CallRunnerOptions): CallRunner => {
-  const { home, timer, random, upstream, remote, evidence } = options;
+  const { home, timer, random, upstream, starts, remote, evidence } = options;
   const attemptPrefix = randomUUID();
   const sizes = createAnswerSizes();
   let attemptCount = 0;
@@ -202,7 +205,7 @@
           return;
         }
         reroutes += 1;
-        startAttempt(failure, true);
+        startAnother(failure, true);
         return;
       }
       const decision = decide(failure);
@@ -213,11 +216,7 @@
         return;
       }
       options.onRetry(policy.className);
-      timer.after(decision.delayMs, () => {
-        if (!isOver) {
-          startAttempt(failure);
-        }
-      });
+      timer.after(decision.delayMs, () => startAnother(failure));
     };
 
     const logFailure = ({ endpointId, startedAt }: Attempt, failure: AttemptFailureReport) => {
@@ -384,6 +383,13 @@
         : remote.send(endpoint, request, listenTo(attempt));
     };
 
+    const startAnother = (earlier: AttemptFailureReport, isReroute = false) =>
+      starts.add(() => {
+        if (!isOver) {
+          startAttempt(earlier, isReroute);
+        }
+      });
+
     const startHedge = () => {
       const canHedge = !isOver && !winner && active.size === 1 && plan.body.kind !== 'stream';
       if (canHedge && budget.commands.spend(timer.now())) {
@@ -403,7 +409,7 @@
       now: timer.now(),
     });
     if (!isOver && hedgeAfterMs !== undefined) {
-      cancelHedge = timer.after(hedgeAfterMs, startHedge);
+      cancelHedge = timer.after(hedgeAfterMs, () => starts.add(startHedge));
     }
 
     return {
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -301,15 +301,18 @@
       writeRefusal(response, callers.refusal(withRetryAfter(failure), requestId), timer);
       return;
     }
-    listener.guard(request, (reason, detail) => {
-      const mayHaveRun = call.running?.mayHaveRun() ?? false;
-      call.running?.abort();
-      refuse(call, {
-        reason,
-        detail,
-        run: mayHaveRun ? 'may_have_run' : 'not_run',
-        retried: false,
-      });
+    listener.guard(request, {
+      onBroken: (reason, detail) => {
+        const mayHaveRun = call.running?.mayHaveRun() ?? false;
+        call.running?.abort();
+        refuse(call, {
+          reason,
+          detail,
+          run: mayHaveRun ? 'may_have_run' : 'not_run',
+          retried: false,
+        });
+      },
+      onLeft: () => cancel(call),
     });
     response.once('close', () => cancel(call));
     starts.add(() => {
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -138,17 +138,21 @@
       );
     };
 
-    listener.guard(request, (reason, detail) => {
-      const run = attempt?.mayHaveRun() ? 'may_have_run' : 'not_run';
-      attempt?.abort();
-      refuse({ reason, run, detail, retried: false });
-    });
-    response.once('close', () => {
+    const leave = () => {
       isOver = true;
       if (!response.writableFinished) {
         attempt?.abort();
       }
+    };
+    listener.guard(request, {
+      onBroken: (reason, detail) => {
+        const run = attempt?.mayHaveRun() ? 'may_have_run' : 'not_run';
+        attempt?.abort();
+        refuse({ reason, run, detail, retried: false });
+      },
+      onLeft: leave,
     });
+    response.once('close', leave);
     starts.add(() => {
       if (isOver) {
         return;
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -21,6 +21,7 @@
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AnswerVerdict, UpstreamInterface } from '../../types/callInterface.js';
+import { createCallStarts, type CallStarts } from './callStarts.js';
 import { startExchange } from './exchange.js';
 import { createUpstreamPool, type UpstreamPool } from './upstreamPool.js';
 
@@ -88,6 +89,7 @@
   upstreams: UpstreamInterface,
   random: () => number,
   logDecision?: BoundedLog,
+  starts: CallStarts = createCallStarts(timer),
 ): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let upstreamPool: UpstreamPool | undefined;
@@ -150,6 +152,8 @@
     /** The upstream said that it has free slots, so a refusal is not for lack of them. */
     let hasFreeSlots = false;
     let isOver = false;
+    /** The admission has not decided at once. */
+    let isWaiting = false;
 
     const finish = (outcome: FinishOutcome['outcome']) => {
       isOver = true;
@@ -230,6 +234,19 @@
       });
     };
 
+    const startIfWanted = () => {
+      if (isOver) {
+        return;
+      }
+      if (timer.now() < request.deadlineAt) {
+        start();
+        return;
+      }
+      finish('cancelled');
+      logRefusal('deadline_past');
+      listener.onFailure(refusedReport('deadline_past', request.className));
+    };
+
     const logRefusal = (reason: AdmissionRefusal) => {
       const { inFlight, limit, waiting, workMs } = load();
       logDecision?.('call not admitted', {
@@ -251,6 +268,11 @@
       if (isOver) {
         return;
       }
+      if (refusal === undefined && isWaiting) {
+        // The caller may have left meanwhile, with the end of its connection still unread.
+        starts.add(startIfWanted);
+        return;
+      }
       if (refusal === undefined) {
         start();
         return;
@@ -281,6 +303,7 @@
           timer.now(),
         ),
       );
+      isWaiting = true;
     }
 
     return {
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -95,7 +95,7 @@
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createBoundedLog(log.part('calls'), timer);
   const starts = createCallStarts(timer, callMetrics.recordStartDelay);
-  const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision);
+  const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision, starts);
   const writers = createAnswerWriters(timer, options.linkMbps);
   const pools = createNodePools();
   const remote = createRemoteNodes({
@@ -109,6 +109,7 @@
     timer,
     random,
     upstream,
+    starts,
     remote: createNodeLines(remote, timer),
     evidence,
     budgetOf,
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -141,6 +141,7 @@
       timer,
       random,
       upstream: beside,
+      starts,
       remote: createNodeLines(
         createRemoteNodes({
           pools,
