Carry calls between nodes in frames instead of HTTP/1.1

Change: a connection between nodes starts as an HTTP/1.1 upgrade with the cluster token and then carries frames (linkFrames), one call at a time, with heads in JSON. Nodes of one deployment have to be upgraded together.

--- a/__tests__/nodeLines.test.ts
+++ b/__tests__/nodeLines.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { createNodeLines } from '../src/plugins/calls/nodeLines.js';
 import type { RemoteNodes } from '../src/plugins/calls/remoteNode.js';
-import { nodeConnections } from '../src/plugins/calls/upstreamPool.js';
+import { nodeConnections } from '../src/plugins/calls/nodeLinks.js';
 import type { AttemptFailureReport, AttemptListener, AttemptRequest } from '../src/types/calls.js';
 import { createManualTimer } from '../src/utils/timer.js';
 import { createEndpoint } from './support/fleet.js';
--- a/src/plugins/calls/answerWriters.ts
+++ b/src/plugins/calls/answerWriters.ts
@@ -5,7 +5,12 @@
 import type { ServerResponse } from 'node:http';
 import { createLinkPacing, type LinkPacing } from '../../core/calls/linkPacing.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
-import { createAnswerWriter, type AnswerWriter } from './callAnswers.js';
+import {
+  createAnswerWriter,
+  createResponseTarget,
+  type AnswerTarget,
+  type AnswerWriter,
+} from './callAnswers.js';
 import { headerIn } from './callHeaders.js';
 
 /** Answers up to this size are small, and so is the start of an answer of unknown size, in bytes. */
@@ -20,8 +25,8 @@
 const maxWaitingBytes = 1_024 * 1_024;
 
 export interface AnswerWriters {
-  /** Creates the writer of an answer that leaves the machine. */
-  acrossLink(response: ServerResponse): AnswerWriter;
+  /** Creates the writer of an answer to another node. */
+  toNode(target: AnswerTarget): AnswerWriter;
   /** Creates the writer of an answer to a peer that may be on the same machine. */
   toPeer(response: ServerResponse): AnswerWriter;
 }
@@ -35,7 +40,7 @@
 }
 
 interface PacedAnswerOptions {
-  readonly response: ServerResponse;
+  readonly target: AnswerTarget;
   readonly id: number;
   readonly pacing: LinkPacing;
   readonly timer: Timer;
@@ -44,12 +49,12 @@
 }
 
 const createPacedAnswer = (options: PacedAnswerOptions): PacedAnswer => {
-  const { response, id, pacing, timer, pump } = options;
+  const { target, id, pacing, timer, pump } = options;
   let waiting: Buffer[] = [];
   let waitingBytes = 0;
   let isHeadSent = false;
   /** The peer has not taken what was written. */
-  let isBlocked = response.writableNeedDrain;
+  let isBlocked = target.writableNeedDrain;
   let isEnding = false;
   let onRoom: (() => void) | undefined;
 
@@ -74,9 +79,9 @@
   };
 
   const write = (chunk: Buffer) => {
-    if (!response.write(chunk) && !isBlocked) {
+    if (!target.write(chunk) && !isBlocked) {
       isBlocked = true;
-      response.once('drain', onDrain);
+      target.once('drain', onDrain);
     }
   };
 
@@ -98,13 +103,13 @@
   };
 
   const send = (bytes: number) => {
-    if (response.destroyed) {
+    if (target.destroyed) {
       return;
     }
     isHeadSent = true;
     const chunk = takeWaiting(bytes);
     if (isEnding && waitingBytes === 0) {
-      response.end(chunk);
+      target.end(chunk);
       return;
     }
     write(chunk);
@@ -115,7 +120,7 @@
   };
 
   const part: AnswerWriter['part'] = (chunk, resume) => {
-    if (response.destroyed) {
+    if (target.destroyed) {
       return true;
     }
     waiting.push(chunk);
@@ -129,7 +134,7 @@
     pump();
     if (!isHeadSent) {
       isHeadSent = true;
-      response.flushHeaders();
+      target.flushHeaders();
     }
     if (hasRoom()) {
       return true;
@@ -139,9 +144,9 @@
   };
 
   if (isBlocked) {
-    response.once('drain', onDrain);
+    target.once('drain', onDrain);
   }
-  response.once('close', () => {
+  target.once('close', () => {
     waiting = [];
     waitingBytes = 0;
     pacing.commands.offer(id, 0, timer.now());
@@ -150,14 +155,17 @@
   const end = () => {
     isEnding = true;
     if (waitingBytes === 0) {
-      response.end();
+      target.end();
     }
   };
 
   return { part, end, send };
 };
 
-const plainWriters: AnswerWriters = { acrossLink: createAnswerWriter, toPeer: createAnswerWriter };
+const plainWriters: AnswerWriters = {
+  toNode: createAnswerWriter,
+  toPeer: (response) => createAnswerWriter(createResponseTarget(response)),
+};
 
 /** Creates the writers of a node. Without a rate of the link, answers are written as they come. */
 export const createAnswerWriters = (timer: Timer, linkMbps?: number): AnswerWriters => {
@@ -191,17 +199,17 @@
     }
   };
 
-  const paceAnswer = (response: ServerResponse): PacedAnswer => {
+  const paceAnswer = (target: AnswerTarget): PacedAnswer => {
     lastId += 1;
     const id = lastId;
-    const answer = createPacedAnswer({ response, id, pacing, timer, pump });
+    const answer = createPacedAnswer({ target, id, pacing, timer, pump });
     answers.set(id, answer);
-    response.once('close', () => answers.delete(id));
+    target.once('close', () => answers.delete(id));
     return answer;
   };
 
-  const acrossLink: AnswerWriters['acrossLink'] = (response) => {
-    const plain = createAnswerWriter(response);
+  const acrossLink = (target: AnswerTarget): AnswerWriter => {
+    const plain = createAnswerWriter(target);
     let smallLeft = smallBytes;
     let paced: PacedAnswer | undefined;
     return {
@@ -218,7 +226,7 @@
           return plain.part(chunk, resume);
         }
         plain.begin();
-        paced ??= paceAnswer(response);
+        paced ??= paceAnswer(target);
         return paced.part(chunk, resume);
       },
       end: () => (paced ?? plain).end(),
@@ -226,10 +234,11 @@
   };
 
   return {
-    acrossLink,
+    toNode: acrossLink,
     toPeer: (response) => {
       const { remoteAddress, localAddress } = response.req.socket;
-      return remoteAddress === localAddress ? createAnswerWriter(response) : acrossLink(response);
+      const target = createResponseTarget(response);
+      return remoteAddress === localAddress ? createAnswerWriter(target) : acrossLink(target);
     },
   };
 };
--- a/src/plugins/calls/callAnswers.ts
+++ b/src/plugins/calls/callAnswers.ts
@@ -89,24 +89,51 @@
   begin(): void;
 }
 
-const writeAnswerHead = (
-  response: ServerResponse,
-  head: AnswerHead,
-  extraHeaders: readonly string[],
-) => {
-  const headers = passAnswerHeaders(head.headers);
-  headers.push(...extraHeaders);
-  if (head.isReplayed) {
-    headers.push(replayedHeader, 'true');
-  }
-  response.writeHead(head.status, headers);
-};
+/** What an answer is written to: the response to a caller, or a connection to another node. */
+export interface AnswerTarget {
+  readonly destroyed: boolean;
+  readonly writableNeedDrain: boolean;
+  /** Takes the head, which is written with the first part or by `flushHeaders`. */
+  writeAnswerHead(head: AnswerHead, extraHeaders: readonly string[]): void;
+  flushHeaders(): void;
+  write(chunk: Buffer): boolean;
+  end(chunk?: Buffer): void;
+  destroy(): void;
+  once(event: 'drain' | 'close', listener: () => void): unknown;
+}
+
+/** Creates the target of an answer to a caller. */
+export const createResponseTarget = (response: ServerResponse): AnswerTarget => ({
+  get destroyed() {
+    return response.destroyed;
+  },
+  get writableNeedDrain() {
+    return response.writableNeedDrain;
+  },
+  writeAnswerHead: (head, extraHeaders) => {
+    const headers = passAnswerHeaders(head.headers);
+    headers.push(...extraHeaders);
+    if (head.isReplayed) {
+      headers.push(replayedHeader, 'true');
+    }
+    response.writeHead(head.status, headers);
+  },
+  flushHeaders: () => response.flushHeaders(),
+  write: (chunk) => response.write(chunk),
+  end: (chunk) => {
+    response.end(chunk);
+  },
+  destroy: () => {
+    response.destroy();
+  },
+  once: (event, listener) => response.once(event, listener),
+});
 
 /**
  * Creates the writer of an answer. The head is written with the first part: until then an answer
  * that breaks can be replaced by a refusal, instead of closing the connection without an answer.
  */
-export const createAnswerWriter = (response: ServerResponse): HeadWriter => {
+export const createAnswerWriter = (target: AnswerTarget): HeadWriter => {
   let writeHead: (() => void) | undefined;
   let isFull = false;
 
@@ -119,17 +146,17 @@
   return {
     begin,
     head: (head, extraHeaders) => {
-      writeHead = () => writeAnswerHead(response, head, extraHeaders);
+      writeHead = () => target.writeAnswerHead(head, extraHeaders);
     },
     part: (chunk, resume) => {
       begin();
-      if (response.write(chunk)) {
+      if (target.write(chunk)) {
         return true;
       }
       // An answer that cannot be paused brings further parts meanwhile.
       if (!isFull) {
         isFull = true;
-        response.once('drain', () => {
+        target.once('drain', () => {
           isFull = false;
           resume();
         });
@@ -139,10 +166,10 @@
     end: () => {
       try {
         begin();
-        response.end();
+        target.end();
       } catch {
         // A head that cannot be written: the call is over and nobody else would end its connection.
-        response.destroy();
+        target.destroy();
       }
     },
   };
--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -53,12 +53,19 @@
   /** Time after which a peer that does not take its answer is cut off, in ms. */
   readonly peerSilenceMs?: number;
   readonly onCall: (request: IncomingMessage, response: ServerResponse) => void;
+  /**
+   * Takes a connection whose peer asks for another protocol, with the first bytes of it. It says
+   * itself when the connection is busy, see `setBusy`. Default: such requests are calls like others.
+   */
+  readonly onUpgrade?: (request: IncomingMessage, socket: Socket, first: Buffer) => void;
 }
 
 export interface CallListener {
   listen(): Promise<Address>;
   /** Registers what ends the call on a connection before its answer. */
   guard(request: IncomingMessage, guard: CallGuard): void;
+  /** Marks a connection of another protocol as one that carries a call, or as idle. */
+  setBusy(socket: Socket, isBusy: boolean): void;
   /** Answers from now on close their connections. */
   drain(): void;
   isDraining(): boolean;
@@ -86,6 +93,8 @@
   const guards = new Map<Socket, CallGuard>();
   const sockets = new Set<Socket>();
   const running = new Map<Socket, ServerResponse>();
+  /** Connections of another protocol that carry a call. */
+  const busy = new Set<Socket>();
   let draining = false;
   let lastActiveAt = 0;
   let accepted = 0;
@@ -142,6 +151,24 @@
     socket.once('close', () => sockets.delete(socket));
   });
 
+  const { onUpgrade } = options;
+  if (onUpgrade) {
+    server.on('upgrade', (request: IncomingMessage, socket: Socket, first: Buffer) =>
+      onUpgrade(request, socket, first),
+    );
+  }
+
+  const setBusy = (socket: Socket, isBusy: boolean) => {
+    lastActiveAt = timer.now();
+    if (isBusy) {
+      busy.add(socket);
+    } else {
+      busy.delete(socket);
+    }
+  };
+
+  const active = () => running.size + busy.size;
+
   server.setTimeout(options.peerSilenceMs ?? defaultPeerSilenceMs, (socket) => {
     const response = running.get(socket);
     // A call that waits for its answer is bounded by its deadline instead.
@@ -204,13 +231,13 @@
   };
 
   const isQuiet = (): boolean =>
-    running.size === 0 &&
+    active() === 0 &&
     (sockets.size === 0 || timer.now() - lastActiveAt >= options.stopTimes.idleMs);
 
   /** Closes the connections without a call. What arrives on them later was not read. */
   const closeIdle = () =>
     sockets.forEach((socket) => {
-      if (!running.has(socket)) {
+      if (!running.has(socket) && !busy.has(socket)) {
         socket.destroy();
       }
     });
@@ -231,7 +258,7 @@
         closeIdle();
       }
     }
-    server.closeAllConnections();
+    sockets.forEach((socket) => socket.destroy());
   };
 
   return {
@@ -241,7 +268,8 @@
     },
     drain,
     isDraining: () => draining,
-    active: () => running.size,
+    setBusy,
+    active,
     stop,
   };
 };
--- a/src/plugins/calls/nodeLines.ts
+++ b/src/plugins/calls/nodeLines.ts
@@ -9,7 +9,7 @@
 import type { Timer } from '../../utils/timer.js';
 import { createAdmissionQueue, type AdmissionQueue } from './admissionQueue.js';
 import type { RemoteNodes } from './remoteNode.js';
-import { nodeConnections } from './upstreamPool.js';
+import { nodeConnections } from './nodeLinks.js';
 
 const createLine = (timer: Timer): AdmissionQueue =>
   createAdmissionQueue(createAdmission({ slots: nodeConnections, isAdaptive: false }), timer);
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -30,7 +30,7 @@
 import { formatAddress, type Address } from '../rpc.js';
 import { createUpstreamAnnouncement, type UpstreamAnnouncement } from './upstreamAnnouncement.js';
 import { ownCallInterface } from './ownCallInterface.js';
-import { createNodePools } from './upstreamPool.js';
+import { createNodeLinks } from './nodeLinks.js';
 
 const housekeepingMs = 1_000;
 
@@ -97,11 +97,10 @@
   const starts = createCallStarts(timer, callMetrics.recordStartDelay);
   const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision, starts);
   const writers = createAnswerWriters(timer, options.linkMbps);
-  const pools = createNodePools();
+  const links = createNodeLinks({ timer, authorization: access.authorization });
   const remote = createRemoteNodes({
-    pools,
+    links,
     timer,
-    authorization: access.authorization,
     onLoad: (endpointId, load) => evidence.commands.recordLoad(endpointId, load, timer.now()),
   });
   const runner = createCallRunner({
@@ -228,7 +227,7 @@
 
   const keepHouse = () => {
     const now = timer.now();
-    pools.closeUnused(now);
+    links.closeUnused();
     holding.queries.current()?.clusters.forEach(({ service, endpoints }) => {
       evidence.commands.retain(
         service,
@@ -260,7 +259,7 @@
     upstream.commands.leave();
     await Promise.all([calls.stop(limitMs), forward.stop(limitMs)]);
     await Promise.race([atMostOnce.settled(), timer.sleep(Math.min(limitMs, settleLimitMs))]);
-    await pools.destroy();
+    links.destroy();
     await upstream.commands.stop();
     await admin.close();
   };
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -2,175 +2,196 @@
  * Sends an attempt to the node beside another upstream and reads its refusals. A refusal of that
  * node says itself whether the call may have run.
  */
-import { retriedHeader } from '../../core/calls/retry.js';
 import type { EndpointLoad } from '../../core/calls/evidence.js';
 import type { Endpoint } from '../../types/public.js';
 import type {
-  AnswerHead,
   AttemptFailureReport,
   AttemptListener,
   AttemptRequest,
   RunningAttempt,
 } from '../../types/calls.js';
-import { failureTable, type FailureReason } from '../../utils/failure.js';
-import type { Timer } from '../../utils/timer.js';
-import {
-  attemptIdHeader,
-  byUpstreamHeader,
-  callerAuthorizationHeader,
-  callerHeader,
-  classHeader,
-  deadlineHeader,
-  headerIn,
-  loadHeader,
-  maxWaitHeader,
-  priorityHeader,
-  rankHeader,
-  refusalHeader,
-  requestIdHeader,
-  retryAfterMsHeader,
-  runHeader,
-  serviceHeader,
-} from './callHeaders.js';
-import { startExchange } from './exchange.js';
-import type { NodePools } from './upstreamPool.js';
-
-/** Digits of a rank on the way: few of the calls that wait at a gate have the same one. */
-const rankDigits = 4;
+import type { FailureReason } from '../../utils/failure.js';
+import type { Cancel, Timer } from '../../utils/timer.js';
+import { attemptIdHeader, headerIn, loadHeader } from './callHeaders.js';
+import type { Frame } from './linkFrames.js';
+import { parseLoad, readAnswerHead, readRefusalHead, type CallHead } from './linkHeads.js';
+import type { NodeLinks } from './nodeLinks.js';
+
+/**
+ * Time between two parts of an answer's body after which its connection counts as silent, in ms. A
+ * call that has more time left waits for as long.
+ */
+const bodySilenceMs = 5_000;
 
 export interface RemoteNodes {
   send(endpoint: Endpoint, request: AttemptRequest, listener: AttemptListener): RunningAttempt;
 }
 
 export interface RemoteNodesOptions {
-  readonly pools: NodePools;
+  readonly links: NodeLinks;
   readonly timer: Timer;
-  readonly authorization: string;
   readonly onLoad: (endpointId: string, load: EndpointLoad) => void;
 }
 
-/** Parses `x-load`: in flight, limit, waiting and, if it is known, the work in ms. */
-export const parseLoad = (text: string): EndpointLoad | undefined => {
-  const [inFlight, limit, waiting, workMs] = text.split(',').map(Number);
-  const isCount = (value: number | undefined) => Number.isSafeInteger(value) && value! >= 0;
-  if (![inFlight, limit, waiting].every(isCount)) {
-    return undefined;
-  }
-  const load = { inFlight: inFlight!, limit: limit!, waiting: waiting! };
-  return isCount(workMs) ? { ...load, workMs } : load;
-};
-
-/** Text form of a load for `x-load`. */
-export const formatLoad = ({ inFlight, limit, waiting, workMs }: EndpointLoad): string =>
-  [inFlight, limit, waiting, ...(workMs === undefined ? [] : [Math.round(workMs)])].join(',');
-
-const readRefusal = ({ headers }: AnswerHead): AttemptFailureReport | undefined => {
-  const reason = headerIn(headers, refusalHeader);
-  if (reason === undefined || !Object.hasOwn(failureTable, reason)) {
-    return undefined;
-  }
-  const retryAfterMs = Number(headerIn(headers, retryAfterMsHeader));
-  return {
-    reason: reason as FailureReason,
-    run: headerIn(headers, runHeader) === 'not_run' ? 'not_run' : 'may_have_run',
-    retried: headerIn(headers, retriedHeader) === 'true',
-    byUpstream: headerIn(headers, byUpstreamHeader) === 'true',
-    retryAfterMs: retryAfterMs > 0 ? retryAfterMs : undefined,
-  };
-};
+const headOf = (request: AttemptRequest, now: number): CallHead => ({
+  attemptId: request.attemptId,
+  requestId: request.requestId,
+  className: request.className,
+  service: request.service,
+  caller: request.caller,
+  priority: request.priority,
+  rank: request.rank,
+  maxWaitMs: request.maxWaitMs,
+  deadlineMs: Math.max(0.1, request.deadlineAt - now),
+  method: request.method,
+  path: request.path,
+  headers: request.headers,
+  bodyKind: request.body.kind,
+});
 
 /** Creates the sender of attempts to other nodes. */
-export const createRemoteNodes = ({
-  pools,
-  timer,
-  authorization,
-  onLoad,
-}: RemoteNodesOptions): RemoteNodes => {
-  const headersTo = (request: AttemptRequest): string[] => {
-    const headers: string[] = [];
-    for (let index = 0; index + 1 < request.headers.length; index += 2) {
-      const name = request.headers[index]!;
-      headers.push(
-        name === 'authorization' ? callerAuthorizationHeader : name,
-        request.headers[index + 1]!,
-      );
-    }
-    headers.push(
-      'authorization',
-      authorization,
-      requestIdHeader,
-      request.requestId,
-      attemptIdHeader,
-      request.attemptId,
-      classHeader,
-      request.className,
-      serviceHeader,
-      request.service,
-      callerHeader,
-      request.caller,
-      priorityHeader,
-      String(request.priority),
-      rankHeader,
-      request.rank.toFixed(rankDigits),
-      maxWaitHeader,
-      String(request.maxWaitMs),
-      deadlineHeader,
-      Math.max(0.1, request.deadlineAt - timer.now()).toFixed(1),
-    );
-    return headers;
-  };
-
+export const createRemoteNodes = ({ links, timer, onLoad }: RemoteNodesOptions): RemoteNodes => {
   const send: RemoteNodes['send'] = (endpoint, request, listener) => {
-    let refusal: AttemptFailureReport | undefined;
+    const address = endpoint.forwardAddress;
     const now = timer.now();
+    let isOver = false;
+    let isAnswered = false;
+    let partAt = now;
+
     if (request.needsFreshConnection) {
-      pools.renew(endpoint.forwardAddress, now);
+      links.renew(address);
     }
-    const remainingMs = request.deadlineAt - now;
-    const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
-    return startExchange({
-      dispatcher: pools.to(endpoint.forwardAddress, now),
-      timer,
-      method: request.method,
-      path: request.path,
-      headers: headersTo(request),
-      body: request.body,
-      headTimeoutMs: Math.max(1, headTimeoutMs),
-      remainingMs,
-      judgeHead: (_status, headers) =>
-        headerIn(headers, attemptIdHeader) === request.attemptId &&
-        (headerIn(headers, requestIdHeader) ?? request.requestId) === request.requestId
-          ? undefined
-          : 'the answer names another attempt',
-      acceptsUnframed: false,
-      listener: {
-        onHead: (head) => {
-          const load = parseLoad(headerIn(head.headers, loadHeader) ?? '');
-          if (load) {
-            onLoad(endpoint.id, load);
-          }
-          refusal = readRefusal(head);
-          if (!refusal) {
-            listener.onHead(head);
-          }
-        },
-        onData: (chunk) => (refusal ? true : listener.onData(chunk)),
-        onEnd: () => {
-          if (refusal) {
-            listener.onFailure(refusal);
-          } else {
-            listener.onEnd();
-          }
-        },
-        onFailure: (failure) => {
-          // Other connections to that node may have gone silent with this one.
-          if (!refusal && failure.reason === 'deadline_exceeded') {
-            pools.renew(endpoint.forwardAddress, timer.now());
+
+    const finish = (): boolean => {
+      if (isOver) {
+        return false;
+      }
+      isOver = true;
+      cancelLimit();
+      return true;
+    };
+
+    /** Ends the attempt with the connection, since what may follow on it is not known. */
+    const fail = (reason: FailureReason, detail: string) => {
+      if (finish()) {
+        const run = exchange.isSent() ? 'may_have_run' : 'not_run';
+        exchange.destroy();
+        listener.onFailure({ reason, run, detail, retried: false });
+      }
+    };
+
+    const onSilence = () => {
+      // Other connections to that node may have gone silent with this one.
+      links.renew(address);
+      fail(
+        exchange.isSent() ? 'deadline_exceeded' : 'upstream_unreachable',
+        'no answer within the time limit',
+      );
+    };
+
+    const watchBody = () => {
+      const silenceMs = Math.max(bodySilenceMs, request.deadlineAt - now);
+      const waitMs = partAt + silenceMs - timer.now();
+      cancelLimit = waitMs > 0 ? timer.after(waitMs, watchBody) : cancelLimit;
+      if (waitMs <= 0) {
+        onSilence();
+      }
+    };
+
+    const noteLoad = (text: string | undefined) => {
+      const load = parseLoad(text ?? '');
+      if (load) {
+        onLoad(endpoint.id, load);
+      }
+    };
+
+    const takeAnswer = ({ head, body }: Frame): boolean => {
+      const answer = readAnswerHead(head);
+      if (!answer || headerIn(answer.headers, attemptIdHeader) !== request.attemptId) {
+        fail('answer_mismatch', 'the answer names another attempt');
+        return true;
+      }
+      isAnswered = true;
+      cancelLimit();
+      partAt = timer.now();
+      watchBody();
+      noteLoad(headerIn(answer.headers, loadHeader));
+      listener.onHead(answer);
+      return isOver || body.length === 0 || listener.onData(body);
+    };
+
+    const takeRefusal = ({ head }: Frame): boolean => {
+      const refusal = readRefusalHead(head);
+      if (!refusal || refusal.attemptId !== request.attemptId || isAnswered) {
+        fail('answer_mismatch', 'the refusal names another attempt');
+        return true;
+      }
+      noteLoad(refusal.load);
+      if (finish()) {
+        exchange.release();
+        listener.onFailure(refusal.failure);
+      }
+      return true;
+    };
+
+    const handlers: Partial<Record<Frame['kind'], (frame: Frame) => boolean>> = {
+      answer: takeAnswer,
+      refusal: takeRefusal,
+      part: ({ body }) => {
+        partAt = timer.now();
+        return isOver || listener.onData(body);
+      },
+      end: () => {
+        if (!isAnswered) {
+          fail('answer_mismatch', 'an answer without a head');
+        } else if (finish()) {
+          exchange.release();
+          listener.onEnd();
+        }
+        return true;
+      },
+    };
+
+    const onClosed = (detail: string) => {
+      if (finish()) {
+        const isSent = exchange.isSent();
+        const failure: AttemptFailureReport = {
+          reason: isSent ? 'upstream_failed' : 'upstream_unreachable',
+          run: isSent ? 'may_have_run' : 'not_run',
+          detail,
+          retried: false,
+        };
+        listener.onFailure(failure);
+      }
+    };
+
+    const headTimeoutMs = Math.max(1, Math.min(request.headTimeoutMs, request.deadlineAt - now));
+    let cancelLimit: Cancel = timer.after(headTimeoutMs, onSilence);
+    const exchange = links.send(
+      address,
+      { head: headOf(request, now), body: request.body },
+      {
+        onFrame: (frame) => {
+          const handle = handlers[frame.kind];
+          if (!handle) {
+            fail('answer_mismatch', `a frame of kind ${frame.kind}`);
+            return true;
           }
-          listener.onFailure(refusal ?? failure);
+          return handle(frame);
         },
+        onClosed,
+      },
+    );
+
+    return {
+      abort: () => {
+        if (finish()) {
+          exchange.cancel();
+        }
       },
-    });
+      resume: () => exchange.resume(),
+      mayHaveRun: () => exchange.isSent(),
+    };
   };
 
   return { send };
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -27,7 +27,7 @@
 import { createLocalUpstream } from './localUpstream.js';
 import { createNodeLines } from './nodeLines.js';
 import { createRemoteNodes } from './remoteNode.js';
-import { createNodePools } from './upstreamPool.js';
+import { createNodeLinks } from './nodeLinks.js';
 
 /** Calls of a warm-up: the processor time of a call falls by four fifths within the first 40. */
 const callCount = 60;
@@ -131,7 +131,7 @@
     queries: { current: () => held, isDetached: () => false, confirmedAgeMs: () => 0 },
     onChange: () => () => undefined,
   };
-  const pools = createNodePools();
+  const links = createNodeLinks({ timer, authorization: access.authorization });
 
   /** A node with or without the upstream beside it: the latter forwards its calls. */
   const startNode = async (name: string, beside: typeof localUpstream) => {
@@ -144,9 +144,8 @@
       starts,
       remote: createNodeLines(
         createRemoteNodes({
-          pools,
+          links,
           timer,
-          authorization: access.authorization,
           onLoad: (id, load) => evidence.commands.recordLoad(id, load, timer.now()),
         }),
         timer,
@@ -198,7 +197,7 @@
   await Promise.all(Array.from({ length: callsAtATime }, sendInTurn));
 
   await Promise.all([...nodes.map(({ calls }) => calls), forward].map((part) => part.stop(0)));
-  await pools.destroy();
+  links.destroy();
   await localUpstream.commands.stop();
   upstream.close();
   return sent;
