Close the connection of an upstream after it refused a call

What callers could see: 'not run, try again' for a request that an upstream was running, or a second run of it at another endpoint. Reported by another operator: a faulty upstream writes an earlier refusal once more on a kept connection. Cause: a refusal was taken for the answer to whatever request was under way on the connection if it carried no id, or the id of an earlier attempt of the same request. The report of answers that stop within their head was looked into in the same file: answers with a length, in chunks, ended by the connection and after an interim one, cut after each byte, and cut heads on kept connections.

--- a/__tests__/upstreamAnswers.test.ts
+++ b/__tests__/upstreamAnswers.test.ts
@@ -18,6 +18,7 @@
   script: (socket: Socket, requestNumber: number) => void,
   calls = 1,
   takesMore = true,
+  idOf = (number: number) => `r${number}`,
 ): Promise<Outcome[]> => {
   const sockets = new Set<Socket>();
   let requests = 0;
@@ -50,7 +51,7 @@
       upstream.commands.send(
         {
           attemptId: `a${number}`,
-          requestId: `r${number}`,
+          requestId: idOf(number),
           className: 'c',
           service: 's',
           caller: '',
@@ -59,7 +60,7 @@
           maxWaitMs: 1_000,
           method: 'GET',
           path: '/',
-          headers: ['host', 'h', 'request-id', `r${number}`],
+          headers: ['host', 'h', 'request-id', idOf(number)],
           body: { kind: 'none' },
           deadlineAt: timer.now() + 1_500,
           headTimeoutMs: 1_500,
@@ -94,6 +95,9 @@
 const head = (id: string, ...lines: string[]) =>
   ['HTTP/1.1 200 OK', `Request-Id: ${id}`, ...lines, '', ''].join('\r\n');
 
+const refusal = (...lines: string[]) =>
+  ['HTTP/1.1 503 Busy', ...lines, 'Not-Executed: 1', 'Content-Length: 0', '', ''].join('\r\n');
+
 describe('answers of an upstream', () => {
   it('without a length are whole if the connection ends', async () => {
     const [outcome] = await sendTo((socket) => socket.end(`${head('r1')}all of it`));
@@ -207,11 +211,73 @@
   });
 
   it('that say that the request was not run allow it to be sent again', async () => {
-    const [outcome] = await sendTo((socket) =>
-      socket.write(
-        'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n',
-      ),
-    );
+    const [outcome] = await sendTo((socket) => socket.write(refusal('Request-Id: r1')));
     assert.deepEqual([outcome?.status, outcome?.end], [0, 'overloaded not_run']);
   });
+
+  // Guards against an earlier refusal, written once more, that stands for the answer to a request that runs.
+  const refusals: Record<string, string> = {
+    'with the id': refusal('Request-Id: r1'),
+    'without an id': refusal(),
+    'for another instance': refusal('Request-Id: r1').replace('503 Busy', '421 Other'),
+    'for another instance without an id': refusal().replace('503 Busy', '421 Other'),
+  };
+  const nextIds = { 'the same request': 'r1', 'another request': 'r2' };
+  Object.entries(refusals).forEach(([kind, text]) =>
+    Object.entries(nextIds).forEach(([next, nextId]) =>
+      it(`that refuse ${kind} are not taken for the answer to ${next} if they come once more`, async () => {
+        let refused: Socket | undefined;
+        const outcomes = await sendTo(
+          (socket) => {
+            refused ??= socket;
+            const answer = `${head(nextId, 'Content-Length: 3')}one`;
+            socket.write(socket === refused ? text : answer);
+          },
+          2,
+          true,
+          (number) => (number === 1 ? 'r1' : nextId),
+        );
+        assert.match(outcomes[0]!.end, / not_run$/);
+        assert.equal(outcomes[1]!.end, 'whole');
+      }),
+    ),
+  );
+
+  // Guards against an answer that looks whole although its upstream stopped in the middle of it.
+  const answers: Record<string, readonly [head: string, rest: string]> = {
+    'with a length': [head('r1', 'Content-Length: 3'), 'one'],
+    'in chunks': [head('r1', 'Transfer-Encoding: chunked'), '3\r\none\r\n0\r\n\r\n'],
+    'that the connection ends': [head('r1', 'Connection: close'), ''],
+    'after an interim one': [
+      `HTTP/1.1 103 Early Hints\r\n\r\n${head('r1', 'Connection: close')}`,
+      '',
+    ],
+  };
+  Object.entries(answers).forEach(([kind, [start, rest]]) =>
+    it(`${kind} are broken wherever they break off`, async () => {
+      const text = start + rest;
+      for (let cut = 1; cut < text.length; cut += 1) {
+        const [outcome] = await sendTo((socket) => socket.end(text.slice(0, cut)));
+        assert.deepEqual(
+          [outcome?.status, outcome?.end],
+          [cut < start.length ? 0 : 200, 'upstream_failed may_have_run'],
+          `after ${cut} of ${text.length} bytes`,
+        );
+      }
+    }),
+  );
+
+  it('on a kept connection are broken if it ends within the head of the next one', async () => {
+    const whole = `${head('r1', 'Content-Length: 3', 'Connection: keep-alive')}one`;
+    for (const cut of [1, 9, 17, 30, 40]) {
+      const outcomes = await sendTo((socket, number) => {
+        if (number === 1) {
+          socket.write(whole);
+          return;
+        }
+        socket.end(head('r2', 'Connection: close').slice(0, cut));
+      }, 2);
+      assert.equal(outcomes[1]?.end, 'upstream_failed may_have_run', `after ${cut} bytes`);
+    }
+  });
 });
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -191,20 +191,19 @@
           reportedLoad.running < reportedLoad.slots &&
           reportedLoad.waiting === 0;
         listener.onFailure(refusedReport(reason, request.className, true));
+        // The refusal could come once more and be taken for the answer to a second attempt.
+        exchange?.abort();
+        finish(endOutcome());
       },
-      onData: (chunk) => (isTurnedAway ? true : listener.onData(chunk)),
+      onData: (chunk) => listener.onData(chunk),
       onEnd: () => {
         finish(endOutcome());
-        if (!isTurnedAway) {
-          listener.onEnd();
-        }
+        listener.onEnd();
       },
       onFailure: (failure) => {
         isUnreachable = failure.reason === 'upstream_unreachable';
         finish('failed');
-        if (!isTurnedAway) {
-          listener.onFailure(failure);
-        }
+        listener.onFailure(failure);
       },
     };
 
