Keep one odd entry from costing the other endpoints of a list

What operators could see: nodes that end again and again, or stop following the list of endpoints. Reported by another operator: another writer left one odd entry, very deeply nested, with a number too large or with a port out of range. Cause: the reader of a record threw, so that the whole report or update with it was refused, again and again. A check-in with more slots than the wire format holds could not be encoded; one with a start or number far ahead made all later check-ins of the endpoint count as outdated; a port out of range reached the connection pool, which throws, in a retry outside of any call. Change: check-ins are refused if their numbers, id, address or port make no sense. A record is read as it is and carried on, since digests cover it, but nothing is sent to it. Findings show 200 characters of a value at most.

--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -142,8 +142,20 @@
     );
   });
 
+  // Guards against an entry that is passed on and makes every reader of the list refuse it.
   it('of another writer name no endpoint', () => {
+    const now = checkIn.born + 60_000;
+    const nested = JSON.parse(`${'['.repeat(5_000)}${']'.repeat(5_000)}`);
     const others = [
+      nested,
+      { ...checkIn, slots: nested },
+      { ...checkIn, slots: 2 ** 32 },
+      { ...checkIn, slots: 1e300 },
+      { ...checkIn, born: Number.MAX_SAFE_INTEGER },
+      { ...checkIn, sequence: Number.MAX_SAFE_INTEGER },
+      { ...checkIn, address: '10.128.0.9:65536' },
+      { ...checkIn, address: '10.128.0.9:0' },
+      { ...checkIn, address: '10.128.0.9:-1' },
       {},
       [],
       null,
@@ -152,8 +164,12 @@
       { ...checkIn, slots: '18' },
     ];
     others.forEach((value) =>
-      assert.throws(() => readCheckIn('i-1', value), { reason: 'malformed_message' }),
+      assert.throws(() => readCheckIn('i-1', value, now), { reason: 'malformed_message' }),
     );
+    ['', 'i 1', 'i\r\n1', 'i'.repeat(129)].forEach((id) =>
+      assert.throws(() => readCheckIn(id, checkIn, now), { reason: 'malformed_message' }),
+    );
+    assert.equal(readCheckIn('i-1', checkIn, now).instance, 'i-1');
   });
 });
 
--- a/src/core/distribution/registry.ts
+++ b/src/core/distribution/registry.ts
@@ -6,6 +6,7 @@
  */
 import type { Cluster, Endpoint } from '../../types/public.js';
 import { leaseMs } from './branches.js';
+import { createCluster } from './usableEndpoints.js';
 import { createClusterLog, recordChange, settle, type ClusterLog } from './clusterLog.js';
 
 /** Time after the start in which all live nodes have reported again. */
@@ -119,7 +120,7 @@
         new Map(
           [...logs].map(([service, { endpoints }]) => [
             service,
-            { service, endpoints: [...endpoints.values()] },
+            createCluster(service, endpoints.values()),
           ]),
         ),
       isSettling: () => settling,
--- a/src/platform/checkIns.ts
+++ b/src/platform/checkIns.ts
@@ -13,11 +13,14 @@
 import { listenHttp } from '../plugins/httpListen.js';
 import { sendError, sendJson, type CheckState } from '../plugins/operators/adminServer.js';
 import { parseJsonText, readText } from '../plugins/readText.js';
-import { parseAddress, type Address } from '../plugins/rpc.js';
+import type { Address } from '../utils/address.js';
+import { isConnectable } from '../utils/address.js';
+import { maxSlots } from '../core/distribution/usableEndpoints.js';
 import { Failure } from '../utils/failure.js';
 import { formatFinding } from '../utils/findings.js';
 import type { Log } from '../utils/log.js';
 import { checkValue } from '../utils/settings.js';
+import type { Timer } from '../utils/timer.js';
 import { productName } from './documents.js';
 
 const maxCheckInBytes = 16 * 1_024;
@@ -26,25 +29,43 @@
 
 const checkInSchema = z.object({
   service: z.string().min(1),
-  address: z.string().refine((text) => parseAddress(text) !== undefined, 'ip:port'),
-  slots: z.int().min(1),
+  address: z.string().refine(isConnectable, 'ip:port'),
+  slots: z.int().min(1).max(maxSlots),
   state: z.enum(['ready', 'draining']),
   sequence: z.int().min(0),
   /** Start of the endpoint's process, in ms since 1970. */
   born: z.int().min(0),
 });
 
+/** The id is sent to the endpoint as a header, and told to other nodes. */
+const instancePattern = /^[\x21-\x7e]{1,128}$/;
+/**
+ * Clocks of two machines differ by seconds. A start or a number that lies further ahead would let
+ * all later check-ins of the endpoint count as outdated.
+ */
+const maxAheadMs = 24 * 60 * 60 * 1_000;
+
 const departureSchema = z.object({ born: z.int().min(0) });
 
 const states = { ready: 'ready', draining: 'leaving' } as const;
 
-/** Decodes a check-in. Throws `malformed_message` for what another writer sent. */
-export const readCheckIn = (instance: string, value: unknown): UpstreamReport => {
+/**
+ * Decodes a check-in that arrives at the time of day `now`, in ms. Throws `malformed_message` for
+ * what another writer sent.
+ */
+export const readCheckIn = (instance: string, value: unknown, now = Infinity): UpstreamReport => {
   const { output, findings } = checkValue(value, 'check-in', checkInSchema);
   if (!output) {
     throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
   }
   const { service, address, slots, state, sequence, born } = output;
+  if (!instancePattern.test(instance)) {
+    throw new Failure('malformed_message', 'id: 1 to 128 visible ASCII characters');
+  }
+  // An endpoint checks in far less than once in a millisecond.
+  if (born > now + maxAheadMs || sequence > now - born + maxAheadMs) {
+    throw new Failure('malformed_message', `born ${born}, sequence ${sequence}: not reached yet`);
+  }
   return {
     service: productName(service),
     address,
@@ -62,6 +83,7 @@
   readonly ready: Address;
   readonly announcement: UpstreamAnnouncement;
   readonly isReady: () => CheckState;
+  readonly timer: Timer;
   readonly log: Log;
 }
 
@@ -72,11 +94,15 @@
 
 /** Creates the servers for check-ins and for readiness. */
 export const createCheckInServer = (options: CheckInOptions): CheckInServer => {
-  const { announcement, log } = options;
+  const { announcement, log, timer } = options;
   const takeCheckIn = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
     announcement.take(
-      readCheckIn(instance, parseJsonText(await readText(request, maxCheckInBytes))),
+      readCheckIn(
+        instance,
+        parseJsonText(await readText(request, maxCheckInBytes)),
+        timer.wallClock(),
+      ),
     );
     sendJson(response, 200, {});
   };
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -52,6 +52,7 @@
             ready: listenAddress(settings, 'ready'),
             announcement,
             isReady: ready,
+            timer,
             log: log.part('checkIns'),
           }),
       },
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -17,7 +17,8 @@
 import { sendError, sendJson } from '../operators/adminServer.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { readText } from '../readText.js';
-import { parseAddress } from '../rpc.js';
+import { maxSlots } from '../../core/distribution/usableEndpoints.js';
+import { isConnectable } from '../../utils/address.js';
 
 /** Time within which the upstream has to renew its announcement, in ms. */
 const defaultRenewWithinMs = 3_000;
@@ -32,11 +33,10 @@
 const lateReportsMs = 10_000;
 /** Ended upstreams that are remembered; one at a time has its place beside a node. */
 const maxDeparted = 64;
-const maxSlots = 10_000;
 
 const announcementSchema = z.strictObject({
   service: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/, 'the name of a service'),
-  address: z.string().refine((text) => parseAddress(text) !== undefined, 'ip:port'),
+  address: z.string().refine(isConnectable, 'ip:port'),
   slots: z.int().min(1).max(maxSlots),
   connections: z.int().min(1).max(maxSlots),
   state: z.enum(['ready', 'leaving']),
--- a/src/plugins/distribution/feedMessages.ts
+++ b/src/plugins/distribution/feedMessages.ts
@@ -71,25 +71,24 @@
   index: BigInt(index),
 });
 
-export const readEndpoint = (record: EndpointRecord): Endpoint => {
-  if (record.state !== 'ready' && record.state !== 'leaving') {
-    throw new Failure('malformed_message', `endpoint state ${record.state}`);
-  }
-  return {
-    id: checkText(record.id, 'endpoint.id'),
-    service: checkText(record.service, 'endpoint.service'),
-    dataCentre: checkText(record.dataCentre, 'endpoint.data_centre'),
-    region: checkText(record.region, 'endpoint.region'),
-    address: checkText(record.address, 'endpoint.address'),
-    forwardAddress: checkText(record.forwardAddress, 'endpoint.forward_address'),
-    slots: record.slots,
-    connections: record.connections,
-    state: record.state,
-    incarnation: readNumber(record.incarnation, 'endpoint.incarnation'),
-    sequence: readNumber(record.sequence, 'endpoint.sequence'),
-    node: checkText(record.node, 'endpoint.node'),
-  };
-};
+/**
+ * Reads the record of an endpoint as it is: one that makes no sense must not cost the others of its
+ * message, see `usableEndpoints.ts`.
+ */
+export const readEndpoint = (record: EndpointRecord): Endpoint => ({
+  id: record.id,
+  service: record.service,
+  dataCentre: record.dataCentre,
+  region: record.region,
+  address: record.address,
+  forwardAddress: record.forwardAddress,
+  slots: record.slots,
+  connections: record.connections,
+  state: record.state as Endpoint['state'],
+  incarnation: Number(record.incarnation),
+  sequence: Number(record.sequence),
+  node: record.node,
+});
 
 export const writeEndpoint = (endpoint: Endpoint) => ({
   ...endpoint,
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -52,6 +52,7 @@
   writeWithdrawal,
 } from './feedMessages.js';
 import { createNodeClusters } from '../../core/distribution/nodeClusters.js';
+import { createCluster } from '../../core/distribution/usableEndpoints.js';
 import { createParentLoop } from './parentLoop.js';
 
 const tickMs = 500;
@@ -142,7 +143,7 @@
     state.queries.wanted().forEach((service) => {
       const clusterLog = clusters.queries.log(service);
       if (clusterLog && !state.queries.current()?.clusters.has(service)) {
-        state.commands.stageCluster({ service, endpoints: [...clusterLog.endpoints.values()] });
+        state.commands.stageCluster(createCluster(service, clusterLog.endpoints.values()));
       }
     });
   };
@@ -215,7 +216,7 @@
     const clusterLog = clusters.queries.log(service);
     if (result === 'applied' && clusterLog) {
       refusals = 0;
-      state.commands.stageCluster({ service, endpoints: [...clusterLog.endpoints.values()] });
+      state.commands.stageCluster(createCluster(service, clusterLog.endpoints.values()));
       server.publish();
       activate();
     }
--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -4,10 +4,11 @@
  * gone silent.
  */
 import { constants, createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
-import { isIP, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { ConnectRouter, Interceptor, Transport } from '@connectrpc/connect';
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
 import { Failure } from '../utils/failure.js';
+import type { Address } from '../utils/address.js';
 import { createRpcSessions } from './rpcSessions.js';
 
 /** Largest message that a process accepts, in bytes. */
@@ -26,22 +27,7 @@
 const idleConnectionTimeoutMs = 60_000;
 const defaultCallTimeoutMs = 5_000;
 
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
-/** Parses `ip:port`; IPv6 addresses stand in brackets. Returns undefined for any other text. */
-export const parseAddress = (text: string): Address | undefined => {
-  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
-  const host = match?.[1] ?? match?.[2] ?? '';
-  const port = Number(match?.[3]);
-  return isIP(host) !== 0 && port <= 65_535 ? { host, port } : undefined;
-};
-
-/** Text form of an address, as `parseAddress` reads it. */
-export const formatAddress = ({ host, port }: Address): string =>
-  host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+export { formatAddress, parseAddress, type Address } from '../utils/address.js';
 
 export interface RpcServer {
   listen(): Promise<Address>;
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -16,8 +16,18 @@
     root,
   );
 
-const describeValue = (value: unknown): string =>
-  value === undefined ? 'nothing' : (JSON.stringify(value) ?? String(value));
+/** Characters of a value that a finding shows. */
+const maxShownLength = 200;
+
+const describeValue = (value: unknown): string => {
+  try {
+    const text = value === undefined ? 'nothing' : (JSON.stringify(value) ?? String(value));
+    return text.length > maxShownLength ? `${text.slice(0, maxShownLength)}...` : text;
+  } catch {
+    // JSON is parsed at any depth, but written with one call for each level.
+    return 'values that are nested too deeply';
+  }
+};
 
 const formatPath = (path: readonly PropertyKey[]): string => path.map(String).join('.');
 
