--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -89,7 +89,7 @@
   upstreams: UpstreamInterface,
   random: () => number,
   logDecision?: BoundedLog,
-  starts: CallStarts = createCallStarts(timer),
+  starts: CallStarts = createCallStarts({ timer }),
 ): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let upstreamPool: UpstreamPool | undefined;
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -94,7 +94,7 @@
   const burn = createBurn();
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createBoundedLog(log.part('calls'), timer);
-  const starts = createCallStarts(timer, callMetrics.recordStartDelay);
+  const starts = createCallStarts({ timer, onDelay: callMetrics.recordStartDelay });
   const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision, starts);
   const writers = createAnswerWriters(timer, options.linkMbps);
   const links = createNodeLinks({ timer, authorization: access.authorization });
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -85,7 +85,7 @@
   const upstream = await startUpstream();
   const log = createSilentLog();
   const random = () => 0.5;
-  const starts = createCallStarts(timer);
+  const starts = createCallStarts({ timer });
   const localUpstream = createLocalUpstream(timer, callInterface.upstreams, random);
   const writers = createAnswerWriters(timer);
   const slots = callsAtATime;
