Refuse calls at once that waited too long for the processor

What callers saw: on a node without processor time a call was sent on seconds late, used a hop and a slot, and was answered to nobody (SHORT). Change: a call whose start was put off for longer than it may wait for a slot, and for 250 ms at least, is refused as not run at both hops, with the time by which the node is behind as the time to come back.

--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -78,6 +78,7 @@
         path: '/',
         headers: [],
         body: { kind: 'none' },
+        receivedAt: timer.now(),
         deadlineAt: timer.now() + 1_000,
       },
       {
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -66,6 +66,8 @@
   readonly path: string;
   readonly headers: readonly string[];
   readonly body: RequestBody;
+  /** When the call was read: its longest wait counts from then. */
+  readonly receivedAt: number;
   readonly deadlineAt: number;
 }
 
@@ -137,7 +139,6 @@
   const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
     const { policy } = plan;
     const budget = options.budgetOf(policy.className, plan.service);
-    const beganAt = timer.now();
     const active = new Set<Attempt>();
     const excluded = new Set<string>();
     let winner: Attempt | undefined;
@@ -321,7 +322,7 @@
       priority: policy.priority,
       rank: plan.rank,
       // A call that is rerouted must not wait its whole limit at each endpoint.
-      maxWaitMs: Math.max(0, policy.maxWaitMs - (timer.now() - beganAt)),
+      maxWaitMs: Math.max(0, policy.maxWaitMs - (timer.now() - plan.receivedAt)),
       method: plan.method,
       path: plan.path,
       headers: plan.headers,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -22,7 +22,7 @@
 import { reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
-import type { CallStarts } from './callStarts.js';
+import { isStartTooLate, lateStart, type CallStarts } from './callStarts.js';
 import type { CallMetrics, CallOrigin } from './callMetrics.js';
 import type {
   CallListener as OutcomeListener,
@@ -244,6 +244,7 @@
     path: call.request.url ?? '',
     headers: callers.passHeaders(call.request.rawHeaders),
     body,
+    receivedAt: call.startedAt,
     deadlineAt: call.deadlineAt,
   });
 
@@ -316,6 +317,10 @@
     });
     response.once('close', () => cancel(call));
     starts.add(() => {
+      const waitedMs = timer.now() - call.startedAt;
+      if (!call.isOver && isStartTooLate(waitedMs, call.policy.maxWaitMs)) {
+        refuse(call, lateStart(waitedMs, options.random));
+      }
       if (!call.isOver) {
         run(call).catch((error: unknown) => refuse(call, reportOf(error)));
       }
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -15,7 +15,7 @@
 import { reportOf, writeRefusal } from './callAnswers.js';
 import { attemptIdHeader, loadHeader } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
-import type { CallStarts } from './callStarts.js';
+import { isStartTooLate, lateStart, type CallStarts } from './callStarts.js';
 import { formatLoad, readCallHead, type RefusalHead } from './linkHeads.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { linkProtocol } from './nodeLinks.js';
@@ -35,6 +35,8 @@
   readonly upstream: LocalUpstream;
   readonly writers: AnswerWriters;
   readonly starts: CallStarts;
+  /** Returns a number in [0, 1). */
+  readonly random: () => number;
 }
 
 /** Creates the server of a node's forward address. */
@@ -60,12 +62,18 @@
       refuse(reportOf(new Failure('bad_request', 'the head of a forwarded call is malformed')));
       return () => undefined;
     }
-    const { deadlineMs, ...fields } = call;
+    const { deadlineMs, maxWaitMs, ...fields } = call;
     const writer = options.writers.toNode(answer);
 
-    const start = () =>
+    const start = (waitedMs: number) =>
       upstream.commands.send(
-        { ...fields, body, deadlineAt: receivedAt + deadlineMs, headTimeoutMs: deadlineMs },
+        {
+          ...fields,
+          body,
+          maxWaitMs: Math.max(0, maxWaitMs - waitedMs),
+          deadlineAt: receivedAt + deadlineMs,
+          headTimeoutMs: deadlineMs,
+        },
         {
           onHead: (answerHead) =>
             writer.head(answerHead, [attemptIdHeader, call.attemptId, loadHeader, load()]),
@@ -76,11 +84,15 @@
       );
 
     starts.add(() => {
+      const waitedMs = timer.now() - receivedAt;
+      if (!isOver && isStartTooLate(waitedMs, maxWaitMs)) {
+        refuse(lateStart(waitedMs, options.random));
+      }
       if (isOver) {
         return;
       }
       try {
-        attempt = start();
+        attempt = start(waitedMs);
       } catch (error) {
         refuse(reportOf(error));
       }
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -149,6 +149,7 @@
     upstream,
     writers,
     starts,
+    random,
   });
   let forwardAddress = options.advertisedForward ?? '';
   let isStarted = false;
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -104,6 +104,7 @@
     upstream: localUpstream,
     writers,
     starts,
+    random,
   });
   const endpoint: Endpoint = {
     id: service,
