Let answers of HTTP/1.0 not be paused, since that ends the process

What operators saw: a process of a node ends by an assertion of undici 7 if the connection of a paused answer ends and the answer does not keep it. Cause: an answer of HTTP/1.0 does not keep its connection, but undici does not tell the version, so the exchange paused it like any other. Change: the pool looks at the bytes that it reads.

--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -37,6 +37,8 @@
   /** True while a reset of the connection is being handled, see `UpstreamPool`. */
   readonly isResetting?: () => boolean;
   readonly expectUnframed?: () => void;
+  /** True if the answer that begins is known to be of HTTP/1.1, see `UpstreamPool`. */
+  readonly beginsHttp11: () => boolean;
   readonly listener: AttemptListener;
 }
 
@@ -136,7 +138,7 @@
       options.expectUnframed?.();
     }
     // undici 7 ends the process by an assertion if the connection of a paused answer ends.
-    canPause = isFramed && !closesConnection(head.headers);
+    canPause = isFramed && options.beginsHttp11() && !closesConnection(head.headers);
     listener.onHead(head);
   };
 
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -217,6 +217,7 @@
         dispatcher: upstreamPool!.pool,
         isResetting: upstreamPool!.isResetting,
         expectUnframed: upstreamPool!.expectUnframed,
+        beginsHttp11: upstreamPool!.beginsHttp11,
         timer,
         method: request.method,
         path: request.path,
--- a/src/plugins/calls/upstreamPool.ts
+++ b/src/plugins/calls/upstreamPool.ts
@@ -17,11 +17,19 @@
    * answer that has no length, but what came before it may be only a part.
    */
   isResetting(): boolean;
+  /**
+   * True if the bytes that were read last begin an answer of HTTP/1.1. undici does not tell the
+   * version of an answer, and one of HTTP/1.0 ends with its connection unless it says otherwise.
+   */
+  beginsHttp11(): boolean;
 }
 
+const http11 = Buffer.from('HTTP/1.1 ');
+
 /** Creates the pool to the upstream beside the node. */
 export const createUpstreamPool = (address: string, connections: number): UpstreamPool => {
   let resetting = false;
+  let isHttp11 = false;
   const connect = buildConnector({ timeout: connectTimeoutMs });
   const noteReset = () => {
     resetting = true;
@@ -37,6 +45,12 @@
     socket.once('close', () => sockets.delete(socket));
     // A listener that is prepended runs before undici's own.
     socket.prependListener('error', noteReset);
+    const read = socket.read.bind(socket);
+    socket.read = (size?: number) => {
+      const chunk: Buffer | null = read(size);
+      isHttp11 = chunk?.subarray(0, http11.length).equals(http11) ?? isHttp11;
+      return chunk;
+    };
   };
 
   // Only while such an answer is due: a listener of the end that was there from the start kept
@@ -70,5 +84,5 @@
         callback(...results);
       }),
   });
-  return { pool, expectUnframed, isResetting: () => resetting };
+  return { pool, expectUnframed, isResetting: () => resetting, beginsHttp11: () => isHttp11 };
 };
