Judge withdrawals by process and age instead of by time of day for 120 s

What operators could see: an endpoint that is back stays unknown for two minutes after the clock of its machine was set back, or if its id appears beside another node; one that was withdrawn comes back if a control instance was lost for longer than 120 s. Cause: a withdrawal covered all records with a lower incarnation, which is a time of day, for 120 s, while records of a lost control instance are kept for 600 s. Change: a withdrawal covers records of its own process for 660 s.

--- a/src/core/distribution/subtree.ts
+++ b/src/core/distribution/subtree.ts
@@ -71,14 +71,20 @@
     return new Map([...merged].filter(([, endpoint]) => !tombstones.queries.covers(endpoint)));
   };
 
+  const expireWithdrawals = (now: number) => {
+    if (tombstones.commands.expire(now)) {
+      endpoints = undefined;
+    }
+  };
+
   const announce = (endpoint: Endpoint, now: number) => {
+    expireWithdrawals(now);
     const held = own.get(endpoint.id);
     const isOlder = held !== undefined && compareRecords(endpoint, held) < 0;
     if (isOlder || tombstones.queries.covers(endpoint)) {
       return;
     }
     own.set(endpoint.id, endpoint);
-    tombstones.commands.expire(now);
     changed();
   };
 
@@ -115,6 +121,7 @@
 
   const applyReport: Subtree['commands']['applyReport'] = (child, report, nodeVersions, now) => {
     const known = branches.commands.applyReport(child, report, now);
+    expireWithdrawals(now);
     applyWithdrawals(report.withdrawals, now);
     nodeVersions.forEach((nodeVersion) => recordVersion(nodeVersion, now));
     floors.commands.keep(child, now);
@@ -131,10 +138,10 @@
     if (pauseMs > suspensionMs) {
       branches.commands.extend(pauseMs);
     }
-    tombstones.commands.expire(now);
+    const isUncovered = tombstones.commands.expire(now);
     floors.commands.expire(now);
     reported.commands.expire(now);
-    if (branches.commands.expire(now).length > 0) {
+    if (branches.commands.expire(now).length > 0 || isUncovered) {
       changed();
     }
   };
--- a/src/core/distribution/tombstones.ts
+++ b/src/core/distribution/tombstones.ts
@@ -5,8 +5,8 @@
 import type { Endpoint } from '../../types/public.js';
 import { compareRecords } from './clusterLog.js';
 
-/** Longer than any record can be under way: several lease times of the deepest tree. */
-export const tombstoneLifeMs = 120_000;
+/** Longer than the records of a lost control instance are kept, which is 600 s. */
+export const tombstoneLifeMs = 660_000;
 const maxTombstones = 10_000;
 /** A withdrawal is news for others for this time: twice the lease that a stale record can have. */
 export const recentWithdrawalMs = 20_000;
@@ -22,10 +22,15 @@
   readonly commands: {
     /** Returns false if the same or a newer withdrawal is known. */
     add(withdrawal: Withdrawal, now: number): boolean;
-    expire(now: number): void;
+    /** Returns true if records may be uncovered by that. */
+    expire(now: number): boolean;
   };
   readonly queries: {
-    /** True if the record is older than a withdrawal of its endpoint. */
+    /**
+     * True if a withdrawal of the endpoint is meant for the record. Incarnations are times of day:
+     * a lower one is an earlier process at first, and once no record of that can be renewed any more
+     * a process whose clock was set back, or one beside another node.
+     */
     covers(record: Pick<Endpoint, 'id' | 'incarnation' | 'sequence'>): boolean;
     list(): Withdrawal[];
     /** Withdrawals that became known within `recentWithdrawalMs`. */
@@ -33,8 +38,15 @@
   };
 }
 
+interface Entry {
+  readonly withdrawal: Withdrawal;
+  readonly until: number;
+  /** Records with a lower incarnation are those of an earlier process. */
+  coversEarlier: boolean;
+}
+
 export const createTombstones = (): Tombstones => {
-  const entries = new Map<string, { withdrawal: Withdrawal; until: number }>();
+  const entries = new Map<string, Entry>();
 
   const add = (withdrawal: Withdrawal, now: number): boolean => {
     const known = entries.get(withdrawal.id);
@@ -42,7 +54,7 @@
       return false;
     }
     entries.delete(withdrawal.id);
-    entries.set(withdrawal.id, { withdrawal, until: now + tombstoneLifeMs });
+    entries.set(withdrawal.id, { withdrawal, until: now + tombstoneLifeMs, coversEarlier: true });
     const oldest = entries.keys().next().value;
     if (entries.size > maxTombstones && oldest !== undefined) {
       entries.delete(oldest);
@@ -50,21 +62,36 @@
     return true;
   };
 
+  const isRecent = ({ until }: Entry, now: number): boolean =>
+    until - now > tombstoneLifeMs - recentWithdrawalMs;
+
+  const expire = (now: number): boolean => {
+    let isUncovered = false;
+    entries.forEach((entry, id) => {
+      if (entry.until <= now) {
+        entries.delete(id);
+        isUncovered = true;
+      } else if (entry.coversEarlier && !isRecent(entry, now)) {
+        entry.coversEarlier = false;
+        isUncovered = true;
+      }
+    });
+    return isUncovered;
+  };
+
   return {
-    commands: {
-      add,
-      expire: (now) => {
-        [...entries].filter(([, { until }]) => until <= now).forEach(([id]) => entries.delete(id));
-      },
-    },
+    commands: { add, expire },
     queries: {
       covers: (record) => {
         const known = entries.get(record.id);
-        return known !== undefined && compareRecords(record, known.withdrawal) <= 0;
+        if (known === undefined || compareRecords(record, known.withdrawal) > 0) {
+          return false;
+        }
+        return known.coversEarlier || record.incarnation === known.withdrawal.incarnation;
       },
       recent: (now) =>
         [...entries.values()]
-          .filter(({ until }) => until - now > tombstoneLifeMs - recentWithdrawalMs)
+          .filter((entry) => isRecent(entry, now))
           .map(({ withdrawal }) => withdrawal),
       list: () => [...entries.values()].map(({ withdrawal }) => withdrawal),
     },
