Load only the parts of undici that a node uses

Cause: the main module of undici also loads fetch, web sockets and caches. Change: the pool and the connector are loaded by themselves.

--- a/src/plugins/calls/upstreamPool.ts
+++ b/src/plugins/calls/upstreamPool.ts
@@ -2,7 +2,8 @@
  * Pool of HTTP/1.1 connections to the upstream beside the node, without pipelining.
  */
 import type { Socket } from 'node:net';
-import { buildConnector, Pool } from 'undici';
+import buildConnector from 'undici/lib/core/connect.js';
+import Pool from 'undici/lib/dispatcher/pool.js';
 
 const connectTimeoutMs = 1_000;
 const upstreamIdleMs = 4_000;
