--- a/src/plugins/calls/linkHeads.ts
+++ b/src/plugins/calls/linkHeads.ts
@@ -3,24 +3,15 @@
  * refusal says. Fields from the network are checked before they are used.
  */
 import type { EndpointLoad } from '../../core/calls/evidence.js';
-import type { AttemptFailureReport, RequestBody } from '../../types/calls.js';
+import type { AttemptFailureReport, AttemptRequest, RequestBody } from '../../types/calls.js';
 import { failureTable } from '../../utils/failure.js';
 
-/** Head of a call. Times are in ms from when it is sent. */
-export interface CallHead {
-  readonly attemptId: string;
-  readonly requestId: string;
-  readonly className: string;
-  readonly service: string;
-  readonly caller: string;
-  readonly priority: number;
-  readonly rank: number;
-  readonly maxWaitMs: number;
+/** Head of a call: the request of the attempt, with times in ms from when it is sent. */
+export interface CallHead extends Omit<
+  AttemptRequest,
+  'body' | 'deadlineAt' | 'headTimeoutMs' | 'needsFreshConnection'
+> {
   readonly deadlineMs: number;
-  readonly method: string;
-  readonly path: string;
-  /** Names and values in turn. */
-  readonly headers: readonly string[];
   readonly bodyKind: RequestBody['kind'];
 }
 
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -75,7 +75,10 @@
 
 /** Callers usually see within this time that the node is not ready, and keep idle connections. */
 const defaultStopTimes: StopTimes = { acceptMs: 500, idleMs: 2_000 };
-/** Nodes end idle connections to other nodes after 4 s. */
+/**
+ * Other nodes end their idle connections once they hear that this one stops. One that is short of
+ * processor time or cut off for a moment may have sent a call before.
+ */
 const forwardIdleMs = 4_500;
 /** Longest wait for the records of at-most-once calls during a stop, in ms. */
 const settleLimitMs = 2_000;
