Let a caller pause for as long as it likes while its answer crosses two nodes

What callers would see: an answer is cut if its caller takes nothing for 5 s while it comes through a second node. Change: a paused answer is not silent.

--- a/__tests__/nodeLinks.test.ts
+++ b/__tests__/nodeLinks.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { get, type IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import fc from 'fast-check';
 import {
   createFrameReader,
@@ -120,6 +122,52 @@
     await proxy.close();
   });
 
+  // Guards against an answer that is cut because its caller reads nothing for a while.
+  it('carry a large answer whole to a caller that pauses for longer than silence is borne', async (t) => {
+    const mesh = await startMesh();
+    t.after(() => mesh.stop());
+    const body = Buffer.alloc(16 * 1_024 * 1_024, 'x');
+    mesh.upstream.onRequest(({ headers, socket }) => {
+      const id = headers['x-request-id'];
+      socket.write(
+        `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\nx-request-id: ${id}\r\n\r\n`,
+      );
+      socket.write(body);
+    });
+    const answer = await new Promise<IncomingMessage>((resolve, reject) => {
+      get(`http://${mesh.caller}/lookup/1`, { agent: false }, resolve).on('error', reject);
+    });
+    await sleep(6_000);
+    let bytes = 0;
+    for await (const part of answer) {
+      bytes += (part as Buffer).length;
+    }
+    assert.equal(bytes, body.length);
+  });
+
+  // Guards against a connection that stays unread because its last call left a part of its body.
+  it('go on after an answer that came before the body of its request was read', async (t) => {
+    const mesh = await startMesh();
+    t.after(() => mesh.stop());
+    for (let round = 0; round < 3; round += 1) {
+      let answered = false;
+      mesh.upstream.onBytes((socket) => {
+        if (!answered) {
+          answered = true;
+          socket.end('HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok');
+        }
+      });
+      const early = mesh.call(mesh.caller, '/plain', {
+        method: 'POST',
+        body: Buffer.alloc(4 * 1_024 * 1_024),
+      });
+      await early.catch(() => undefined);
+      mesh.upstream.onBytes(() => undefined);
+      const next = await mesh.call(mesh.caller, '/lookup/1');
+      assert.equal(next.status, 200, next.body);
+    }
+  });
+
   it('are refused without the cluster token, and end after a malformed frame', async (t) => {
     const mesh = await startMesh();
     t.after(() => mesh.stop());
--- a/src/plugins/calls/nodeLinks.ts
+++ b/src/plugins/calls/nodeLinks.ts
@@ -109,7 +109,7 @@
     link.isRetired = true;
     if (!link.current) {
       forgetIdle(link);
-      link.socket.end();
+      link.socket.destroySoon();
     }
   };
 
@@ -121,7 +121,7 @@
     }
     link.socket.resume();
     if (link.isRetired) {
-      link.socket.end();
+      link.socket.destroySoon();
       return;
     }
     const known = idle.get(link.address) ?? [];
--- a/src/plugins/calls/remoteNode.ts
+++ b/src/plugins/calls/remoteNode.ts
@@ -57,6 +57,8 @@
     let isOver = false;
     let isAnswered = false;
     let partAt = now;
+    /** The caller takes nothing at the moment, so that no part can come. */
+    let isPaused = false;
 
     if (request.needsFreshConnection) {
       links.renew(address);
@@ -91,13 +93,19 @@
 
     const watchBody = () => {
       const silenceMs = Math.max(bodySilenceMs, request.deadlineAt - now);
-      const waitMs = partAt + silenceMs - timer.now();
+      const waitMs = isPaused ? silenceMs : partAt + silenceMs - timer.now();
       cancelLimit = waitMs > 0 ? timer.after(waitMs, watchBody) : cancelLimit;
       if (waitMs <= 0) {
         onSilence();
       }
     };
 
+    const passOn = (part: Buffer): boolean => {
+      partAt = timer.now();
+      isPaused = !listener.onData(part);
+      return !isPaused;
+    };
+
     const noteLoad = (text: string | undefined) => {
       const load = parseLoad(text ?? '');
       if (load) {
@@ -117,7 +125,7 @@
       watchBody();
       noteLoad(headerIn(answer.headers, loadHeader));
       listener.onHead(answer);
-      return isOver || body.length === 0 || listener.onData(body);
+      return isOver || body.length === 0 || passOn(body);
     };
 
     const takeRefusal = ({ head }: Frame): boolean => {
@@ -137,10 +145,7 @@
     const handlers: Partial<Record<Frame['kind'], (frame: Frame) => boolean>> = {
       answer: takeAnswer,
       refusal: takeRefusal,
-      part: ({ body }) => {
-        partAt = timer.now();
-        return isOver || listener.onData(body);
-      },
+      part: ({ body }) => isOver || passOn(body),
       end: () => {
         if (!isAnswered) {
           fail('answer_mismatch', 'an answer without a head');
@@ -189,7 +194,11 @@
           exchange.cancel();
         }
       },
-      resume: () => exchange.resume(),
+      resume: () => {
+        isPaused = false;
+        partAt = timer.now();
+        exchange.resume();
+      },
       mayHaveRun: () => exchange.isSent(),
     };
   };
--- a/src/plugins/calls/servedLink.ts
+++ b/src/plugins/calls/servedLink.ts
@@ -169,6 +169,9 @@
     stream?.on('error', () => undefined);
     const { answer, drop } = createAnswer(() => {
       current = undefined;
+      stream?.destroy();
+      // What is left of the body goes unread, but not the frames that follow it.
+      socket.resume();
       options.onBusy(false);
     });
     const call: Current = { body: stream, answer, onLeft: undefined, drop };
