Survive a reset by a stranger whose connection was refused

What operators would see: a process of a node ends by itself. Change: refused connections have a handler, and do not wait for the other side to close. A call that its upstream refused frees its slot before it is tried elsewhere. nodeLinks: the new test ends the process before and passes after.

--- a/__tests__/nodeLinks.test.ts
+++ b/__tests__/nodeLinks.test.ts
@@ -168,6 +168,23 @@
     }
   });
 
+  // Guards against a stranger that ends the process by resetting a connection which was refused.
+  it('of strangers that are reset do not end the process', async (t) => {
+    const mesh = await startMesh();
+    t.after(() => mesh.stop());
+    const [host, port] = mesh.besideNode.forward.split(':');
+    for (let round = 0; round < 20; round += 1) {
+      const socket = connect(Number(port), host);
+      socket.on('error', () => undefined);
+      socket.write('GET / HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n');
+      await once(socket, 'readable');
+      socket.resetAndDestroy();
+      await once(socket, 'close');
+    }
+    const answer = await mesh.call(mesh.caller, '/lookup/1');
+    assert.equal(answer.status, 200);
+  });
+
   it('are refused without the cluster token, and end after a malformed frame', async (t) => {
     const mesh = await startMesh();
     t.after(() => mesh.stop());
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -117,7 +117,10 @@
   const open = (request: IncomingMessage, socket: Socket, first: Buffer) => {
     if (request.headers.upgrade !== linkProtocol || !isOtherNode(request)) {
       log.warn('connection for calls refused', { protocol: request.headers.upgrade });
-      socket.end('HTTP/1.1 403 Forbidden\r\nconnection: close\r\n\r\n');
+      // The server of node:http has given the socket up, with its handler of errors.
+      socket.on('error', (error) => log.info('refused connection broke', { error: error.message }));
+      socket.write('HTTP/1.1 403 Forbidden\r\nconnection: close\r\n\r\n');
+      socket.destroySoon();
       return;
     }
     socket.write(
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -190,10 +190,10 @@
           reportedLoad !== undefined &&
           reportedLoad.running < reportedLoad.slots &&
           reportedLoad.waiting === 0;
-        listener.onFailure(refusedReport(reason, request.className, true));
         // The refusal could come once more and be taken for the answer to a second attempt.
         exchange?.abort();
         finish(endOutcome());
+        listener.onFailure(refusedReport(reason, request.className, true));
       },
       onData: (chunk) => listener.onData(chunk),
       onEnd: () => {
