Say that a call was not run if the other node does not speak the protocol

While nodes of two versions run, a call to an older node was refused as one that may have run, and not tried elsewhere. The answer to the upgrade tells that nothing was read. nodeLinks: the new test fails before and passes after.

--- a/__tests__/nodeLinks.test.ts
+++ b/__tests__/nodeLinks.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { get, type IncomingMessage } from 'node:http';
+import { createServer, get, type IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -11,6 +11,7 @@
   maxFrameBodyBytes,
   type Frame,
 } from '../src/plugins/calls/linkFrames.js';
+import { listenHttp } from '../src/plugins/httpListen.js';
 import { answerText, startMesh, type ReceivedRequest } from './support/callMesh.js';
 import { startFaultProxy, type FaultProxy } from './support/faultProxy.js';
 import { waitFor } from './support/waitFor.js';
@@ -168,6 +169,23 @@
     }
   });
 
+  // Guards against a call that is not tried elsewhere while nodes of two versions run.
+  it('to a node that does not speak the protocol say that the call was not run', async (t) => {
+    const other = createServer((_request, response) => {
+      response.writeHead(400, { 'content-length': 0 });
+      response.end();
+    });
+    const { port } = await listenHttp(other, { host: '127.0.0.1', port: 0 });
+    const mesh = await startMesh({ forwardThrough: async () => `127.0.0.1:${port}` });
+    t.after(async () => {
+      await mesh.stop();
+      other.close();
+    });
+    const answer = await mesh.call(mesh.caller, '/plain', { method: 'POST', body: 'b' });
+    assert.equal(answer.status, 503);
+    assert.equal(JSON.parse(answer.body).run, 'not_run');
+  });
+
   // Guards against a stranger that ends the process by resetting a connection which was refused.
   it('of strangers that are reset do not end the process', async (t) => {
     const mesh = await startMesh();
--- a/src/plugins/calls/nodeLinks.ts
+++ b/src/plugins/calls/nodeLinks.ts
@@ -49,7 +49,7 @@
   /** Gives the call and its connection up. */
   destroy(): void;
   resume(): void;
-  /** True once a byte of the call may have been sent. */
+  /** True once the other node may have read a byte of the call. */
   isSent(): boolean;
 }
 
@@ -70,6 +70,8 @@
   usedAt: number;
   /** The other node has agreed to the protocol. */
   isUpgraded: boolean;
+  /** The other node has answered that it does not speak the protocol, so it ran nothing. */
+  isRefused: boolean;
   isConnected: boolean;
   /** Carries no further call. */
   isRetired: boolean;
@@ -145,8 +147,8 @@
     return (chunk: Buffer): Buffer | undefined => {
       text = Buffer.concat([text, chunk]);
       const end = text.indexOf(headEnd);
-      const isRefused = end >= 0 && !upgradeAnswer.test(text.toString('latin1', 0, end));
-      if (isRefused || (end < 0 && text.length > maxUpgradeHeadBytes)) {
+      link.isRefused = end >= 0 && !upgradeAnswer.test(text.toString('latin1', 0, end));
+      if (link.isRefused || (end < 0 && text.length > maxUpgradeHeadBytes)) {
         const [status = ''] = text.toString('latin1').split('\r\n');
         link.socket.destroy(new Error(`the node does not take calls: ${status.slice(0, 80)}`));
         return undefined;
@@ -183,6 +185,7 @@
       openedAt: now,
       usedAt: now,
       isUpgraded: false,
+      isRefused: false,
       isConnected: false,
       isRetired: false,
       current: undefined,
@@ -331,7 +334,7 @@
       cancel,
       destroy,
       resume: () => socket.resume(),
-      isSent: () => link.isConnected,
+      isSent: () => link.isConnected && !link.isRefused,
     };
   };
 
