Take no broken connection for the next call to a node

A connection that has just been destroyed stays in the list of idle ones until its close event. A call sent on it would be refused as one that may have run. Found by reading; no test reproduces the moment.

--- a/src/plugins/calls/nodeLinks.ts
+++ b/src/plugins/calls/nodeLinks.ts
@@ -90,9 +90,13 @@
   const idle = new Map<string, Link[]>();
 
   const takeIdle = (address: string): Link | undefined => {
-    const known = idle.get(address);
-    const link = known?.pop();
-    if (known?.length === 0) {
+    const known = idle.get(address) ?? [];
+    let link = known.pop();
+    // The close event of a connection that has just broken is still to come.
+    while (link?.socket.destroyed) {
+      link = known.pop();
+    }
+    if (known.length === 0) {
       idle.delete(address);
     }
     return link;
