Move the refusal of late starts to the core

It decides from two numbers and belongs beside the other decisions about calls. No change of behaviour: lateStarts, callStarts and goneCallers pass.

--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -8,6 +8,7 @@
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
 import { usualRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { callRank } from '../../core/calls/callRank.js';
+import { isStartTooLate, lateStart } from '../../core/calls/lateStart.js';
 import { matchClass } from '../../core/calls/classMatching.js';
 import type { AttemptFailureReport } from '../../types/calls.js';
 import type { CallerInterface, CallHeaders } from '../../types/callInterface.js';
@@ -22,7 +23,7 @@
 import { reportOf, writeRefusal } from './callAnswers.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
-import { isStartTooLate, lateStart, type CallStarts } from './callStarts.js';
+import type { CallStarts } from './callStarts.js';
 import type { CallMetrics, CallOrigin } from './callMetrics.js';
 import type {
   CallListener as OutcomeListener,
--- a/src/plugins/calls/callStarts.ts
+++ b/src/plugins/calls/callStarts.ts
@@ -6,8 +6,6 @@
  * each call is a good part of what a call costs.
  */
 import { performance } from 'node:perf_hooks';
-import { retryAfterMs } from '../../core/calls/retryAfter.js';
-import type { AttemptFailureReport } from '../../types/calls.js';
 import type { Timer } from '../../utils/timer.js';
 
 export interface CallStarts {
@@ -39,25 +37,6 @@
  */
 const maxUnseenMs = 10;
 
-/**
- * Longest time in ms that a call waits for the processor before it starts, if it may not wait longer
- * for a slot. A node that is this far behind serves more callers by refusing the oldest calls at once.
- */
-const maxStartDelayMs = 250;
-
-/** Whether a call has waited too long for its start; `maxWaitMs` is its longest wait for a slot. */
-export const isStartTooLate = (waitedMs: number, maxWaitMs: number): boolean =>
-  waitedMs > Math.max(maxStartDelayMs, maxWaitMs);
-
-/** Refusal of such a call; the time that it has waited tells how far the node is behind. */
-export const lateStart = (waitedMs: number, random: () => number): AttemptFailureReport => ({
-  reason: 'overloaded',
-  run: 'not_run',
-  detail: `the node could not start the call for ${Math.round(waitedMs)} ms`,
-  retried: false,
-  retryAfterMs: retryAfterMs(waitedMs, random),
-});
-
 interface DueStart {
   readonly start: () => void;
   readonly addedAt: number;
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { isStartTooLate, lateStart } from '../../core/calls/lateStart.js';
 import type { AttemptFailureReport, RunningAttempt } from '../../types/calls.js';
 import type { StopTimes } from '../../types/internal.js';
 import { Failure } from '../../utils/failure.js';
@@ -15,7 +16,7 @@
 import { reportOf, writeRefusal } from './callAnswers.js';
 import { attemptIdHeader, loadHeader } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
-import { isStartTooLate, lateStart, type CallStarts } from './callStarts.js';
+import type { CallStarts } from './callStarts.js';
 import { formatLoad, readCallHead, type RefusalHead } from './linkHeads.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { linkProtocol } from './nodeLinks.js';
