--- a/src/plugins/calls/callHeaders.ts
+++ b/src/plugins/calls/callHeaders.ts
@@ -22,16 +22,6 @@
 export const runHeader = 'x-run';
 /** Says that the upstream itself refused the call, and not the node beside it. */
 export const byUpstreamHeader = 'x-refused-by-upstream';
-/** `retry-after` between nodes, in ms: the standard header has whole seconds only. */
-export const retryAfterMsHeader = 'x-retry-after-ms';
-export const callerHeader = 'x-caller';
-/** Service that the call is for: the upstream beside the receiving node may have been replaced. */
-export const serviceHeader = 'x-service';
-/** The caller's own `authorization` while that header carries the cluster token between nodes. */
-export const callerAuthorizationHeader = 'x-caller-authorization';
-export const priorityHeader = 'x-priority';
-export const rankHeader = 'x-rank';
-export const maxWaitHeader = 'x-max-wait-ms';
 
 const maxDeadlineMs = 24 * 60 * 60 * 1_000;
 const requestIdPattern = /^[\x21-\x7e]{1,128}$/;
@@ -52,18 +42,24 @@
   'upgrade',
 ]);
 
+/** Names that earlier versions used between nodes; they stay reserved. */
+const formerRequestHeaders = [
+  'x-caller',
+  'x-caller-authorization',
+  'x-max-wait-ms',
+  'x-priority',
+  'x-rank',
+  'x-service',
+];
+const formerAnswerHeaders = ['x-retry-after-ms'];
+
 /** Headers that this system sets itself; values from outside are not passed on. */
 const ownRequestHeaders = new Set([
   attemptIdHeader,
-  callerAuthorizationHeader,
-  callerHeader,
   classHeader,
   deadlineHeader,
-  maxWaitHeader,
-  priorityHeader,
-  rankHeader,
   requestIdHeader,
-  serviceHeader,
+  ...formerRequestHeaders,
 ]);
 
 const ownAnswerHeaders = new Set([
@@ -75,8 +71,8 @@
   refusalHeader,
   replayedHeader,
   requestIdHeader,
-  retryAfterMsHeader,
   runHeader,
+  ...formerAnswerHeaders,
 ]);
 
 const readHeader = (
--- a/src/plugins/calls/requestBody.ts
+++ b/src/plugins/calls/requestBody.ts
@@ -60,12 +60,3 @@
   const kept = Buffer.concat(first);
   return { body: { kind: 'kept', bytes: kept }, prefix: kept };
 };
-
-/** Body of a forwarded request, read part by part. */
-export const streamBody = (request: IncomingMessage): RequestBody =>
-  hasBody(request)
-    ? {
-        kind: 'stream',
-        parts: joinParts([], request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>),
-      }
-    : noBody;
