--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -54,7 +54,7 @@
     remote,
     evidence,
     budgetOf: () => budget,
-    onRetry: () => undefined,
+    metrics: { recordChoice: () => undefined, recordRetry: () => undefined },
   });
   const cluster = createCluster(endpointIds.map((id) => createEndpoint(id)));
   const policy = createPolicy();
--- a/src/core/calls/routingTiers.ts
+++ b/src/core/calls/routingTiers.ts
@@ -41,7 +41,7 @@
 
 const distances = Object.keys(wayMs) as Distance[];
 
-const distanceOf = ({ dataCentre, region }: Endpoint, home: Home): Distance => {
+export const distanceOf = ({ dataCentre, region }: Endpoint, home: Home): Distance => {
   if (dataCentre === home.dataCentre) {
     return 'here';
   }
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -18,6 +18,7 @@
 } from '../../core/calls/retry.js';
 import { createAnswerSizes } from '../../core/calls/answerSizes.js';
 import { chooseEndpoint } from '../../core/calls/routing.js';
+import { distanceOf } from '../../core/calls/routingTiers.js';
 import type {
   AnswerHead,
   AttemptFailureReport,
@@ -34,6 +35,7 @@
 import type { Cancel, Timer } from '../../utils/timer.js';
 import { reportOf } from './callAnswers.js';
 import { headerIn } from './callHeaders.js';
+import type { AttemptKind, CallMetrics } from './callMetrics.js';
 import type { CallStarts } from './callStarts.js';
 import type { LocalUpstream } from './localUpstream.js';
 import type { RemoteNodes } from './remoteNode.js';
@@ -48,7 +50,7 @@
   readonly remote: RemoteNodes;
   readonly evidence: Evidence;
   readonly budgetOf: RetryBudgetOf;
-  readonly onRetry: (className: string) => void;
+  readonly metrics: Pick<CallMetrics, 'recordChoice' | 'recordRetry'>;
   readonly logDecision?: BoundedLog;
 }
 
@@ -206,7 +208,7 @@
           return;
         }
         reroutes += 1;
-        startAnother(failure, true);
+        startAnother('reroute', failure);
         return;
       }
       const decision = decide(failure);
@@ -216,8 +218,8 @@
         refuse(failure, decision);
         return;
       }
-      options.onRetry(policy.className);
-      timer.after(decision.delayMs, () => startAnother(failure));
+      options.metrics.recordRetry(policy.className);
+      timer.after(decision.delayMs, () => startAnother('retry', failure));
     };
 
     const logFailure = ({ endpointId, startedAt }: Attempt, failure: AttemptFailureReport) => {
@@ -342,7 +344,7 @@
     };
 
     /** A reroute goes to an endpoint whose node did not refuse the call yet. */
-    const startAttempt = (earlier?: AttemptFailureReport, isReroute = false) => {
+    const startAttempt = (kind: AttemptKind, earlier?: AttemptFailureReport) => {
       const now = timer.now();
       if (now >= plan.deadlineAt) {
         refuse(earlier ?? reportOf(new Failure('deadline_past')));
@@ -357,8 +359,8 @@
         evidence.commands.recordLoad(ownId, upstream.queries.load(), now);
       }
       const cluster = isLocal ? undefined : plan.held.clusters.get(plan.service);
-      const endpoint = cluster && chooseRemote(cluster, isReroute);
-      const isHedge = active.size > 0;
+      const endpoint = cluster && chooseRemote(cluster, kind === 'reroute');
+      const isHedge = kind === 'hedge';
       if (!isLocal && !endpoint && isHedge) {
         return;
       }
@@ -379,15 +381,20 @@
       evidence.commands.recordStart(attempt.endpointId, now);
       const isOwn = !endpoint || endpoint.node === home.name;
       const request = requestOf(id, isHedge);
+      options.metrics.recordChoice(
+        policy.className,
+        kind,
+        isOwn ? 'own' : distanceOf(endpoint, home),
+      );
       attempt.running = isOwn
         ? upstream.commands.send(request, listenTo(attempt))
         : remote.send(endpoint, request, listenTo(attempt));
     };
 
-    const startAnother = (earlier: AttemptFailureReport, isReroute = false) =>
+    const startAnother = (kind: AttemptKind, earlier: AttemptFailureReport) =>
       starts.add(() => {
         if (!isOver) {
-          startAttempt(earlier, isReroute);
+          startAttempt(kind, earlier);
         }
       });
 
@@ -395,12 +402,12 @@
       const canHedge = !isOver && !winner && active.size === 1 && plan.body.kind !== 'stream';
       if (canHedge && budget.commands.spend(timer.now())) {
         active.forEach(({ endpointId }) => excluded.add(endpointId));
-        startAttempt();
+        startAttempt('hedge');
       }
     };
 
     budget.commands.recordCall(timer.now());
-    startAttempt();
+    startAttempt('first');
     const hedgeAfterMs = decideHedge({
       policy,
       budget,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -152,6 +152,9 @@
     const outcome = outcomeOfRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
     finish(call, outcome, failure.reason);
     metrics.recordRefusal(call.policy.className, failure.reason, call.origin);
+    if (call.origin === 'upstream' && call.headers.parentId !== undefined) {
+      upstream.commands.recordNestedRefusal(call.policy.className, call.headers.parentId);
+    }
     logRefusal(call, failure, elapsedMs);
     writeRefusal(call.response, callers.refusal(withRetryAfter(failure), call.requestId), timer);
   };
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -21,10 +21,13 @@
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { AnswerVerdict, UpstreamInterface } from '../../types/callInterface.js';
+import type { CallMetrics } from './callMetrics.js';
 import { createCallStarts, type CallStarts } from './callStarts.js';
 import { startExchange } from './exchange.js';
 import { createUpstreamPool, type UpstreamPool } from './upstreamPool.js';
 
+/** Statuses from which an answer says that the upstream failed. */
+const failedStatus = 500;
 /** Part of the slots below which an endpoint works at its full speed. */
 const quietBelow = 0.5;
 
@@ -49,6 +52,8 @@
     /** Refuses later calls with `leaving` while an operator has drained the endpoint. */
     setDrained(drained: boolean): void;
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
+    /** Notes that a call was refused which the upstream made for a call that it works on. */
+    recordNestedRefusal(className: string, parentId: string): void;
     stop(): Promise<void>;
   };
   readonly queries: {
@@ -67,6 +72,22 @@
   };
 }
 
+/** A call that the upstream works on. */
+interface UpstreamWork {
+  readonly className: string;
+  /** Calls that the upstream made for it and that were refused. */
+  refusedCalls: number;
+}
+
+export interface LocalUpstreamExtras {
+  readonly logDecision?: BoundedLog;
+  readonly starts?: CallStarts;
+  readonly metrics?: Pick<
+    CallMetrics,
+    'recordGateRefusal' | 'recordNestedRefusal' | 'recordUpstreamFailure'
+  >;
+}
+
 const noLoad: EndpointLoad = { inFlight: 0, limit: 0, waiting: 0 };
 
 interface Entry {
@@ -88,8 +109,7 @@
   timer: Timer,
   upstreams: UpstreamInterface,
   random: () => number,
-  logDecision?: BoundedLog,
-  starts: CallStarts = createCallStarts({ timer }),
+  { logDecision, starts = createCallStarts({ timer }), metrics }: LocalUpstreamExtras = {},
 ): LocalUpstream => {
   let description: UpstreamDescription | undefined;
   let upstreamPool: UpstreamPool | undefined;
@@ -100,8 +120,8 @@
   let cancelTick: Cancel | undefined;
   let tickAt = Infinity;
   const entries = new Map<string, Entry>();
-  /** Classes of the calls that the upstream works on, by request id. */
-  const runningClasses = new Map<string, string>();
+  /** Calls that the upstream works on, by request id. */
+  const works = new Map<string, UpstreamWork>();
 
   const load = (): EndpointLoad => admission?.queries.load() ?? noLoad;
 
@@ -158,7 +178,7 @@
     const finish = (outcome: FinishOutcome['outcome']) => {
       isOver = true;
       entries.delete(attemptId);
-      runningClasses.delete(request.requestId);
+      works.delete(request.requestId);
       const now = timer.now();
       const latencyMs = now - (admittedAt ?? now);
       const effects =
@@ -181,6 +201,10 @@
         isUnreachable = false;
         const reason = refusalByVerdict[upstreams.judgeAnswer(status, head.headers, request)];
         if (reason === undefined) {
+          if (status >= failedStatus) {
+            const refusedCalls = works.get(request.requestId)?.refusedCalls ?? 0;
+            metrics?.recordUpstreamFailure(request.className, refusedCalls);
+          }
           listener.onHead(head);
           return;
         }
@@ -210,7 +234,7 @@
     const start = () => {
       const now = timer.now();
       admittedAt = now;
-      runningClasses.set(request.requestId, request.className);
+      works.set(request.requestId, { className: request.className, refusedCalls: 0 });
       const remainingMs = request.deadlineAt - now;
       const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
       exchange = startExchange({
@@ -243,12 +267,14 @@
         return;
       }
       finish('cancelled');
-      logRefusal('deadline_past');
+      noteRefusal('deadline_past');
       listener.onFailure(refusedReport('deadline_past', request.className));
     };
 
-    const logRefusal = (reason: AdmissionRefusal) => {
+    const noteRefusal = (reason: AdmissionRefusal) => {
       const { inFlight, limit, waiting, workMs } = load();
+      const remainingMs = request.deadlineAt - timer.now();
+      metrics?.recordGateRefusal(request.className, reason, remainingMs);
       logDecision?.('call not admitted', {
         request_id: request.requestId,
         attempt_id: attemptId,
@@ -256,7 +282,7 @@
         reason,
         waited_ms: Math.round(timer.now() - requestedAt),
         max_wait_ms: Math.round(request.maxWaitMs),
-        remaining_ms: Math.round(request.deadlineAt - timer.now()),
+        remaining_ms: Math.round(remainingMs),
         in_flight: inFlight,
         limit,
         waiting,
@@ -279,7 +305,7 @@
       }
       isOver = true;
       entries.delete(attemptId);
-      logRefusal(refusal);
+      noteRefusal(refusal);
       listener.onFailure(refusedReport(refusal, request.className));
     };
 
@@ -318,6 +344,14 @@
     };
   };
 
+  const recordNestedRefusal = (className: string, parentId: string) => {
+    const work = works.get(parentId);
+    if (work) {
+      work.refusedCalls += 1;
+      metrics?.recordNestedRefusal(className, work.className);
+    }
+  };
+
   const replacePool = (address: string, connections: number) => {
     upstreamPool?.pool.close().catch(() => undefined);
     upstreamPool = createUpstreamPool(address, connections);
@@ -379,6 +413,7 @@
         isDrained = drained;
       },
       send,
+      recordNestedRefusal,
       stop: async () => {
         cancelTick?.();
         await upstreamPool?.pool.destroy();
@@ -386,7 +421,7 @@
     },
     queries: {
       description: () => description,
-      classOfRunning: (requestId) => runningClasses.get(requestId),
+      classOfRunning: (requestId) => works.get(requestId)?.className,
       isLeaving: () => isLeaving,
       hasFreeSlot: (service) => inFlightShare(service) < 1,
       isQuiet: (service) => inFlightShare(service) < quietBelow,
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -98,7 +98,11 @@
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createBoundedLog(log.part('calls'), timer);
   const starts = createCallStarts({ timer, onDelay: callMetrics.recordStartDelay });
-  const upstream = createLocalUpstream(timer, callInterface.upstreams, random, logDecision, starts);
+  const upstream = createLocalUpstream(timer, callInterface.upstreams, random, {
+    logDecision,
+    starts,
+    metrics: callMetrics,
+  });
   const writers = createAnswerWriters(timer, options.linkMbps);
   const links = createNodeLinks({ timer, authorization: access.authorization });
   const remote = createRemoteNodes({
@@ -115,7 +119,7 @@
     remote: createNodeLines(remote, timer),
     evidence,
     budgetOf,
-    onRetry: callMetrics.recordRetry,
+    metrics: callMetrics,
     logDecision,
   });
   const atMostOnce = createAtMostOnce({
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -21,6 +21,7 @@
 import { createAtMostOnce } from './atMostOnce.js';
 import { passOn } from './callHeaders.js';
 import { createCallRunner } from './callRun.js';
+import type { CallMetrics } from './callMetrics.js';
 import { createCallStarts } from './callStarts.js';
 import { createCallServer } from './callServer.js';
 import { createForwardServer } from './forwardServer.js';
@@ -37,6 +38,19 @@
 /** Body of the answers, in bytes: about that of a lookup. */
 const answerBytes = 1_024;
 
+/** Calls of the warm-up count as nobody's. */
+const noMetrics: CallMetrics = {
+  recordCall: () => undefined,
+  recordRetry: () => undefined,
+  recordRefusal: () => undefined,
+  recordChoice: () => undefined,
+  recordGateRefusal: () => undefined,
+  recordNestedRefusal: () => undefined,
+  recordUpstreamFailure: () => undefined,
+  recordStartDelay: () => undefined,
+  recordLeft: () => undefined,
+};
+
 const service = 'warm-up';
 const targets = `
 [class.warm-up]
@@ -153,7 +167,7 @@
       ),
       evidence,
       budgetOf: createRetryBudgets({ share: 0 }),
-      onRetry: () => undefined,
+      metrics: noMetrics,
     });
     const calls = createCallServer({
       address: anyLoopback,
@@ -171,13 +185,7 @@
       runner,
       atMostOnce: createAtMostOnce({ runner, ledger: {} as LedgerClient, timer, log }),
       burn: createBurn(),
-      metrics: {
-        recordCall: () => undefined,
-        recordRetry: () => undefined,
-        recordRefusal: () => undefined,
-        recordStartDelay: () => undefined,
-        recordLeft: () => undefined,
-      },
+      metrics: noMetrics,
     });
     return { calls, address: await calls.listen() };
   };
