--- a/__tests__/callMetrics.test.ts
+++ b/__tests__/callMetrics.test.ts
@@ -67,9 +67,9 @@
     release = new Promise((resolve) => {
       letGo = resolve;
     });
-    const before = mesh.upstream.started();
+    const startedBefore = mesh.upstream.started();
     const running = makeCall(mesh.caller, '/parent');
-    await waitFor(async () => mesh.upstream.started() > before);
+    await waitFor(async () => mesh.upstream.started() > startedBefore);
     const { status } = await makeCall(mesh.caller, '/short');
     letGo();
     await running;
