--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -319,7 +319,7 @@
           return;
         }
         winner = attempt;
-        recordSent('admitted');
+        recordSent(head.isStarved ? 'refused' : 'admitted');
         cancelHedge?.();
         [...active].filter((other) => other !== attempt).forEach(abortAttempt);
         listener.onHead(head);
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -7,6 +7,7 @@
 import { formatVersion } from '../../core/agreement/version.js';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
 import type { OverloadThrottle } from '../../core/calls/overloadThrottle.js';
+import { isAdmissionRefusal } from '../../core/calls/retry.js';
 import { spreadAround, usualRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { callRank } from '../../core/calls/callRank.js';
 import { isStartTooLate, lateStart } from '../../core/calls/lateStart.js';
@@ -168,7 +169,11 @@
     finish(call, outcome, failure.reason);
     metrics.recordRefusal(call.policy.className, failure.reason, call.origin);
     if (call.origin === 'upstream' && call.headers.parentId !== undefined) {
-      upstream.commands.recordNestedRefusal(call.policy.className, call.headers.parentId);
+      upstream.commands.recordNestedRefusal({
+        className: call.policy.className,
+        parentId: call.headers.parentId,
+        isForCapacity: isAdmissionRefusal(failure),
+      });
     }
     logRefusal(call, failure, elapsedMs);
     writeRefusal(call.response, callers.refusal(withRetryAfter(failure), call.requestId), timer);
--- a/src/plugins/calls/linkHeads.ts
+++ b/src/plugins/calls/linkHeads.ts
@@ -3,7 +3,12 @@
  * refusal says. Fields from the network are checked before they are used.
  */
 import type { EndpointLoad } from '../../core/calls/evidence.js';
-import type { AttemptFailureReport, AttemptRequest, RequestBody } from '../../types/calls.js';
+import type {
+  AnswerHead,
+  AttemptFailureReport,
+  AttemptRequest,
+  RequestBody,
+} from '../../types/calls.js';
 import { failureTable } from '../../utils/failure.js';
 
 /** Head of a call: the request of the attempt, with times in ms from when it is sent. */
@@ -65,12 +70,14 @@
 };
 
 /** Reads the head of an answer; undefined for anything else. */
-export const readAnswerHead = (
-  value: unknown,
-): { readonly status: number; readonly headers: string[] } | undefined => {
+export const readAnswerHead = (value: unknown): AnswerHead | undefined => {
   const isAnswer = isFields(value) && Number.isInteger(value.status) && isTextList(value.headers);
   return isAnswer
-    ? { status: value.status as number, headers: value.headers as string[] }
+    ? {
+        status: value.status as number,
+        headers: value.headers as string[],
+        isStarved: value.isStarved === true,
+      }
     : undefined;
 };
 
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -12,6 +12,7 @@
 import type { EndpointLoad } from '../../core/calls/evidence.js';
 import { retryAfterMs } from '../../core/calls/retryAfter.js';
 import type {
+  AnswerHead,
   AttemptFailureReport,
   AttemptListener,
   AttemptRequest,
@@ -53,7 +54,7 @@
     setDrained(drained: boolean): void;
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
     /** Notes that a call was refused which the upstream made for a call that it works on. */
-    recordNestedRefusal(className: string, parentId: string): void;
+    recordNestedRefusal(refusal: NestedRefusal): void;
     stop(): Promise<void>;
   };
   readonly queries: {
@@ -77,6 +78,16 @@
   readonly className: string;
   /** Calls that the upstream made for it and that were refused. */
   refusedCalls: number;
+  /** One of them was refused for lack of capacity. */
+  isStarved: boolean;
+}
+
+/** Refusal of a call that the upstream made for another one. */
+export interface NestedRefusal {
+  readonly className: string;
+  readonly parentId: string;
+  /** The call was refused for lack of capacity, before any upstream saw it. */
+  readonly isForCapacity: boolean;
 }
 
 export interface LocalUpstreamExtras {
@@ -195,17 +206,19 @@
       return isTurnedAway || status === 503 ? 'overloaded' : 'ok';
     };
 
+    const judgeFailure = (head: AnswerHead): AnswerHead => {
+      const work = works.get(request.requestId);
+      metrics?.recordUpstreamFailure(request.className, work?.refusedCalls ?? 0);
+      return work?.isStarved ? { ...head, isStarved: true } : head;
+    };
+
     const ownListener: AttemptListener = {
       onHead: (head) => {
         status = head.status;
         isUnreachable = false;
         const reason = refusalByVerdict[upstreams.judgeAnswer(status, head.headers, request)];
         if (reason === undefined) {
-          if (status >= failedStatus) {
-            const refusedCalls = works.get(request.requestId)?.refusedCalls ?? 0;
-            metrics?.recordUpstreamFailure(request.className, refusedCalls);
-          }
-          listener.onHead(head);
+          listener.onHead(status >= failedStatus ? judgeFailure(head) : head);
           return;
         }
         isTurnedAway = true;
@@ -234,7 +247,11 @@
     const start = () => {
       const now = timer.now();
       admittedAt = now;
-      works.set(request.requestId, { className: request.className, refusedCalls: 0 });
+      works.set(request.requestId, {
+        className: request.className,
+        refusedCalls: 0,
+        isStarved: false,
+      });
       const remainingMs = request.deadlineAt - now;
       const headTimeoutMs = Math.min(request.headTimeoutMs, remainingMs);
       exchange = startExchange({
@@ -344,10 +361,11 @@
     };
   };
 
-  const recordNestedRefusal = (className: string, parentId: string) => {
+  const recordNestedRefusal = ({ className, parentId, isForCapacity }: NestedRefusal) => {
     const work = works.get(parentId);
     if (work) {
       work.refusedCalls += 1;
+      work.isStarved ||= isForCapacity;
       metrics?.recordNestedRefusal(className, work.className);
     }
   };
--- a/src/plugins/calls/servedLink.ts
+++ b/src/plugins/calls/servedLink.ts
@@ -118,9 +118,9 @@
         return socket.writableNeedDrain;
       },
       once: (event, listener) => events.once(event, listener),
-      writeAnswerHead: ({ status, headers }, extraHeaders) => {
+      writeAnswerHead: ({ status, headers, isStarved }, extraHeaders) => {
         // Names are read from the front, so that an upstream's own headers can't replace these.
-        answerHead = { status, headers: [...extraHeaders, ...headers] };
+        answerHead = { status, headers: [...extraHeaders, ...headers], isStarved };
       },
       flushHeaders: () => {
         if (!isBegun && !isOver) {
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -42,6 +42,8 @@
   readonly headers: string[];
   /** The answer was recorded for an earlier call with the same key. */
   readonly isReplayed?: boolean;
+  /** A failure of the upstream after one of its own calls was refused for lack of capacity. */
+  readonly isStarved?: boolean;
 }
 
 export interface AttemptFailureReport {
