--- a/__tests__/support/diskFaults.js
+++ b/__tests__/support/diskFaults.js
@@ -19,7 +19,13 @@
   }
 };
 
+/** Opening a file for writing creates it, which takes room as well. */
+const isForWriting = (flags) => flags !== undefined && flags !== 'r';
+
 promises.open = async (...args) => {
+  if (isForWriting(args[1])) {
+    failIfDue('open');
+  }
   const handle = await openFile(...args);
   const { datasync, appendFile } = handle;
   handle.datasync = async () => {
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -23,6 +23,7 @@
 import { createControlMetrics, type ObservedGroup } from '../plugins/agreement/controlMetrics.js';
 import type { ControlSettings } from '../plugins/operators/controlSettings.js';
 import { createConvergence } from '../plugins/distribution/convergence.js';
+import { untilDiskHasRoom } from '../plugins/agreement/diskRoom.js';
 import { foundGroup, identityProbe, isEmptyLog } from '../plugins/agreement/founding.js';
 import type { GroupLog, LoadedLog } from '../plugins/agreement/groupLog.js';
 import { answerJoin, startJoining } from '../plugins/agreement/joining.js';
@@ -131,12 +132,13 @@
   const acceptance = createAcceptance({ readDocument });
   const ledger = createLedger();
 
-  const storage = await openStorage(settings.folder, {
-    cluster: cluster.name,
-    member: control.name,
-  });
+  const owner = { cluster: cluster.name, member: control.name };
+  const storage = await untilDiskHasRoom(() => openStorage(settings.folder, owner), { timer, log });
   const openLog = (group: GroupName): Promise<GroupLog> =>
-    storage.openLog(group, (ms) => controlMetrics.observeSyncMs(group, ms));
+    untilDiskHasRoom(
+      () => storage.openLog(group, (ms) => controlMetrics.observeSyncMs(group, ms)),
+      { timer, log: log.part(group) },
+    );
   const logs: { configuration: GroupLog; ledger?: GroupLog } = {
     configuration: await openLog('configuration'),
     ledger: hasLedger ? await openLog('ledger') : undefined,
--- a/src/plugins/agreement/files.ts
+++ b/src/plugins/agreement/files.ts
@@ -85,6 +85,10 @@
   try {
     await file.append(bytes);
     await file.sync();
+  } catch (error) {
+    // What was written in part would take up the room that another try needs.
+    await file.truncate(0);
+    throw error;
   } finally {
     await file.close();
   }
--- a/src/plugins/agreement/folderLock.ts
+++ b/src/plugins/agreement/folderLock.ts
@@ -87,8 +87,8 @@
     await rm(`${ownPath}.stale`, { force: true });
   };
 
-  await writeFile(ownPath, content, { mode: 0o600 });
   try {
+    await writeFile(ownPath, content, { mode: 0o600 });
     for (let attempt = 0; attempt < maxTakeovers; attempt += 1) {
       if (await tryLock()) {
         return () => rm(lockPath, { force: true });
--- a/src/plugins/agreement/founding.ts
+++ b/src/plugins/agreement/founding.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
 import type { Answer } from './consensusTransport.js';
+import { untilDiskHasRoom } from './diskRoom.js';
 import type { GroupLog, LoadedLog } from './groupLog.js';
 
 const retryMs = 200;
@@ -100,7 +101,10 @@
     payload: encodeMembers(members),
   };
   const hardState = { term: firstTerm, votedFor: self.name };
-  await storage.write([{ type: 'persist', sequence: 0, hardState, entries: [entry] }]);
+  await untilDiskHasRoom(
+    () => storage.write([{ type: 'persist', sequence: 0, hardState, entries: [entry] }]),
+    options,
+  );
   log.info('the first membership is written', { members: members.length });
   return { ...storage.loaded, hardState, entries: [entry] };
 };
--- a/src/plugins/agreement/groupLog.ts
+++ b/src/plugins/agreement/groupLog.ts
@@ -2,7 +2,7 @@
  * The files of one replica group: a journal of hard states, entries and truncations, and the newest
  * snapshot. A batch of writes is made durable with one sync. After a failed write or sync nothing is
  * written any more: what the failure left on the disk is unknown, so a retry could report data as
- * durable that is not.
+ * durable that is not. A write that finds no room is the exception: what it left is cut off again.
  */
 import { Failure } from '../../utils/failure.js';
 import type {
@@ -12,6 +12,7 @@
   PersistEffect,
   ReplicaSnapshot,
 } from '../../core/agreement/consensusTypes.js';
+import { isDiskFull } from './diskRoom.js';
 import { replaceFile, type DataFile, type Files } from './files.js';
 import { encodeRecord, readJournal, type JournalRecord } from './journal.js';
 
@@ -23,7 +24,10 @@
 
 export interface GroupLog {
   readonly loaded: LoadedLog;
-  /** Resolves once all writes of the batch are durable. */
+  /**
+   * Resolves once all writes of the batch are durable. Rejects with `storage_full` if there is no room:
+   * the same batch can be written again.
+   */
   write(batch: readonly PersistEffect[]): Promise<void>;
   close(): Promise<void>;
 }
@@ -176,13 +180,18 @@
   const journalPath = `${folder}/${journalName}`;
   const snapshotPath = `${folder}/${snapshotName}`;
 
-  const rewriteJournal = (
+  /** Durable bytes of the journal. */
+  let journalBytes = 0;
+
+  const rewriteJournal = async (
     snapshot: ReplicaSnapshot,
     hardState: HardState,
     entries: readonly LogEntry[],
   ): Promise<void> => {
     const records = [baseRecord(snapshot), hardStateRecord(hardState), ...entries.map(entryRecord)];
-    return replaceFile(files, folder, journalName, Buffer.concat(records));
+    const bytes = Buffer.concat(records);
+    await replaceFile(files, folder, journalName, bytes);
+    journalBytes = bytes.length;
   };
 
   const readSnapshot = async (): Promise<ReplicaSnapshot> => {
@@ -215,6 +224,7 @@
       throw damaged(snapshotPath, `the journal continues a snapshot at ${replay.base.index}`);
     }
     const entries = entriesAfter(snapshot, replay);
+    journalBytes = size;
     if (isTorn) {
       const file = await files.openAppend(journalPath);
       await file.truncate(size);
@@ -248,13 +258,32 @@
     journal = await files.openAppend(journalPath);
   };
 
+  /** What a failed sync has left is unknown whatever its reason, so it is never a full disk. */
+  const syncJournal = async (): Promise<void> => {
+    try {
+      await journal.sync();
+    } catch (cause) {
+      throw new Failure('storage_failed', `${folder}: sync failed: ${String(cause)}`, { cause });
+    }
+  };
+
   const append = async (effects: readonly PersistEffect[]): Promise<void> => {
     if (effects.length === 0) {
       return;
     }
-    await journal.append(Buffer.concat(effects.flatMap(recordsOf)));
+    const bytes = Buffer.concat(effects.flatMap(recordsOf));
+    try {
+      await journal.append(bytes);
+    } catch (cause) {
+      if (isDiskFull(cause)) {
+        // A part may be there; with other bytes behind it the journal would count as damaged.
+        await journal.truncate(journalBytes);
+      }
+      throw cause;
+    }
     const startedAt = now();
-    await journal.sync();
+    await syncJournal();
+    journalBytes += bytes.length;
     observeSyncMs?.(now() - startedAt);
   };
 
@@ -276,9 +305,12 @@
       try {
         await writeBatch(batch);
       } catch (cause) {
-        failed = true;
+        const isFull = isDiskFull(cause);
+        failed = !isFull;
         const detail = cause instanceof Error ? cause.message : String(cause);
-        throw new Failure('storage_failed', `${folder}: ${detail}`, { cause });
+        throw new Failure(isFull ? 'storage_full' : 'storage_failed', `${folder}: ${detail}`, {
+          cause,
+        });
       }
     },
     close: () => journal.close(),
--- a/src/plugins/agreement/replicaGroup.ts
+++ b/src/plugins/agreement/replicaGroup.ts
@@ -21,6 +21,7 @@
 import { Failure, type FailureReason } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
+import { untilDiskHasRoom } from './diskRoom.js';
 import type { GroupLog, LoadedLog } from './groupLog.js';
 import type { Answer } from './consensusTransport.js';
 
@@ -156,13 +157,16 @@
     }
   };
 
+  const writeWhenRoom = (batch: readonly PersistEffect[]): Promise<void> =>
+    untilDiskHasRoom(() => storage.write(batch), { timer, log, isStopped: () => isStopped });
+
   const writeAll = async () => {
     isWriting = true;
     try {
       while (writes.length > 0 && !isStopped) {
         const batch = writes.splice(0);
         const { sequence } = batch.at(-1)!;
-        await storage.write(batch);
+        await writeWhenRoom(batch);
         syncedSequence = sequence;
         step({ type: 'persisted', sequence });
         releaseHeld();
--- a/src/utils/failure.ts
+++ b/src/utils/failure.ts
@@ -26,6 +26,7 @@
   folder_damaged: { code: 'E105', status: 500, run: 'not_run', text: 'data folder is damaged' },
   storage_failed: { code: 'E106', status: 500, run: 'may_have_run', text: 'storage failed' },
   address_in_use: { code: 'E107', status: 500, run: 'not_run', text: 'address is in use' },
+  storage_full: { code: 'E108', status: 503, run: 'not_run', text: 'the disk is full' },
   not_leader: { code: 'E201', status: 503, run: 'not_run', text: 'instance is not the leader' },
   no_quorum: { code: 'E202', status: 503, run: 'not_run', text: 'no quorum' },
   version_conflict: {
