--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -69,6 +69,11 @@
   /** Answers from now on close their connections. */
   drain(): void;
   isDraining(): boolean;
+  /**
+   * Time by which a new call has to be over. Infinite until a stop has given callers the time to see it:
+   * calls that come later and still run at its limit are cut.
+   */
+  takesUntil(): number;
   active(): number;
   /**
    * Ends when no call is in flight. Connections that are idle for a while after the listening
@@ -207,6 +212,8 @@
     refuseSocket(socket, code, `malformed request (${code})`);
   });
 
+  let takesUntil = Infinity;
+
   const drain = () => {
     draining = true;
     running.forEach((response) => {
@@ -247,6 +254,7 @@
     const limitAt = timer.now() + limitMs;
     drain();
     await timer.sleep(Math.min(acceptMs, limitMs));
+    takesUntil = limitAt;
     await untilAllAccepted();
     // Closes the listening socket only: an open connection may be about to get a request.
     NetServer.prototype.close.call(server);
@@ -268,6 +276,7 @@
     },
     drain,
     isDraining: () => draining,
+    takesUntil: () => takesUntil,
     setBusy,
     active,
     stop,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -359,12 +359,19 @@
       if (!call.isOver && isStartTooLate(waitedMs, call.policy.maxWaitMs)) {
         refuse(call, lateStart(waitedMs, options.random));
       }
+      if (!call.isOver && mayOutlastStop(call)) {
+        refuse(call, reportOf(new Failure('leaving', 'the node stops before the call has to end')));
+      }
       if (!call.isOver) {
         run(call).catch((error: unknown) => refuse(call, reportOf(error)));
       }
     });
   };
 
+  /** A call of the upstream belongs to one that was taken before, and is refused with it if at all. */
+  const mayOutlastStop = ({ origin, deadlineAt }: Call): boolean =>
+    origin === 'caller' && deadlineAt > listener.takesUntil();
+
   const listener = createCallListener({
     address: options.address,
     timer,
