--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -331,6 +331,52 @@
   });
 });
 
+describe('a leader whose disk takes no writes', () => {
+  const handsOver = (effects: readonly ReplicaEffect[]) =>
+    effects.some((effect) => effect.type === 'send' && effect.message.type === 'timeoutNow');
+
+  /** Time passes while b and c answer; returns whether the leadership was handed over. */
+  const passTime = (driver: Driver, ms: number, matchIndex: number): boolean => {
+    let isHandedOver = false;
+    for (let passed = 0; passed < ms; passed += 50) {
+      const effects = driver.advance(50);
+      isHandedOver ||= handsOver(effects);
+      effects.forEach((effect) => {
+        if (effect.type === 'send' && effect.message.type === 'appendEntries') {
+          driver.ack(effect.to.name, matchIndex, `${effect.to.name}-0`, effect.message.round);
+        }
+      });
+    }
+    return isHandedOver;
+  };
+
+  // Guards against changes that are committed but not answered for as long as the disk of the leader is full or hangs.
+  it('hands over to a member that has written all', () => {
+    const driver = elect(drive());
+    passTime(driver, 200, 2);
+    driver.step({ type: 'propose', id: 1, payload: new Uint8Array() });
+    assert.ok(passTime(driver, electionTimeoutMs, 3));
+  });
+
+  it('goes on leading while no other member has written all', () => {
+    const driver = elect(drive());
+    passTime(driver, 200, 2);
+    driver.step({ type: 'propose', id: 1, payload: new Uint8Array() });
+    assert.equal(passTime(driver, 2 * electionTimeoutMs, 2), false);
+    const taken = driver.step({ type: 'propose', id: 2, payload: new Uint8Array() });
+    assert.ok(taken.some(({ type }) => type === 'proposed'));
+  });
+
+  it('is no leader whose writes take their time and end', () => {
+    const driver = elect(drive());
+    for (let id = 1; id < 10; id += 1) {
+      driver.step({ type: 'propose', id, payload: new Uint8Array() });
+      assert.equal(passTime(driver, 300, 2 + id), false);
+      driver.sync();
+    }
+  });
+});
+
 describe('follower of the replicated log', () => {
   it('does not vote, nor raise its term, while it hears a leader or is cut off', () => {
     const driver = drive();
--- a/src/core/agreement/consensus.ts
+++ b/src/core/agreement/consensus.ts
@@ -24,6 +24,7 @@
   checkElection,
   checkQuorum,
   continueTransfer,
+  handOverIfStalled,
   refreshRole,
   restartElectionTimer,
   startTransfer,
@@ -99,6 +100,7 @@
   confirmedAt: -Infinity,
   sequence: 0,
   syncedSequence: 0,
+  unsyncedSince: undefined,
   hardStateSequence: 0,
   preVoting: false,
   votes: new Set(),
@@ -235,6 +237,7 @@
   if (replica.now - replica.heartbeatAt >= replica.options.heartbeatMs) {
     heartbeat(replica);
   }
+  handOverIfStalled(replica);
   const members = nextAutomaticMembers(replica);
   if (members) {
     appendMembers(replica, members);
--- a/src/core/agreement/consensusEffects.ts
+++ b/src/core/agreement/consensusEffects.ts
@@ -10,6 +10,7 @@
 export const persist = (replica: Replica, write: Write): number => {
   replica.sequence += 1;
   const { sequence } = replica;
+  replica.unsyncedSince ??= replica.now;
   replica.effects.push({ type: 'persist', sequence, ...write });
   return sequence;
 };
--- a/src/core/agreement/consensusElection.ts
+++ b/src/core/agreement/consensusElection.ts
@@ -3,7 +3,7 @@
  * election could be won and changes no state, so that a member that was cut off does not disturb a
  * leader when it returns.
  */
-import type { ReplicaRole } from '../../types/internal.js';
+import type { Member, ReplicaRole } from '../../types/internal.js';
 import type { Replica, RequestVote, Sender, TimeoutNow, VoteAnswer } from './consensusTypes.js';
 import { isMember, isQuorum, isVoter, otherMembers, voters } from './consensusMembership.js';
 import { persistHardState, send } from './consensusEffects.js';
@@ -16,6 +16,8 @@
  * that comes too early changes nothing.
  */
 const startingPart = 0.3;
+/** Part of the election timeout for which a leader waits for its disk before it hands over. */
+const stalledPart = 0.5;
 
 export const restartElectionTimer = (replica: Replica): void => {
   const { electionTimeoutMs, random } = replica.options;
@@ -223,6 +225,28 @@
   continueTransfer(replica);
 };
 
+const transferTargetOf = (replica: Replica): Member | undefined => {
+  const lastIndex = replica.log.queries.lastIndex();
+  return voters(replica)
+    .filter(({ name }) => replica.progress.get(name)?.matchIndex === lastIndex)
+    .sort(
+      (a, b) => replica.progress.get(b.name)!.contactAt - replica.progress.get(a.name)!.contactAt,
+    )
+    .at(0);
+};
+
+/**
+ * Hands over if a write has waited for the disk for too long. What is committed is answered only
+ * once it is synced here, so changes would go unanswered although a majority holds them.
+ */
+export const handOverIfStalled = (replica: Replica): void => {
+  const { now, options, unsyncedSince = now, transferUntil } = replica;
+  const isStalled = now - unsyncedSince > stalledPart * options.electionTimeoutMs;
+  if (isStalled && transferUntil === undefined && transferTargetOf(replica)) {
+    startTransfer(replica);
+  }
+};
+
 /** Asks a voter that holds the whole log to start an election, and gives up after a while. */
 export const continueTransfer = (replica: Replica): void => {
   if (replica.transferUntil === undefined) {
@@ -232,13 +256,7 @@
     replica.transferUntil = undefined;
     return;
   }
-  const lastIndex = replica.log.queries.lastIndex();
-  const target = voters(replica)
-    .filter(({ name }) => replica.progress.get(name)?.matchIndex === lastIndex)
-    .sort(
-      (a, b) => replica.progress.get(b.name)!.contactAt - replica.progress.get(a.name)!.contactAt,
-    )
-    .at(0);
+  const target = transferTargetOf(replica);
   if (target && replica.transferTarget === '') {
     replica.transferTarget = target.name;
     send(replica, target, { type: 'timeoutNow', term: replica.term });
@@ -255,6 +273,7 @@
 /** Counts what became durable: the own vote of a candidate, the own entries of a leader. */
 export const takePersisted = (replica: Replica, sequence: number): void => {
   replica.syncedSequence = Math.max(replica.syncedSequence, sequence);
+  replica.unsyncedSince = replica.syncedSequence < replica.sequence ? replica.now : undefined;
   replica.log.commands.synced(sequence);
   countOwnVote(replica);
 };
--- a/src/core/agreement/consensusTypes.ts
+++ b/src/core/agreement/consensusTypes.ts
@@ -247,6 +247,8 @@
   /** Last persist sequence that was handed out, and that is synced. */
   sequence: number;
   syncedSequence: number;
+  /** Since when a write waits for the disk; unset if all is synced. */
+  unsyncedSince: number | undefined;
   /** Persist sequence that holds the term and the vote. */
   hardStateSequence: number;
   /** Election in progress. */
