--- a/src/core/calls/overloadThrottle.ts
+++ b/src/core/calls/overloadThrottle.ts
@@ -39,6 +39,11 @@
  * took 4 s and more after an outage until all calls were sent on again.
  */
 const streakForOneMore = 6;
+/**
+ * Time without a refusal from which such a streak counts, in ms. Under steady overload short streaks
+ * come by chance; counted at once, a quarter of the calls was sent in vain.
+ */
+const quietMs = 500;
 /** A tenth of the calls is sent on whatever happened before, as probes, */
 const maxRefusedShare = 0.9;
 /** and at least so many in the time of `memoryMs`, so that nodes with few calls notice room as well. */
@@ -55,8 +60,9 @@
   calls: number;
   admitted: number;
   countedAt: number;
-  /** Admitted calls since the last one that was refused by a gate. */
+  /** Admitted calls since the last one that was refused by a gate, and the time of that one. */
   streak: number;
+  refusedAt: number;
   retryAfterMs: number | undefined;
 }
 
@@ -68,7 +74,14 @@
   const keyOf = (className: string, service: string): string => `${className} ${service}`;
 
   const createState = (key: string, now: number): State => {
-    const state = { calls: 0, admitted: 0, countedAt: now, streak: 0, retryAfterMs: undefined };
+    const state = {
+      calls: 0,
+      admitted: 0,
+      countedAt: now,
+      streak: 0,
+      refusedAt: now,
+      retryAfterMs: undefined,
+    };
     states.set(key, state);
     if (states.size > maxStates) {
       states.delete(states.keys().next().value!);
@@ -83,11 +96,12 @@
     state.countedAt = now;
   };
 
-  const shareOf = ({ calls, admitted, streak }: State): number => {
+  const shareOf = ({ calls, admitted, streak, refusedAt }: State, now: number): number => {
     if (calls < minCalls) {
       return 0;
     }
-    const wanted = (sentPerAdmitted + (streak / streakForOneMore) ** 2) * admitted;
+    const growth = now - refusedAt > quietMs ? (streak / streakForOneMore) ** 2 : 0;
+    const wanted = (sentPerAdmitted + growth) * admitted;
     return Math.max(0, Math.min(maxRefusedShare, 1 - wanted / calls, 1 - minProbes / calls));
   };
 
@@ -99,7 +113,7 @@
           return true;
         }
         decay(state, now);
-        if (rank >= shareOf(state)) {
+        if (rank >= shareOf(state, now)) {
           return true;
         }
         state.calls += 1;
@@ -116,6 +130,7 @@
           return;
         }
         state.streak = 0;
+        state.refusedAt = now;
         if (retryAfterMs !== undefined) {
           const known = state.retryAfterMs ?? retryAfterMs;
           state.retryAfterMs = known + retryAfterWeight * (retryAfterMs - known);
@@ -129,7 +144,7 @@
           return 0;
         }
         decay(state, now);
-        return shareOf(state);
+        return shareOf(state, now);
       },
       retryAfterMs: (className, service) => states.get(keyOf(className, service))?.retryAfterMs,
     },
