--- a/__tests__/callRun.test.ts
+++ b/__tests__/callRun.test.ts
@@ -75,7 +75,6 @@
         policy,
         service: policy.service,
         rank: 0.5,
-        isNested: false,
         caller: 'x',
         method: 'GET',
         path: '/',
@@ -169,6 +168,20 @@
     assert.equal(budget.queries.balance(timer.now()), balance);
   });
 
+  // Guards against calls that cost three hops each while their service has no capacity for most of them.
+  it('asks two nodes while calls of the class are refused where they arrive, and three again later', () => {
+    const { call, sent, timer } = createRunner(['a', 'b', 'c', 'd', 'e'], () => refusedBy(false));
+    const asked = () => {
+      const before = sent.length;
+      call();
+      return sent.length - before;
+    };
+    const first = Array.from({ length: 20 }, asked);
+    assert.deepEqual(first.slice(-4), [2, 2, 2, 2]);
+    timer.advance(10_000);
+    assert.equal(asked(), 3);
+  });
+
   // Guards against a call that waits its whole limit at each endpoint in turn.
   it('lets a call wait at all endpoints together for as long as its policy says', () => {
     const { call, waits } = createRunner(['a', 'b', 'c', 'd'], () => refusedBy(false), 30);
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -76,6 +76,11 @@
 const windowSlots = 20;
 /** Further endpoints that a call may be rerouted to. */
 const maxReroutes = 2;
+/**
+ * The same while calls of its class are refused where they arrive. Without any, gates that are full by
+ * chance would count as a lack of capacity, and the refusals would go on below it.
+ */
+const maxReroutesUnderOverload = 1;
 /** Refusals of a node that the one beside another upstream need not share. */
 const reroutableReasons: ReadonlySet<FailureReason> = new Set<FailureReason>([
   'leaving',
@@ -266,9 +271,17 @@
 export const isAdmissionRefusal = ({ run, byUpstream, reason }: AttemptFailure): boolean =>
   run === 'not_run' && !byUpstream && reroutableReasons.has(reason);
 
-/** Whether such a call goes to another endpoint; `reroutes` is how often it did before. */
-export const canReroute = (reroutes: number, remainingMs: number): boolean =>
-  reroutes < maxReroutes && remainingMs >= minUsefulMs;
+export interface RerouteQuestion {
+  /** How often the call went to another endpoint before. */
+  readonly reroutes: number;
+  readonly remainingMs: number;
+  /** Calls of its class are refused where they arrive at the moment. */
+  readonly isOverloaded: boolean;
+}
+
+/** Whether such a call goes to another endpoint. */
+export const canReroute = ({ reroutes, remainingMs, isOverloaded }: RerouteQuestion): boolean =>
+  reroutes < (isOverloaded ? maxReroutesUnderOverload : maxReroutes) && remainingMs >= minUsefulMs;
 
 /**
  * Whether a failure goes up with `x-retried: true`. An empty budget counts too: otherwise each
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -66,8 +66,6 @@
   readonly caller: string;
   /** Place among the calls of its class that wait, from 0 to 1. */
   readonly rank: number;
-  /** The upstream beside this node makes the call for another one that it works on. */
-  readonly isNested: boolean;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -179,13 +177,10 @@
       return true;
     };
 
-    /** A call that an upstream makes says nothing of its class: its parent was let through before. */
     const recordSent = (outcome: SentOutcome, retryAfterMs?: number) => {
-      if (!plan.isNested) {
-        const { className } = policy;
-        const call = { className, service: plan.service, rank: plan.rank };
-        options.throttle.commands.recordSent(call, outcome, timer.now(), retryAfterMs);
-      }
+      const { className } = policy;
+      const call = { className, service: plan.service, rank: plan.rank };
+      options.throttle.commands.recordSent(call, outcome, timer.now(), retryAfterMs);
     };
 
     const refuse = (failure: AttemptFailureReport, decision?: RetryDecision) => {
@@ -216,17 +211,20 @@
       });
     };
 
-    const hasReroute = (): boolean => canReroute(reroutes, plan.deadlineAt - timer.now());
-
-    /** No other gate has room either; a call that an upstream makes has cost too much to give up. */
-    const isOverloaded = (): boolean =>
-      !plan.isNested &&
-      options.throttle.queries.refusedShare(policy.className, plan.service, timer.now()) > 0;
+    const hasReroute = (): boolean => {
+      const now = timer.now();
+      const share = options.throttle.queries.refusedShare(policy.className, plan.service, now);
+      return canReroute({
+        reroutes,
+        remainingMs: plan.deadlineAt - now,
+        isOverloaded: share > 0,
+      });
+    };
 
     const retryOrRefuse = (failure: AttemptFailureReport) => {
       if (isAdmissionRefusal(failure)) {
         attempts -= 1;
-        if (plan.body.kind === 'stream' || isOverloaded() || !hasReroute()) {
+        if (plan.body.kind === 'stream' || !hasReroute()) {
           refuse(failure);
           return;
         }
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -267,7 +267,6 @@
     service: call.service,
     caller: callers.readCaller(call.request),
     rank: call.rank,
-    isNested: call.origin === 'upstream',
     method: call.request.method ?? 'GET',
     path: call.request.url ?? '',
     headers: callers.passHeaders(call.request.rawHeaders),
