--- a/__tests__/lateInStop.test.ts
+++ b/__tests__/stopLimits.test.ts
@@ -65,9 +65,12 @@
   after(() => mesh.stop());
 
   it('are refused as not run if they may outlast it, and answered if they can not', async () => {
+    const early = await openKept();
     const long = await openKept();
     const short = await openKept();
     const stopped = mesh.callerNode.runtime.stop(limitMs);
+    // Guards against an answer that a slow link brings only after the limit, though the work was over long before.
+    assert.match(await callOn(early, '/long'), /^HTTP\/1\.1 503 [^]*x-run: not_run/i);
     await waitFor(async () => !(await takesConnections()));
 
     const [longText, shortText] = await Promise.all([
--- a/src/plugins/calls/callListener.ts
+++ b/src/plugins/calls/callListener.ts
@@ -69,10 +69,7 @@
   /** Answers from now on close their connections. */
   drain(): void;
   isDraining(): boolean;
-  /**
-   * Time by which a new call has to be over. Infinite until a stop has given callers the time to see it:
-   * calls that come later and still run at its limit are cut.
-   */
+  /** Time by which a new call has to be over: infinite, or the limit of a stop, which cuts calls. */
   takesUntil(): number;
   active(): number;
   /**
@@ -252,9 +249,9 @@
   const stop = async (limitMs: number) => {
     const { acceptMs, idleMs } = options.stopTimes;
     const limitAt = timer.now() + limitMs;
+    takesUntil = limitAt;
     drain();
     await timer.sleep(Math.min(acceptMs, limitMs));
-    takesUntil = limitAt;
     await untilAllAccepted();
     // Closes the listening socket only: an open connection may be about to get a request.
     NetServer.prototype.close.call(server);
