--- a/__tests__/atMostOnce.test.ts
+++ b/__tests__/atMostOnce.test.ts
@@ -65,6 +65,22 @@
     assert.equal(mesh.upstream.started(), 1);
   });
 
+  // Guards against a caller that is told to try again and then meets its own claim.
+  it('has freed the key before it says that a call was not run', async () => {
+    mesh.ledger.setReleaseMs(200);
+    mesh.ledger.loseClaimAnswer();
+    const unclaimed = await order(mesh.caller, 'k6');
+    assert.equal(JSON.parse(unclaimed.body).run, 'not_run');
+    assert.equal((await order(mesh.caller, 'k6')).status, 200);
+
+    mesh.stopRenewal();
+    await mesh.announce('leaving');
+    const refused = await order(mesh.caller, 'k7');
+    assert.equal(JSON.parse(refused.body).run, 'not_run');
+    await mesh.announce('ready');
+    assert.equal((await order(mesh.caller, 'k7')).status, 200);
+  });
+
   it('records the outcome although the caller went away', async () => {
     let answerNow: (() => void) | undefined;
     mesh.upstream.onRequest((request) => {
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -149,6 +149,8 @@
 export const createFakeLedger = () => {
   const entries = new Map<string, { attemptId: string; print: string; outcome: ClaimOutcome }>();
   let reachable = true;
+  let losesClaimAnswer = false;
+  let releaseMs = 0;
   const ledger: LedgerClient = {
     claim: async ({ service, key, attemptId, fingerprint }) => {
       if (!reachable) {
@@ -159,6 +161,10 @@
       const known = entries.get(id);
       if (!known) {
         entries.set(id, { attemptId, print, outcome: { outcome: 'in_progress' } });
+        if (losesClaimAnswer) {
+          losesClaimAnswer = false;
+          throw new Error('the answer is lost');
+        }
         return { outcome: 'granted' };
       }
       return known.print === print ? known.outcome : { outcome: 'mismatch' };
@@ -170,6 +176,9 @@
       }
     },
     release: async ({ service, key, attemptId }) => {
+      await new Promise((resolve) => {
+        setTimeout(resolve, releaseMs);
+      });
       const id = JSON.stringify([service, key]);
       if (entries.get(id)?.attemptId === attemptId) {
         entries.delete(id);
@@ -179,6 +188,14 @@
   return {
     ledger,
     keys: () => entries.size,
+    /** The next claim is recorded, and its answer is lost. */
+    loseClaimAnswer: () => {
+      losesClaimAnswer = true;
+    },
+    /** Time that a release takes from now on. */
+    setReleaseMs: (ms: number) => {
+      releaseMs = ms;
+    },
     setReachable: (value: boolean) => {
       reachable = value;
     },
--- a/src/plugins/calls/atMostOnce.ts
+++ b/src/plugins/calls/atMostOnce.ts
@@ -19,6 +19,8 @@
 /** Times that the recording of an outcome or of a release is tried. */
 const recordTries = 5;
 const recordDelayMs = 200;
+/** Longest time in ms for which a refusal waits for the release of its key: that of an election. */
+const releaseWaitMs = 2_000;
 
 export interface KeyedCall {
   readonly plan: CallPlan;
@@ -75,6 +77,8 @@
   listener.onEnd();
 };
 
+const unavailable = (): Failure => new Failure('ledger_unavailable');
+
 const refusalByOutcome: Record<
   Exclude<ClaimOutcome['outcome'], 'granted' | 'completed'>,
   () => AttemptFailureReport
@@ -102,6 +106,7 @@
     };
     const recording = recordWithTries().finally(() => recordings.delete(recording));
     recordings.add(recording);
+    return recording;
   };
 
   const run: AtMostOnce['run'] = (call, listener) => {
@@ -116,6 +121,20 @@
     const release = () =>
       record('release of a key', requestId, () => ledger.release({ service, key, attemptId }));
 
+    /** Tells the caller to try again only once its key is free: it would meet its own claim. */
+    const refuseReleased = (failure: AttemptFailureReport) => {
+      const limitMs = Math.min(releaseWaitMs, Math.max(0, plan.deadlineAt - timer.now()));
+      Promise.race([release(), timer.sleep(limitMs)])
+        .then(() => {
+          if (!isAbandoned) {
+            listener.onRefusal(failure);
+          }
+        })
+        .catch((error: unknown) =>
+          log.error('refusal failed', { requestId, error: String(error) }),
+        );
+    };
+
     const recordingListener = (): CallListener => {
       const parts: Buffer[] = [];
       let bytes = 0;
@@ -149,9 +168,8 @@
         },
         onRefusal: (failure) => {
           if (failure.run === 'not_run') {
-            release();
-          }
-          if (!isAbandoned) {
+            refuseReleased(failure);
+          } else if (!isAbandoned) {
             listener.onRefusal(failure);
           }
         },
@@ -166,8 +184,8 @@
         claim = await ledger.claim({ service, key, attemptId, fingerprint, timeoutMs });
       } catch (error) {
         // The claim may have been recorded although its answer was lost.
-        release();
-        throw error;
+        refuseReleased(reportOf(error instanceof Failure ? error : unavailable()));
+        return;
       }
       if (claim.outcome === 'granted') {
         isClaimed = true;
@@ -190,8 +208,7 @@
 
     start().catch((error: unknown) => {
       if (!isAbandoned) {
-        const failure = error instanceof Failure ? error : new Failure('ledger_unavailable');
-        listener.onRefusal(reportOf(failure));
+        listener.onRefusal(reportOf(error instanceof Failure ? error : unavailable()));
       }
     });
 
