--- a/__tests__/overloadThrottle.test.ts
+++ b/__tests__/overloadThrottle.test.ts
@@ -119,7 +119,7 @@
     const sent: { throttle: OverloadThrottle; call: ThrottledCall }[] = [];
     for (; owed >= 1; owed -= 1) {
       const throttle = throttles[Math.floor(random() * nodes)]!;
-      const call = { className: 'c', service: 's', rank: random() };
+      const call = { className: 'c', service: 's', caller: '', rank: random() };
       second.offered += 1;
       if (throttle.commands.admit(call, now)) {
         sent.push({ throttle, call });
@@ -146,6 +146,18 @@
   return counts;
 };
 
+// Guards against a burst of one caller that has the calls of all others refused.
+it('counts callers apart, since gates let them take turns', () => {
+  const throttle = createOverloadThrottle();
+  const callOf = (caller: string) => ({ className: 'c', service: 's', caller, rank: 0.1 });
+  for (let now = 0; now < 1_000; now += 10) {
+    throttle.commands.recordSent(callOf('greedy'), 'refused', now);
+    throttle.commands.recordSent(callOf('modest'), 'admitted', now);
+  }
+  assert.equal(throttle.commands.admit(callOf('greedy'), 1_000), false);
+  assert.equal(throttle.commands.admit(callOf('modest'), 1_000), true);
+});
+
 const sizes = { 'ten nodes': 10, 'sixty nodes with few calls each': 60 };
 
 Object.entries(sizes).forEach(([name, nodes]) => {
@@ -171,7 +183,7 @@
       const throttle = createOverloadThrottle();
       for (let call = 0; call < 1_000; call += 1) {
         const now = call * 10;
-        const sent = { className: 'c', service: 's', rank: 0 };
+        const sent = { className: 'c', service: 's', caller: '', rank: 0 };
         assert.ok(throttle.commands.admit(sent, now));
         throttle.commands.recordSent(sent, call % 20 === 19 ? 'refused' : 'admitted', now);
       }
--- a/src/core/calls/overloadThrottle.ts
+++ b/src/core/calls/overloadThrottle.ts
@@ -8,9 +8,14 @@
 /** What became of a call that was sent on: admitted by a gate, or refused for lack of capacity. */
 export type SentOutcome = 'admitted' | 'refused';
 
-export interface ThrottledCall {
+/** Calls that are counted together: gates let callers take turns, so that each has a count of its own. */
+export interface CallGroup {
   readonly className: string;
   readonly service: string;
+  readonly caller: string;
+}
+
+export interface ThrottledCall extends CallGroup {
   /** See `callRank`. */
   readonly rank: number;
 }
@@ -24,9 +29,9 @@
   };
   readonly queries: {
     /** Share of the calls, those of lowest rank, that are refused at the moment. */
-    refusedShare(className: string, service: string, now: number): number;
+    refusedShare(group: CallGroup, now: number): number;
     /** Time in ms after which gates asked callers to come back, on average, if they did. */
-    retryAfterMs(className: string, service: string): number | undefined;
+    retryAfterMs(group: CallGroup): number | undefined;
   };
 }
 
@@ -52,7 +57,7 @@
 const minCalls = 5;
 /** Weight of a refusal in the average of the times after which callers should come back. */
 const retryAfterWeight = 0.2;
-/** Pairs of class and service that are remembered. */
+/** Groups of calls that are remembered. */
 const maxStates = 4_096;
 
 interface State {
@@ -71,7 +76,8 @@
   const states = new Map<string, State>();
 
   // Names have no spaces.
-  const keyOf = (className: string, service: string): string => `${className} ${service}`;
+  const keyOf = ({ className, service, caller }: CallGroup): string =>
+    `${className} ${service} ${caller}`;
 
   const createState = (key: string, now: number): State => {
     const state = {
@@ -107,20 +113,20 @@
 
   return {
     commands: {
-      admit: ({ className, service, rank }, now) => {
-        const state = states.get(keyOf(className, service));
+      admit: (call, now) => {
+        const state = states.get(keyOf(call));
         if (!state) {
           return true;
         }
         decay(state, now);
-        if (rank >= shareOf(state, now)) {
+        if (call.rank >= shareOf(state, now)) {
           return true;
         }
         state.calls += 1;
         return false;
       },
-      recordSent: ({ className, service }, outcome, now, retryAfterMs) => {
-        const key = keyOf(className, service);
+      recordSent: (call, outcome, now, retryAfterMs) => {
+        const key = keyOf(call);
         const state = states.get(key) ?? createState(key, now);
         decay(state, now);
         state.calls += 1;
@@ -138,15 +144,15 @@
       },
     },
     queries: {
-      refusedShare: (className, service, now) => {
-        const state = states.get(keyOf(className, service));
+      refusedShare: (group, now) => {
+        const state = states.get(keyOf(group));
         if (!state) {
           return 0;
         }
         decay(state, now);
         return shareOf(state, now);
       },
-      retryAfterMs: (className, service) => states.get(keyOf(className, service))?.retryAfterMs,
+      retryAfterMs: (group) => states.get(keyOf(group))?.retryAfterMs,
     },
   };
 };
--- a/src/plugins/calls/callRun.ts
+++ b/src/plugins/calls/callRun.ts
@@ -6,7 +6,11 @@
 import { randomUUID } from 'node:crypto';
 import { formatVersion } from '../../core/agreement/version.js';
 import type { AttemptOutcome, Evidence } from '../../core/calls/evidence.js';
-import type { OverloadThrottle, SentOutcome } from '../../core/calls/overloadThrottle.js';
+import type {
+  OverloadThrottle,
+  SentOutcome,
+  ThrottledCall,
+} from '../../core/calls/overloadThrottle.js';
 import {
   canReroute,
   decideHedge,
@@ -143,6 +147,8 @@
   const run: CallRunner['run'] = (plan, listener, firstAttemptId) => {
     const { policy } = plan;
     const budget = options.budgetOf(policy.className, plan.service);
+    const { service, caller, rank } = plan;
+    const throttled: ThrottledCall = { className: policy.className, service, caller, rank };
     const active = new Set<Attempt>();
     const excluded = new Set<string>();
     let winner: Attempt | undefined;
@@ -178,9 +184,7 @@
     };
 
     const recordSent = (outcome: SentOutcome, retryAfterMs?: number) => {
-      const { className } = policy;
-      const call = { className, service: plan.service, rank: plan.rank };
-      options.throttle.commands.recordSent(call, outcome, timer.now(), retryAfterMs);
+      options.throttle.commands.recordSent(throttled, outcome, timer.now(), retryAfterMs);
     };
 
     const refuse = (failure: AttemptFailureReport, decision?: RetryDecision) => {
@@ -213,7 +217,7 @@
 
     const hasReroute = (): boolean => {
       const now = timer.now();
-      const share = options.throttle.queries.refusedShare(policy.className, plan.service, now);
+      const share = options.throttle.queries.refusedShare(throttled, now);
       return canReroute({
         reroutes,
         remainingMs: plan.deadlineAt - now,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { formatVersion } from '../../core/agreement/version.js';
 import { outcomeOfRefusal, type Burn, type CallOutcome } from '../../core/operators/burn.js';
-import type { OverloadThrottle } from '../../core/calls/overloadThrottle.js';
+import type { OverloadThrottle, ThrottledCall } from '../../core/calls/overloadThrottle.js';
 import { isAdmissionRefusal } from '../../core/calls/retry.js';
 import { spreadAround, usualRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { callRank } from '../../core/calls/callRank.js';
@@ -80,6 +80,8 @@
   /** Service that does the work of this call. */
   readonly service: string;
   readonly origin: CallOrigin;
+  /** Whom the call is from, see `CallerInterface`. */
+  readonly caller: string;
   /** See `callRank`. */
   readonly rank: number;
   readonly startedAt: number;
@@ -117,8 +119,15 @@
     metrics.recordCall(className, result, now - call.startedAt);
   };
 
-  const throttledRefusal = ({ policy, service }: Call): AttemptFailureReport => {
-    const usualMs = throttle.queries.retryAfterMs(policy.className, service);
+  const throttledOf = ({ policy, service, caller, rank }: Call): ThrottledCall => ({
+    className: policy.className,
+    service,
+    caller,
+    rank,
+  });
+
+  const throttledRefusal = (call: Call): AttemptFailureReport => {
+    const usualMs = throttle.queries.retryAfterMs(throttledOf(call));
     return {
       reason: 'overloaded',
       run: 'not_run',
@@ -252,6 +261,7 @@
       policy,
       service: pickService(policy, options.spread(policy.className)),
       origin,
+      caller: callers.readCaller(request),
       rank: rankOf(origin, requestId, headers),
       startedAt,
       deadlineAt: startedAt + deadlineMs,
@@ -265,7 +275,7 @@
     held,
     policy: call.policy,
     service: call.service,
-    caller: callers.readCaller(call.request),
+    caller: call.caller,
     rank: call.rank,
     method: call.request.method ?? 'GET',
     path: call.request.url ?? '',
@@ -295,10 +305,10 @@
       : () => undefined;
 
   /** True if the call goes on; a free slot beside this node is better knowledge than the throttle's. */
-  const passesThrottle = ({ origin, policy, service, rank }: Call): boolean =>
-    origin === 'upstream' ||
-    upstream.queries.hasFreeSlot(service) ||
-    throttle.commands.admit({ className: policy.className, service, rank }, timer.now());
+  const passesThrottle = (call: Call): boolean =>
+    call.origin === 'upstream' ||
+    upstream.queries.hasFreeSlot(call.service) ||
+    throttle.commands.admit(throttledOf(call), timer.now());
 
   const run = async (call: Call): Promise<void> => {
     if (!passesThrottle(call)) {
