--- a/__tests__/callMetrics.test.ts
+++ b/__tests__/callMetrics.test.ts
@@ -19,7 +19,7 @@
 [class.short]
 service = "s"
 match = [{ method = "GET", path = "/short" }]
-answer_within = "20ms"
+answer_within = "10s"
 may_wait = "10ms"
 idempotent = true
 `;
