Limit the memory of responses without end

Callers of a node whose upstream sent a body without end (no length, HTTP/1.0, or on a connection that closes) could lose it: such a body was read as fast as it came and kept for a caller that took it slowly, because undici fails an assertion if the connection of a paused response ends.

The connection is now held instead once 1 MiB has come after the reader paused: reads return nothing, so the kernel stops the upstream, and the end of the connection waits too. The node measures silence in a body itself, since undici's timeout runs on while a connection is held.

--- a/src/plugins/calls/exchange.ts
+++ b/src/plugins/calls/exchange.ts
@@ -13,6 +13,7 @@
 } from '../../types/calls.js';
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
+import type { UpstreamConnection } from './upstreamPool.js';
 
 /**
  * Minimum time without data in a response body after which its connection counts as stalled, in ms.
@@ -20,6 +21,12 @@
  */
 const minBodyTimeoutMs = 5_000;
 
+/**
+ * Bytes of an unpausable response that are still read after its reader has paused. Most such
+ * responses are read to their end with it, which frees their slot; one without end is held.
+ */
+const maxBytesWhilePaused = 1_024 * 1_024;
+
 export interface ExchangeOptions {
   readonly dispatcher: Dispatcher;
   readonly timer: Timer;
@@ -39,6 +46,8 @@
   readonly expectCloseDelimited?: () => void;
   /** True if the response that begins is known to be HTTP/1.1, see `UpstreamPool`. */
   readonly isHttp11: () => boolean;
+  /** Connection of the response that begins, see `UpstreamPool`. */
+  readonly lastRead: () => UpstreamConnection | undefined;
   readonly listener: AttemptListener;
 }
 
@@ -79,11 +88,6 @@
       value.toLowerCase().includes('close'),
   );
 
-const errorCode = (error: unknown): string =>
-  error instanceof Error && 'code' in error ? String(error.code) : '';
-
-const timeoutCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
-
 /** Sends a request and reports its response to the listener. */
 export const startExchange = (options: ExchangeOptions): RunningAttempt => {
   const { dispatcher, timer, method, listener } = options;
@@ -91,7 +95,11 @@
   let resumeResponse: (() => void) | undefined;
   let isSent = false;
   let isDelimited = true;
-  let canPause = true;
+  /** Connection of a response that undici cannot pause. */
+  let unpausable: UpstreamConnection | undefined;
+  let isPaused = false;
+  let bytesWhilePaused = 0;
+  let lastDataAt = 0;
   let isOver = false;
 
   const finish = (): boolean => {
@@ -99,7 +107,7 @@
       return false;
     }
     isOver = true;
-    cancelHeadTimeout();
+    cancelTimeout();
     return true;
   };
 
@@ -117,12 +125,23 @@
     listener.onFailure(failure);
   };
 
-  const cancelHeadTimeout: Cancel = timer.after(options.headTimeoutMs, () =>
+  let cancelTimeout: Cancel = timer.after(options.headTimeoutMs, () =>
     fail(isSent ? 'deadline_exceeded' : 'upstream_unreachable', 'no answer within the time limit'),
   );
 
+  /** Fails a body that stalls for too long; its reader may pause for any time. */
+  const watchBody = () => {
+    const limitMs = Math.max(minBodyTimeoutMs, options.remainingMs);
+    const leftMs = isPaused ? limitMs : lastDataAt + limitMs - timer.now();
+    if (leftMs > 0) {
+      cancelTimeout = timer.after(leftMs, watchBody);
+    } else {
+      fail('deadline_exceeded', 'no further data of the body within the time limit');
+    }
+  };
+
   const onHead = (status: number, raw: readonly Buffer[]): void => {
-    cancelHeadTimeout();
+    cancelTimeout();
     const head = parseHead(status, raw, method);
     const mismatch = options.checkHead(head.status, head.headers);
     if (mismatch !== undefined) {
@@ -138,7 +157,10 @@
       options.expectCloseDelimited?.();
     }
     // undici 7 ends the process with an assertion if the connection of a paused response ends.
-    canPause = isDelimited && options.isHttp11() && !closesConnection(head.headers);
+    const canPause = isDelimited && options.isHttp11() && !closesConnection(head.headers);
+    unpausable = canPause ? undefined : options.lastRead();
+    lastDataAt = timer.now();
+    watchBody();
     listener.onHead(head);
   };
 
@@ -159,8 +181,16 @@
       return true;
     },
     onData: (chunk) => {
-      const acceptsMore = isOver || listener.onData(chunk);
-      return acceptsMore || !canPause;
+      lastDataAt = timer.now();
+      isPaused = !(isOver || listener.onData(chunk));
+      if (!unpausable) {
+        return !isPaused;
+      }
+      bytesWhilePaused = isPaused ? bytesWhilePaused + chunk.length : 0;
+      if (bytesWhilePaused > maxBytesWhilePaused) {
+        unpausable.hold();
+      }
+      return true;
     },
     onComplete: () => {
       if (!isDelimited && options.isResetting?.()) {
@@ -176,8 +206,7 @@
         fail('upstream_unreachable', error.message);
         return;
       }
-      const isTimeout = timeoutCodes.has(errorCode(error));
-      fail(isTimeout ? 'deadline_exceeded' : 'upstream_failed', error.message);
+      fail('upstream_failed', error.message);
     },
   };
 
@@ -188,9 +217,10 @@
         path: options.path,
         headers: options.headers,
         body: toDispatchBody(options.body) as Dispatcher.DispatchOptions['body'],
-        // The timer above limits the wait for the head: undici's own timeout is only exact to 1 s.
+        // The timer above limits the wait for the head and for data of the body: undici's own
+        // timeouts are only exact to 1 s, and run on while a connection is held.
         headersTimeout: 0,
-        bodyTimeout: Math.max(minBodyTimeoutMs, options.remainingMs),
+        bodyTimeout: 0,
         // Keeps undici from pipelining the request behind another one on the same connection.
         idempotent: false,
       },
@@ -206,7 +236,16 @@
         abortRequest?.();
       }
     },
-    resume: () => resumeResponse?.(),
+    resume: () => {
+      isPaused = false;
+      bytesWhilePaused = 0;
+      lastDataAt = timer.now();
+      if (unpausable) {
+        unpausable.release();
+      } else {
+        resumeResponse?.();
+      }
+    },
     mayHaveRun: () => isSent,
   };
 };
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -264,6 +264,7 @@
         isResetting: upstreamPool!.isResetting,
         expectCloseDelimited: upstreamPool!.expectCloseDelimited,
         isHttp11: upstreamPool!.isHttp11,
+        lastRead: upstreamPool!.lastRead,
         timer,
         method: request.method,
         path: request.path,
--- a/src/plugins/calls/upstreamPool.ts
+++ b/src/plugins/calls/upstreamPool.ts
@@ -9,8 +9,20 @@
 const idleTimeoutMs = 4_000;
 const maxResponseHeadBytes = 16 * 1_024;
 
+/** Connection whose response is being read. */
+export interface UpstreamConnection {
+  /**
+   * Stops reading, so that the upstream cannot send more. Unlike a pause by undici, it also holds
+   * the end of the connection back, on which undici fails an assertion if the response is paused.
+   */
+  hold(): void;
+  release(): void;
+}
+
 export interface UpstreamPool {
   readonly pool: Pool;
+  /** Connection whose bytes were read last; undici does not expose the one of a response. */
+  lastRead(): UpstreamConnection | undefined;
   /** Call this when a close-delimited response begins, which the end of its connection ends. */
   expectCloseDelimited(): void;
   /**
@@ -31,6 +43,7 @@
 export const createUpstreamPool = (address: string, connections: number): UpstreamPool => {
   let isResetting = false;
   let isHttp11Response = false;
+  let lastRead: UpstreamConnection | undefined;
   const connect = buildConnector({ timeout: connectTimeoutMs });
   const markReset = () => {
     isResetting = true;
@@ -47,7 +60,24 @@
     // A prepended listener runs before undici's own.
     socket.prependListener('error', markReset);
     const read = socket.read.bind(socket);
+    let isHeld = false;
+    const connection: UpstreamConnection = {
+      hold: () => {
+        isHeld = true;
+      },
+      release: () => {
+        if (isHeld) {
+          isHeld = false;
+          socket.emit('readable');
+        }
+      },
+    };
     socket.read = (size?: number) => {
+      // undici reads without a size. With one, Node.js itself fills the buffer of the socket.
+      if (isHeld && size === undefined) {
+        return null;
+      }
+      lastRead = connection;
       const chunk: Buffer | null = read(size);
       isHttp11Response =
         chunk?.subarray(0, http11Prefix.length).equals(http11Prefix) ?? isHttp11Response;
@@ -91,5 +121,6 @@
     expectCloseDelimited,
     isResetting: () => isResetting,
     isHttp11: () => isHttp11Response,
+    lastRead: () => lastRead,
   };
 };
