Start the feed of a node before its warm-up and shorten the warm-up

After a loss of all power a node warmed up for 1.4 s of its 2.7 s until it listened, and asked for a configuration only then. The feed now starts first, and the warm-up makes 16 calls in place of 60: started alone on this machine, 4, 12, 24, 40 and 60 calls take 94, 126, 211, 265 and 333 ms of processor time.

--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -125,6 +125,8 @@
   const adapterServer = adapter?.start(runtime);
 
   await peerServer.listen();
+  // The first configuration arrives while the code of the call path warms up.
+  feed.start();
   const warmUpStartedAt = timer.now();
   await warmUp({
     callInterface: adapter?.callInterface ?? nativeCallInterface,
@@ -137,7 +139,6 @@
   );
   await runtime.start();
   await adapterServer?.listen();
-  feed.start();
   log.info('started', { ...listen });
 
   return {
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -32,8 +32,11 @@
 import { createRemoteSender } from './remoteSender.js';
 import { createNodeLinks } from './nodeLinks.js';
 
-/** Calls of a warm-up: the processor time per call falls by four fifths within the first 40. */
-const callCount = 60;
+/**
+ * Calls of a warm-up. Most of the extra time of cold code is spent in the first 12; after a loss of
+ * all nodes, further ones only delay the first real calls.
+ */
+const callCount = 16;
 const concurrency = 4;
 /** Time limit of the warm-up, in ms: a node that is still slow is useful nevertheless. */
 const timeLimitMs = 1_500;
