Share the slack of retries among the nodes that the fleet has

Calls that upstreams make also raised the limit of their service, although the users count the calls of callers only.

Control instances send the number of nodes with the heartbeats of the feed, nodes pass it on, and a node divides the slack by the highest number that it heard of, by 100 at least. On the platform nested calls no longer permit retries.

--- a/__tests__/callRunner.test.ts
+++ b/__tests__/callRunner.test.ts
@@ -28,6 +28,7 @@
   endpointIds: string[],
   respond: (endpointId: string) => ScriptedResponse,
   responseMs = 1,
+  { isNested = false, countsNestedCalls = true } = {},
 ) => {
   const timer = createManualTimer();
   const random = createRandom(3);
@@ -60,6 +61,7 @@
     remote,
     endpointTracker,
     retryBudgetFor: () => budget,
+    countsNestedCalls,
     throttle: createOverloadThrottle(),
     metrics: { recordChoice: () => undefined, recordRetry: () => undefined },
   });
@@ -80,6 +82,7 @@
         policy,
         service: policy.service,
         rank: 0.5,
+        isNested,
         caller: 'x',
         method: 'GET',
         path: '/',
@@ -104,6 +107,22 @@
 };
 
 describe('call runner', () => {
+  // Guards against nested calls that raise the number of retries where the limit of the deployment
+  // counts the calls of callers only.
+  [
+    { isNested: false, countsNestedCalls: false, permitted: 11 },
+    { isNested: true, countsNestedCalls: true, permitted: 11 },
+    { isNested: true, countsNestedCalls: false, permitted: 10 },
+  ].forEach(({ permitted, ...options }) =>
+    it(`permits ${permitted} retries after 10 calls with ${JSON.stringify(options)}`, () => {
+      const { call, budget, timer } = createRunner(['a'], () => ({ status: 200 }), 1, options);
+      for (let count = 0; count < 10; count += 1) {
+        call();
+      }
+      assert.equal(budget.queries.balance(timer.now()), permitted);
+    }),
+  );
+
   it('ejects an endpoint that answers 500, however fast it is', () => {
     const { call, endpointTracker, sent, timer } = createRunner(['bad', 'b', 'c', 'd'], (id) => ({
       status: id === 'bad' ? 500 : 200,
--- a/__tests__/retryLimit.test.ts
+++ b/__tests__/retryLimit.test.ts
@@ -9,16 +9,18 @@
 const stepMs = 50;
 const durationMs = 120_000;
 
-const settings = parsePlatformSettings(
-  [
-    'node=n',
-    'ip=10.0.0.1',
-    'zone=z',
-    'internal_ports=7000,7010',
-    `bounds=retry_budget_ratio=${limit.share},budget_window_s=10,retry_budget_slack=${limit.slack}`,
-  ].join('\n'),
-  'local.conf',
-);
+/** Settings of the platform with this slack. */
+const settingsWith = (slack: number) =>
+  parsePlatformSettings(
+    [
+      'node=n',
+      'ip=10.0.0.1',
+      'zone=z',
+      'internal_ports=7000,7010',
+      `bounds=retry_budget_ratio=${limit.share},budget_window_s=10,retry_budget_slack=${slack}`,
+    ].join('\n'),
+    'local.conf',
+  );
 
 interface Scenario {
   /** Calls per second at one node, at a time in ms since the start of the simulation. */
@@ -48,9 +50,17 @@
 };
 
 /** Returns the calls and retries of all nodes for each step of the simulation. */
-const simulate = ({ callsPerSecond, isFailing }: Scenario, nodes: number, classes: number) => {
+const simulate = (
+  { callsPerSecond, isFailing }: Scenario,
+  nodes: number,
+  classes: number,
+  slack = limit.slack,
+) => {
   const random = createRandom(7);
-  const budgets = Array.from({ length: nodes }, () => createRetryBudgets(toRetryBudgets(settings)));
+  const settings = settingsWith(slack);
+  const budgets = Array.from({ length: nodes }, () =>
+    createRetryBudgets(toRetryBudgets(settings), () => nodes),
+  );
   const steps = Array.from({ length: durationMs / stepMs }, () => ({ calls: 0, retries: 0 }));
   steps.forEach((step, index) => {
     const at = index * stepMs;
@@ -96,4 +106,17 @@
       assert.ok(maxRetries > 0, 'some calls were retried');
     }),
   );
+
+  // Guards against a slack for each node that adds up to more than the limit in a large fleet.
+  it('keep to the limit in a fleet of 400 nodes with few calls', () => {
+    const slack = 420;
+    const steps = simulate({ callsPerSecond: () => 0.5, isFailing: () => true }, 400, 5, slack);
+    const windowSteps = limit.windowMs / stepMs;
+    for (let from = windowSteps; from + windowSteps <= steps.length; from += 1) {
+      const window = steps.slice(from, from + windowSteps);
+      const retries = window.reduce((sum, step) => sum + step.retries, 0);
+      const calls = window.reduce((sum, step) => sum + step.calls, 0);
+      assert.ok(retries <= limit.share * calls + slack, `at ${from * stepMs} ms: ${retries}`);
+    }
+  });
 });
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -291,6 +291,7 @@
       current: () => activeConfiguration,
       isDetached: () => false,
       confirmedAgeMs: () => 0,
+      fleetNodes: () => 0,
     },
     onChange: () => () => undefined,
   };
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -120,7 +120,7 @@
   /** Length of the sliding window in ms; the share holds for every position of it. */
   readonly windowMs?: number;
   /** Retries permitted in a window in addition to the share. */
-  readonly slack?: number;
+  readonly slack?: number | (() => number);
 }
 
 interface Bucket {
@@ -154,7 +154,7 @@
 
   const balance = (now: number): number => {
     const { index } = bucketAt(now);
-    let remaining = slack;
+    let remaining = typeof slack === 'number' ? slack : slack();
     buckets.forEach((bucket) => {
       remaining +=
         (bucket.index > index - windowBuckets ? share * bucket.calls : 0) - bucket.retries;
@@ -177,9 +177,27 @@
   };
 };
 
+/** Slack of a service that all nodes of the fleet share equally. */
+export interface FleetSlack {
+  /** Retries permitted in a window, for all nodes together. */
+  readonly retries: number;
+  /** Share of a node's slack that one class may use. */
+  readonly classPart: number;
+  /** Number of nodes that is assumed while fewer are known. */
+  readonly minNodes: number;
+}
+
 export interface RetryBudgetsOptions extends RetryBudgetOptions {
+  readonly slack?: number;
   /** The same for all classes of a service together; at least `slack`. Default: twice `slack`. */
   readonly serviceSlack?: number;
+  /** Takes the place of `slack` and `serviceSlack`. */
+  readonly fleetSlack?: FleetSlack;
+  /**
+   * Calls that upstreams make permit retries as the calls of callers do. Default: true. If the
+   * limit of the deployment counts the calls of callers only, they must not.
+   */
+  readonly countsNestedCalls?: boolean;
 }
 
 /** Returns the retry budget for the calls of a class to a service. */
@@ -206,18 +224,39 @@
   };
 };
 
+interface NodeSlack {
+  readonly ofClass: number | (() => number);
+  readonly ofService: number | (() => number);
+}
+
+const nodeSlack = (
+  { slack = defaultSlack, serviceSlack = 2 * slack, fleetSlack }: RetryBudgetsOptions,
+  fleetNodes: () => number,
+): NodeSlack => {
+  if (!fleetSlack) {
+    return { ofClass: slack, ofService: serviceSlack };
+  }
+  const { retries, classPart, minNodes } = fleetSlack;
+  const ofService = () => retries / Math.max(minNodes, fleetNodes());
+  return { ofClass: () => classPart * ofService(), ofService };
+};
+
 /**
  * Creates the retry budgets of one node. A retry has to fit both the budget of the service and that
  * of its class, because a class whose calls are shed must not use up the retries of other classes.
+ * `fleetNodes` returns the known number of nodes, which share the slack of the fleet.
  */
-export const createRetryBudgets = (options: RetryBudgetsOptions): RetryBudgetLookup => {
-  const { slack = defaultSlack, serviceSlack = 2 * slack } = options;
+export const createRetryBudgets = (
+  options: RetryBudgetsOptions,
+  fleetNodes: () => number = () => 0,
+): RetryBudgetLookup => {
+  const slack = nodeSlack(options, fleetNodes);
   const serviceBudgets = new Map<string, RetryBudget>();
   const classBudgets = new Map<string, RetryBudget>();
 
   const serviceBudget = (service: string): RetryBudget => {
     const budget =
-      serviceBudgets.get(service) ?? createRetryBudget({ ...options, slack: serviceSlack });
+      serviceBudgets.get(service) ?? createRetryBudget({ ...options, slack: slack.ofService });
     serviceBudgets.set(service, budget);
     return budget;
   };
@@ -229,7 +268,10 @@
     if (known) {
       return known;
     }
-    const budget = combineBudgets(createRetryBudget({ ...options, slack }), serviceBudget(service));
+    const budget = combineBudgets(
+      createRetryBudget({ ...options, slack: slack.ofClass }),
+      serviceBudget(service),
+    );
     classBudgets.set(key, budget);
     if (classBudgets.size > maxBudgets) {
       classBudgets.delete(classBudgets.keys().next().value!);
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -31,8 +31,8 @@
  * node can distinguish them from first attempts.
  */
 const ownRetryPart = 0.6;
-/** Nodes that the slack is divided among. A deployment has fewer, so all may use it at once. */
-const nodesSharingSlack = 100;
+/** Nodes that the slack is divided among at least, also while the size of the fleet is unknown. */
+const minNodesSharingSlack = 100;
 /** Slack of a class, as a part of the slack of its service. */
 const classSlackPart = 0.5;
 
@@ -215,18 +215,18 @@
   return found;
 };
 
-/** Retry budget of one node, such that all nodes together stay within the limit. */
+/**
+ * Retry budget of one node, such that all nodes together stay within the limit. The limit counts
+ * the calls of callers and the retries of all calls.
+ */
 export const toRetryBudgets = ({
   retryLimit: { share, windowMs, slack },
-}: PlatformSettings): RetryBudgetsOptions => {
-  const serviceSlack = slack / nodesSharingSlack;
-  return {
-    share: ownRetryPart * share,
-    windowMs,
-    serviceSlack,
-    slack: classSlackPart * serviceSlack,
-  };
-};
+}: PlatformSettings): RetryBudgetsOptions => ({
+  share: ownRetryPart * share,
+  windowMs,
+  fleetSlack: { retries: slack, classPart: classSlackPart, minNodes: minNodesSharingSlack },
+  countsNestedCalls: false,
+});
 
 /** Converts the settings to those of a node. */
 export const toNodeSettings = (settings: PlatformSettings, adminPort: number): NodeSettings => {
--- a/src/plugins/calls/callRunner.ts
+++ b/src/plugins/calls/callRunner.ts
@@ -59,6 +59,8 @@
   readonly remote: RemoteSender;
   readonly endpointTracker: EndpointTracker;
   readonly retryBudgetFor: RetryBudgetLookup;
+  /** See `RetryBudgetsOptions`. */
+  readonly countsNestedCalls?: boolean;
   readonly throttle: OverloadThrottle;
   readonly metrics: Pick<CallMetrics, 'recordChoice' | 'recordRetry'>;
   readonly logDecision?: RateLimitedLog;
@@ -74,6 +76,8 @@
   readonly caller: string;
   /** Rank among the waiting calls of its class, from 0 to 1; the highest goes first. */
   readonly rank: number;
+  /** An upstream made the call for a call that it works on. */
+  readonly isNested?: boolean;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -138,6 +142,7 @@
 
 export const createCallRunner = (options: CallRunnerOptions): CallRunner => {
   const { localNode, timer, random, upstream, startScheduler, remote, endpointTracker } = options;
+  const { countsNestedCalls = true } = options;
   const attemptPrefix = randomUUID();
   const responseSizes = createResponseSizes();
   let attemptCount = 0;
@@ -446,7 +451,9 @@
       }
     };
 
-    budget.commands.recordCall(timer.now());
+    if (countsNestedCalls || !plan.isNested) {
+      budget.commands.recordCall(timer.now());
+    }
     startAttempt('first');
     const hedgeAfterMs = decideHedge({
       policy,
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -297,6 +297,7 @@
     service: call.service,
     caller: call.caller,
     rank: call.rank,
+    isNested: call.origin === 'upstream',
     method: call.request.method ?? 'GET',
     path: call.request.url ?? '',
     headers: callers.forwardedHeaders(call.request.rawHeaders),
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -100,7 +100,10 @@
   const { node, access, configurationView, metrics, timer, log, random } = options;
   const { callInterface = nativeCallInterface, stopTimes = defaultStopTimes } = options;
   const endpointTracker = createEndpointTracker({ random });
-  const retryBudgetFor = createRetryBudgets(options.retryBudgets ?? { share: retryShare });
+  const retryBudgetFor = createRetryBudgets(
+    options.retryBudgets ?? { share: retryShare },
+    configurationView.queries.fleetNodes,
+  );
   const burn = createBurnCounters();
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createRateLimitedLog(log.part('calls'), timer);
@@ -128,6 +131,7 @@
     remote: createNodeQueues(remote, timer),
     endpointTracker,
     retryBudgetFor,
+    countsNestedCalls: options.retryBudgets?.countsNestedCalls ?? true,
     throttle,
     metrics: callMetrics,
     logDecision,
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -155,6 +155,7 @@
       current: () => activeConfiguration,
       isDetached: () => false,
       confirmedAgeMs: () => 0,
+      fleetNodes: () => 0,
     },
     onChange: () => () => undefined,
   };
--- a/src/plugins/distribution/controlFeed.ts
+++ b/src/plugins/distribution/controlFeed.ts
@@ -188,6 +188,7 @@
     rootDataCentre: () => (source.isCurrent() ? control.dataCentre : ''),
     controls: () => cluster.members(),
     confirmedAgeMs: () => source.confirmedAgeMs(),
+    fleetNodes: () => status().counts.reduce((sum, { nodes }) => sum + nodes, 0),
     log: registry.queries.log,
     leasedLogs: () => leased.queries.services().map(leased.queries.log),
     countNodes: subtree.queries.countNodes,
--- a/src/plugins/distribution/feedServer.ts
+++ b/src/plugins/distribution/feedServer.ts
@@ -66,6 +66,8 @@
   /** Known control instances. */
   controls(): readonly ControlAddress[];
   confirmedAgeMs(): number;
+  /** Number of nodes in the fleet, as far as this process knows. */
+  fleetNodes(): number;
   /** Endpoint log of a service, or undefined if nothing is known about it yet. */
   log(service: string): ClusterLog | undefined;
   /** Logs of the endpoints whose leases this process holds, for other control instances. */
@@ -233,6 +235,7 @@
         path: [...publication.path()],
         rootDataCentre: publication.rootDataCentre(),
         controls: controls.map(controlRecord),
+        fleetNodes: publication.fleetNodes(),
       },
     });
 
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -109,6 +109,8 @@
   const cancels: Cancel[] = [];
   let refusals = 0;
   let headVersion = noVersion;
+  /** Highest number heard of: in a partition, each side knows only a part of the nodes. */
+  let fleetNodes = 0;
 
   const choice = createParentChoice({
     dataCentre: node.dataCentre,
@@ -241,6 +243,7 @@
     const now = timer.now();
     const ageMs = Number(message.confirmedAgeMs);
     headVersion = readVersion(message.headVersion);
+    fleetNodes = Math.max(fleetNodes, message.fleetNodes);
     // A confirmation applies to a version only if that is not older than the confirmed one.
     if (!isNewer(headVersion, newest())) {
       freshness.commands.confirm(ageMs, now);
@@ -352,6 +355,7 @@
     rootDataCentre: () => parents.rootDataCentre(),
     controls: () => choice.queries.controls(),
     confirmedAgeMs: () => freshness.queries.ageMs(timer.now()),
+    fleetNodes: () => fleetNodes,
     log: clusters.queries.log,
     // Only control instances send their leased endpoints to others.
     leasedLogs: () => [],
@@ -457,6 +461,7 @@
         current: serving.queries.current,
         isDetached: () => inForceFreshness.queries.isDetached(timer.now()),
         confirmedAgeMs: () => inForceFreshness.queries.ageMs(timer.now()),
+        fleetNodes: () => fleetNodes,
       },
       onChange,
     },
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -119,6 +119,8 @@
     /** True if no confirmation was received within the lease. */
     isDetached(): boolean;
     confirmedAgeMs(): number;
+    /** Number of nodes in the fleet, the highest that was heard of; 0 if it is unknown. */
+    fleetNodes(): number;
   };
   onChange(listener: (held: ActiveConfiguration) => void): () => void;
 }
