--- a/__tests__/feedTree.test.ts
+++ b/__tests__/feedTree.test.ts
@@ -51,6 +51,11 @@
       'the report of 3 nodes at the first version',
     );
     assert.equal(control.feed.fleet.inventory().clusters.get('lookup')?.endpoints.length, 1);
+    // Nodes divide the retries of the fleet by this number.
+    await waitUntil(
+      () => nodes.every(({ feed }) => feed.view.queries.fleetNodes() === 3),
+      'the number of nodes on all nodes',
+    );
     const next = source.commit(createConfiguration(['lookup'], 60));
     await waitUntil(() => allAt(nodes, next), 'the second version on all nodes');
     const floorAtSibling = async () => {
