Count the silence of a parent only while a process waits for it

The logs show 590 children attached and 320 left with 'connection closed': a node gave up a parent whose first message it had not read within 1 s, because it had no processor time to read it, and paid for a new connection again.

Silence now counts the time in which the event loop waited for events, and at most four times the limit of all time.

--- /dev/null
+++ b/src/core/distribution/silence.ts
@@ -0,0 +1,46 @@
+/**
+ * Decides whether a peer is silent. Only time in which this process waited for events counts: one
+ * that is short of processor time reads late what its peer sent in time, and a node that leaves its
+ * parent for that starts over with the most expensive part, a new connection.
+ */
+
+/** A peer is silent after this multiple of the limit even if the process was always busy. */
+const maxFactor = 4;
+
+export interface SilenceOptions {
+  readonly now: () => number;
+  /** Time since the start of the process in which its event loop waited for events, in ms. */
+  readonly idleMs: () => number;
+}
+
+export interface Silence {
+  readonly commands: {
+    /** Records that the peer was heard. */
+    reset(): void;
+  };
+  readonly queries: {
+    exceeds(limitMs: number): boolean;
+  };
+}
+
+/** Creates a measurement of silence that starts now. */
+export const createSilence = ({ now, idleMs }: SilenceOptions): Silence => {
+  let heardAt = now();
+  let idleWhenHeardMs = idleMs();
+
+  return {
+    commands: {
+      reset: () => {
+        heardAt = now();
+        idleWhenHeardMs = idleMs();
+      },
+    },
+    queries: {
+      exceeds: (limitMs) => {
+        const elapsedMs = now() - heardAt;
+        const waitedMs = Math.min(elapsedMs, idleMs() - idleWhenHeardMs);
+        return waitedMs > limitMs || elapsedMs > maxFactor * limitMs;
+      },
+    },
+  };
+};
--- a/src/plugins/distribution/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -3,6 +3,7 @@
  * misses three heartbeats, since a connection can stop transferring data for good while new
  * connections work.
  */
+import { performance } from 'node:perf_hooks';
 import { Code, ConnectError, createClient, type Client } from '@connectrpc/connect';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import { create } from '@bufbuild/protobuf';
@@ -18,6 +19,7 @@
   type ReportResponse,
   type Welcome,
 } from '../../gen/auburnsill/v1/feed_pb.js';
+import { createSilence } from '../../core/distribution/silence.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
@@ -33,7 +35,7 @@
 /** Changes within this time are combined into one report. */
 const reportBatchMs = 100;
 const probeTimeoutMs = 1_000;
-/** Maximum wait for the first message. A live parent sends it in time even under load. */
+/** Maximum wait for the first message. */
 const welcomeTimeoutMs = 1_000;
 
 /** How a subscription ended. */
@@ -80,6 +82,8 @@
   readonly request: MessageInitShape<typeof SubscribeRequestSchema>;
   readonly handlers: LinkHandlers;
   readonly reporter: LinkReporter;
+  /** See `SilenceOptions`. Default: that of this process. */
+  readonly idleMs?: () => number;
 }
 
 export interface FeedLink {
@@ -105,7 +109,10 @@
   const client: Client<typeof Feed> = createClient(Feed, transport);
   const abort = new AbortController();
   let subscriptionId = '';
-  let lastMessageAt = timer.now();
+  const silence = createSilence({
+    now: timer.now,
+    idleMs: options.idleMs ?? (() => performance.eventLoopUtilization().idle),
+  });
   let endReason = '';
   let redirect: LinkOutcome | undefined;
   let isRefused = false;
@@ -185,7 +192,7 @@
       timeoutMs: 0,
     });
     for await (const message of stream) {
-      lastMessageAt = timer.now();
+      silence.commands.reset();
       metrics?.received(message);
       onMessage(message.message);
       if (abort.signal.aborted) {
@@ -196,10 +203,10 @@
   };
 
   const run = async (): Promise<LinkOutcome> => {
-    lastMessageAt = timer.now();
+    silence.commands.reset();
     const cancelSilence = timer.every(heartbeatMs / 2, () => {
       const limitMs = subscriptionId === '' ? welcomeTimeoutMs : silenceTimeoutMs;
-      if (timer.now() - lastMessageAt > limitMs) {
+      if (silence.queries.exceeds(limitMs)) {
         isSilent = true;
         end('silent');
       }
