--- a/__tests__/callStartScheduler.test.ts
+++ b/__tests__/callStartScheduler.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createCallStartScheduler } from '../src/plugins/calls/callStartScheduler.js';
-import { createTimer } from '../src/utils/timer.js';
+import { startPauseDetection } from '../src/plugins/calls/pauseDetection.js';
+import { createManualTimer, createTimer } from '../src/utils/timer.js';
 
 const nextLoopIteration = () =>
   new Promise<void>((resolve) => {
@@ -64,3 +65,41 @@
     assert.deepEqual(started, ['a', 'b']);
   });
 });
+
+// Guards against a pause that is not noticed, or that slows down every later call.
+describe('pause detection', () => {
+  it('is false while its timer runs, also if it is somewhat late', () => {
+    const timer = createManualTimer();
+    const pauses = startPauseDetection(timer);
+    for (let step = 0; step < 20; step += 1) {
+      timer.advance(100);
+      assert.equal(pauses.hasPaused(), false);
+    }
+  });
+
+  it('is true right after a pause, whether its timer or a call comes first, and not later', () => {
+    ['timer', 'call'].forEach((first) => {
+      let now = 0;
+      let mark = () => undefined as void;
+      const timer = {
+        ...createManualTimer(),
+        now: () => now,
+        every: (_periodMs: number, listener: () => void) => {
+          mark = listener;
+          return () => undefined;
+        },
+      };
+      const pauses = startPauseDetection(timer);
+      now = 1_000;
+      if (first === 'timer') {
+        mark();
+      }
+      assert.equal(pauses.hasPaused(), true, first);
+      now = 1_050;
+      mark();
+      assert.equal(pauses.hasPaused(), true, first);
+      now = 1_101;
+      assert.equal(pauses.hasPaused(), false, first);
+    });
+  });
+});
--- a/src/plugins/calls/callStartScheduler.ts
+++ b/src/plugins/calls/callStartScheduler.ts
@@ -3,7 +3,8 @@
  * that is short of CPU time, the close of a caller's connection is queued behind its request. A
  * call that started as soon as it was read would be forwarded for a caller that has disconnected.
  * While the event loop has idle time, no event is left unread and a call starts at once: one more
- * loop iteration per call is a considerable part of the cost of a call.
+ * loop iteration per call is a considerable part of the cost of a call. After a pause of the process,
+ * events are left unread although the loop seems to have been idle.
  */
 import { performance } from 'node:perf_hooks';
 import type { Timer } from '../../utils/timer.js';
@@ -27,6 +28,8 @@
   readonly onDelay?: (delayMs: number) => void;
   /** Default: those of this process. */
   readonly eventLoopTimes?: () => EventLoopTimes;
+  /** See `PauseDetection`. Default: never. */
+  readonly hasPaused?: () => boolean;
 }
 
 /** Longest time in ms for which starts run before connections are polled again. */
@@ -47,6 +50,7 @@
   timer,
   onDelay = () => undefined,
   eventLoopTimes = () => performance.eventLoopUtilization(),
+  hasPaused = () => false,
 }: CallStartSchedulerOptions): CallStartScheduler => {
   /** Starts that were added since the connections were last polled. */
   let added: PendingStart[] = [];
@@ -93,7 +97,7 @@
   return {
     add: (start) => {
       const now = timer.now();
-      const hasPolled = hasPolledRecently();
+      const hasPolled = hasPolledRecently() && !hasPaused();
       if (hasPolled && due.length === 0 && added.length === 0) {
         run({ start, addedAt: now }, now);
         return;
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -33,6 +33,7 @@
 import { createLocalUpstream } from './localUpstream.js';
 import type { Metrics } from '../metrics.js';
 import { createNodeQueues } from './nodeQueues.js';
+import { startPauseDetection } from './pauseDetection.js';
 import { createRemoteSender } from './remoteSender.js';
 import { formatAddress, type Address } from '../rpc.js';
 import { createUpstreamAnnouncement, type UpstreamAnnouncement } from './upstreamAnnouncement.js';
@@ -107,7 +108,11 @@
   const burn = createBurnCounters();
   const callMetrics = createCallMetrics(metrics);
   const logDecision = createRateLimitedLog(log.part('calls'), timer);
-  const startScheduler = createCallStartScheduler({ timer, onDelay: callMetrics.recordStartDelay });
+  const startScheduler = createCallStartScheduler({
+    timer,
+    onDelay: callMetrics.recordStartDelay,
+    hasPaused: startPauseDetection(timer).hasPaused,
+  });
   const upstream = createLocalUpstream(timer, callInterface.upstreams, random, {
     logDecision,
     starts: startScheduler,
