Add a command that joins logs into the life of a request or a change

On-call engineers had the id of a failed request, the lines of three kinds in the logs of several nodes, and no way to join them.

--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -15,6 +15,7 @@
 import { MembersCommand } from './queries/members.js';
 import { ReportCommand } from './queries/report.js';
 import { StatusCommand } from './queries/status.js';
+import { TraceCommand } from './queries/trace.js';
 
 const commands: CommandClass[] = [
   ApplyCommand,
@@ -28,6 +29,7 @@
   HistoryCommand,
   ReportCommand,
   StatusCommand,
+  TraceCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- a/src/cli/exitCodes.ts
+++ b/src/cli/exitCodes.ts
@@ -20,6 +20,8 @@
   unauthorized: 7,
   /** Accepted, but not in force on every proxy yet. */
   incomplete: 8,
+  /** Nothing has the given id. */
+  notFound: 9,
 } as const;
 
 export type ExitReason = keyof typeof exitCodes;
