Divide the slack of retries by the size of the fleet once it is known

Nodes of a small fleet left the slack of the retry limit unused: a hundredth of 56 permits no retry at all. The slack is now divided by the known number of nodes and a quarter more for nodes that join, and the part that is kept free for retries of nested calls is taken off the slack as well. While the size is unknown, 1,000 nodes are assumed.

--- a/__tests__/retryLimit.test.ts
+++ b/__tests__/retryLimit.test.ts
@@ -107,6 +107,16 @@
     }),
   );
 
+  // Guards against a small fleet that leaves most of its slack unused while calls fail.
+  it('use at least a third of the slack in a fleet of 9 nodes with few calls', () => {
+    const slack = 56;
+    const steps = simulate({ callsPerSecond: () => 0.5, isFailing: () => true }, 9, 2, slack);
+    const retries = steps
+      .slice(0, limit.windowMs / stepMs)
+      .reduce((sum, step) => sum + step.retries, 0);
+    assert.ok(retries >= slack / 3, `${retries} retries`);
+  });
+
   // Guards against a slack for each node that adds up to more than the limit in a large fleet.
   it('keep to the limit in a fleet of 400 nodes with few calls', () => {
     const slack = 420;
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -76,6 +76,8 @@
 /** Retries that a node may make in a window without any calls. */
 const defaultSlack = 10;
 const defaultWindowMs = 10_000;
+/** Factor for the known size of a fleet, since nodes that join count before all have heard of it. */
+const fleetGrowthFactor = 1.25;
 /** Number of buckets in which the events of a window are counted. */
 const windowBuckets = 20;
 /** Maximum number of reroutes of a call. */
@@ -183,8 +185,8 @@
   readonly retries: number;
   /** Share of a node's slack that one class may use. */
   readonly classPart: number;
-  /** Number of nodes that is assumed while fewer are known. */
-  readonly minNodes: number;
+  /** Number of nodes that is assumed while the size of the fleet is unknown. */
+  readonly assumedNodes: number;
 }
 
 export interface RetryBudgetsOptions extends RetryBudgetOptions {
@@ -236,8 +238,8 @@
   if (!fleetSlack) {
     return { ofClass: slack, ofService: serviceSlack };
   }
-  const { retries, classPart, minNodes } = fleetSlack;
-  const ofService = () => retries / Math.max(minNodes, fleetNodes());
+  const { retries, classPart, assumedNodes } = fleetSlack;
+  const ofService = () => retries / (fleetGrowthFactor * fleetNodes() || assumedNodes);
   return { ofClass: () => classPart * ofService(), ofService };
 };
 
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -26,13 +26,13 @@
 /** Retry limit if the bounds have none: that of the platform's sample settings. */
 const defaultRetryLimit = { share: 0.2, windowSeconds: 10, slack: 56 } as const;
 /**
- * Part of the allowed retry share that nodes use for their own retries. The rest is reserved for
+ * Part of the allowed retries that nodes use for their own retries. The rest is reserved for
  * nested calls: calls that a retried call makes count as retries at the service they go to, and no
  * node can distinguish them from first attempts.
  */
 const ownRetryPart = 0.6;
-/** Nodes that the slack is divided among at least, also while the size of the fleet is unknown. */
-const minNodesSharingSlack = 100;
+/** Nodes that the slack is divided among while the size of the fleet is unknown. */
+const assumedNodes = 1_000;
 /** Slack of a class, as a part of the slack of its service. */
 const classSlackPart = 0.5;
 
@@ -224,7 +224,7 @@
 }: PlatformSettings): RetryBudgetsOptions => ({
   share: ownRetryPart * share,
   windowMs,
-  fleetSlack: { retries: slack, classPart: classSlackPart, minNodes: minNodesSharingSlack },
+  fleetSlack: { retries: ownRetryPart * slack, classPart: classSlackPart, assumedNodes },
   countsNestedCalls: false,
 });
 
