Reroute calls that no node accepted, and leave out unreachable endpoints at once

A call that reached no upstream is rerouted like one that admission control refused, which puts no load on upstreams. An endpoint whose node accepts no connection is left out for 0.5 to 1 s at once; the time does not grow.

Test: callRunner.test, two of six nodes dead and an empty budget: calls were refused before.

--- a/__tests__/callRunner.test.ts
+++ b/__tests__/callRunner.test.ts
@@ -107,6 +107,25 @@
 };
 
 describe('call runner', () => {
+  // Guards against calls that fail because the node that they were sent to has just been killed:
+  // nothing was run, and the retry budget is empty when a fifth of all nodes are gone.
+  it('reroutes calls whose node accepts no connection, without a retry', () => {
+    const dead = new Set(['a', 'b']);
+    const unreachable = { reason: 'upstream_unreachable', run: 'not_run', retried: false } as const;
+    const { call, budget, sent, timer } = createRunner(['a', 'b', 'c', 'd', 'e', 'f'], (id) =>
+      dead.has(id) ? { status: 0, failure: unreachable } : { status: 200 },
+    );
+    while (budget.commands.spend(timer.now())) {
+      // Uses up the budget.
+    }
+    const calls = 30;
+    for (let count = 0; count < calls; count += 1) {
+      assert.equal(call()?.status, 200);
+    }
+    const wasted = sent.filter((id) => dead.has(id)).length;
+    assert.ok(wasted > 0 && wasted <= calls / 3, `${wasted} attempts at dead nodes`);
+  });
+
   // Guards against nested calls that raise the number of retries where the limit of the deployment
   // counts the calls of callers only.
   [
--- a/src/core/calls/ejection.ts
+++ b/src/core/calls/ejection.ts
@@ -117,6 +117,21 @@
   state.consecutiveFailures = isFailure ? state.consecutiveFailures + 1 : 0;
 };
 
+/**
+ * Records that nothing accepted a connection: no further attempt is needed to know that. The time
+ * does not grow, since a process that was killed is usually back within seconds.
+ */
+export const recordUnreachable = (
+  state: EjectionState,
+  random: () => number,
+  now: number,
+): void => {
+  countSample(state, true, now);
+  state.ejectedUntil = Math.max(state.ejectedUntil, now + baseEjectionMs * (0.5 + random() / 2));
+  state.isEjected = true;
+  state.isProbing = false;
+};
+
 /**
  * Combined failure share of several endpoints, without the ejected ones. Averages with few samples
  * are corrected for their start at 0 and weighted by the number of samples.
--- a/src/core/calls/endpointTracker.ts
+++ b/src/core/calls/endpointTracker.ts
@@ -9,13 +9,18 @@
   createEjectionState,
   ejectionStatus,
   endAttempt,
+  recordUnreachable,
   startAttempt,
   type EjectionState,
   type EjectionStatus,
 } from './ejection.js';
 
-/** How an attempt ended. A `refused` one was not run and says nothing about health. */
-export type AttemptOutcome = 'ok' | 'failed' | 'timed_out' | 'refused' | 'cancelled';
+/**
+ * How an attempt ended. A `refused` one was not run and says nothing about health; for an
+ * `unreachable` one nothing accepted a connection.
+ */
+export type AttemptOutcome =
+  'ok' | 'failed' | 'timed_out' | 'refused' | 'cancelled' | 'unreachable';
 
 /** Load of an endpoint as reported with responses in `x-load`. */
 export interface EndpointLoad {
@@ -140,6 +145,10 @@
     addLatency(state, latencyMs);
     endAttempt(state.ejection, true, random, now, peerFailureShare);
   },
+  unreachable: (state, { random, now }) => {
+    recordResponse(state, now);
+    recordUnreachable(state.ejection, random, now);
+  },
   refused: (state, { now }) => {
     recordResponse(state, now);
     updateRefusedShare(state, 1, now);
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -1,8 +1,8 @@
 /**
  * Decisions on retries, hedges and reroutes. Retries and hedges are limited by a budget over a
  * sliding window. A call that may have run is retried only if it is idempotent, and a call that was
- * already retried at a lower level of the call chain is not retried above it. A call that was
- * refused by the admission control of an upstream, before the upstream received it, is rerouted to
+ * already retried at a lower level of the call chain is not retried above it. A call that reached no
+ * upstream, because admission control refused it or nothing accepted a connection, is rerouted to
  * another endpoint instead, which puts no load on upstreams.
  */
 import type { Policy, RunState } from '../../types/public.js';
@@ -318,6 +318,14 @@
 export const isAdmissionRefusal = ({ run, byUpstream, reason }: AttemptFailure): boolean =>
   run === 'not_run' && !byUpstream && reroutableReasons.has(reason);
 
+/**
+ * Whether the call reached no upstream, so that another attempt puts no load on upstreams: it was
+ * refused beside the upstream, or nothing accepted a connection.
+ */
+export const isReroutable = (failure: AttemptFailure): boolean =>
+  isAdmissionRefusal(failure) ||
+  (failure.run === 'not_run' && failure.reason === 'upstream_unreachable');
+
 export interface RerouteContext {
   /** Number of previous reroutes of the call. */
   readonly reroutes: number;
--- a/src/plugins/calls/callRunner.ts
+++ b/src/plugins/calls/callRunner.ts
@@ -16,6 +16,7 @@
   decideHedge,
   decideRetry,
   isAdmissionRefusal,
+  isReroutable,
   isRetriedBelow,
   retriedHeader,
   type RetryBudgetLookup,
@@ -122,6 +123,7 @@
   deadline_past: 'refused',
   no_upstream: 'refused',
   deadline_exceeded: 'timed_out',
+  upstream_unreachable: 'unreachable',
 };
 
 const minFailureStatus = 500;
@@ -234,7 +236,7 @@
     };
 
     const retryOrRefuse = (failure: AttemptFailureReport) => {
-      if (isAdmissionRefusal(failure)) {
+      if (isReroutable(failure)) {
         attempts -= 1;
         if (plan.body.kind === 'stream' || !canRerouteNow()) {
           refuse(failure);
