Give an endpoint its whole share once its node accepts connections again

Back in use, it would have warmed up for 10 s from a tenth of its share, although only the node beside it was gone.

Test: routing.test, an endpoint that is back after its node was unreachable; fails without the change.

--- a/__tests__/routing.test.ts
+++ b/__tests__/routing.test.ts
@@ -6,6 +6,7 @@
   type AttemptOutcome,
   type EndpointTracker,
 } from '../src/core/calls/endpointTracker.js';
+import { warmUpShare } from '../src/core/calls/endpointCost.js';
 import { chooseEndpoint, endpointsInUse } from '../src/core/calls/routing.js';
 import type { Cluster, Endpoint, Policy } from '../src/types/public.js';
 import { checkProperty } from './support/arbitraries.js';
@@ -520,3 +521,32 @@
     );
   });
 });
+
+// Guards against a fleet that loses the capacity of an endpoint for 10 s because the node beside it
+// was restarted, while the endpoint itself ran on.
+describe('an endpoint that is back after its node was unreachable', () => {
+  const returnShare = (outcome: 'unreachable' | 'failed') => {
+    const tracker = createEndpointTracker({ random: () => 0.5 });
+    const endAttempt = (kind: 'unreachable' | 'failed' | 'ok', now: number) => {
+      tracker.commands.recordStart('e', now);
+      tracker.commands.recordEnd('e', { latencyMs: 10, outcome: kind }, now);
+    };
+    tracker.commands.setEndpoints('s', ['e', 'f'], 0);
+    endAttempt('ok', 0);
+    for (let failure = 0; failure < 5; failure += 1) {
+      endAttempt(outcome, 60_000);
+    }
+    assert.equal(tracker.queries.isEjected('e', 60_001), true);
+    endAttempt('ok', 61_001);
+    assert.equal(tracker.queries.isEjected('e', 61_002), false);
+    return warmUpShare(tracker.queries.get('e'), 61_002);
+  };
+
+  it('gets all of its share at once', () => {
+    assert.equal(returnShare('unreachable'), 1);
+  });
+
+  it('warms up if it failed', () => {
+    assert.ok(returnShare('failed') < 0.2);
+  });
+});
--- a/src/core/calls/ejection.ts
+++ b/src/core/calls/ejection.ts
@@ -18,6 +18,8 @@
   /** True from the ejection until a probe succeeds. */
   isEjected: boolean;
   isProbing: boolean;
+  /** The ejection follows from refused connections only, so the upstream itself may be warm. */
+  isUnreachable: boolean;
   failedAt: number;
   returnedAt: number;
 }
@@ -51,6 +53,7 @@
   ejectedUntil: 0,
   isEjected: false,
   isProbing: false,
+  isUnreachable: false,
   failedAt: Number.NEGATIVE_INFINITY,
   returnedAt: Number.NEGATIVE_INFINITY,
 });
@@ -72,6 +75,7 @@
     ejectedUntil: now + ejectionMs * (0.5 + random() / 2),
     isEjected: true,
     isProbing: false,
+    isUnreachable: false,
   });
 };
 
@@ -82,7 +86,8 @@
     samples: 0,
     isEjected: false,
     isProbing: false,
-    returnedAt: now,
+    isUnreachable: false,
+    returnedAt: state.isUnreachable ? state.returnedAt : now,
   });
 };
 
@@ -128,6 +133,7 @@
 ): void => {
   countSample(state, true, now);
   state.ejectedUntil = Math.max(state.ejectedUntil, now + baseEjectionMs * (0.5 + random() / 2));
+  state.isUnreachable ||= !state.isEjected;
   state.isEjected = true;
   state.isProbing = false;
 };
