Treat the size of the fleet as unknown for 10 s after the first heartbeat

After a loss of all processes a control instance hears of the nodes one after the other. A node that divides the slack of retries by the first number it hears takes too large a part of it.

--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -239,7 +239,10 @@
     return { ofClass: slack, ofService: serviceSlack };
   }
   const { retries, classPart, assumedNodes } = fleetSlack;
-  const ofService = () => retries / (fleetGrowthFactor * fleetNodes() || assumedNodes);
+  const ofService = () => {
+    const known = fleetNodes();
+    return retries / (known > 0 ? fleetGrowthFactor * known : assumedNodes);
+  };
   return { ofClass: () => classPart * ofService(), ofService };
 };
 
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -61,6 +61,11 @@
 /** Number of processes that a starting node asks for its floor, and the wait for their answers. */
 const maxFloorProbes = 3;
 const floorWaitMs = 1_000;
+/**
+ * Time after the first heartbeat in which the size of the fleet counts as unknown: after a loss of
+ * all processes, a control instance hears of the nodes one after the other.
+ */
+const fleetSettleMs = 10_000;
 /** Time that a stopping node allows for its last report. */
 const finalReportMs = 500;
 
@@ -111,6 +116,7 @@
   let headVersion = noVersion;
   /** Highest number heard of: in a partition, each side knows only a part of the nodes. */
   let fleetNodes = 0;
+  let firstHeartbeatAt = Infinity;
 
   const choice = createParentChoice({
     dataCentre: node.dataCentre,
@@ -244,6 +250,7 @@
     const ageMs = Number(message.confirmedAgeMs);
     headVersion = readVersion(message.headVersion);
     fleetNodes = Math.max(fleetNodes, message.fleetNodes);
+    firstHeartbeatAt = Math.min(firstHeartbeatAt, now);
     // A confirmation applies to a version only if that is not older than the confirmed one.
     if (!isNewer(headVersion, newest())) {
       freshness.commands.confirm(ageMs, now);
@@ -461,7 +468,7 @@
         current: serving.queries.current,
         isDetached: () => inForceFreshness.queries.isDetached(timer.now()),
         confirmedAgeMs: () => inForceFreshness.queries.ageMs(timer.now()),
-        fleetNodes: () => fleetNodes,
+        fleetNodes: () => (timer.now() - firstHeartbeatAt >= fleetSettleMs ? fleetNodes : 0),
       },
       onChange,
     },
