--- a/__tests__/silence.test.ts
+++ b/__tests__/silence.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { createSilence } from '../src/core/distribution/silence.js';
-import { createFeedLink, type LinkOutcome } from '../src/plugins/distribution/feedClient.js';
+import {
+  createFeedLink,
+  silenceTimeoutMs,
+  type LinkOutcome,
+} from '../src/plugins/distribution/feedClient.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createTimer } from '../src/utils/timer.js';
 import { access } from './support/feedFleet.js';
@@ -40,14 +44,54 @@
   it('counts no time of a process that is busy, up to a limit', () => {
     const clock = createClock();
     const silence = createSilence(clock);
-    clock.pass(3 * limitMs, 0.2);
+    clock.pass(1.9 * limitMs, 0.2);
     assert.equal(silence.queries.exceeds(limitMs), false);
-    clock.pass(2 * limitMs, 0.2);
+    clock.pass(0.2 * limitMs, 0.2);
     assert.equal(silence.queries.exceeds(limitMs), true);
   });
+
+  it('lasts for all time, however busy the process is', () => {
+    const clock = createClock();
+    const silence = createSilence(clock);
+    clock.pass(limitMs, 0);
+    assert.equal(silence.queries.lasts(limitMs), false);
+    clock.pass(1, 0);
+    assert.equal(silence.queries.lasts(limitMs), true);
+  });
 });
 
 describe('a subscription whose first message is late', () => {
+  // Guards against a busy node that stays with a frozen parent while changes are accepted elsewhere.
+  it('is given up by a busy process if the parent falls silent afterwards', async () => {
+    const timer = createTimer();
+    const parent = await startFakeParent();
+    let welcomeAt = 0;
+    const link = createFeedLink({
+      address: parent.address,
+      access,
+      timer,
+      log: createSilentLog(),
+      random: () => 0.5,
+      request: { subscriber: { cluster: 'test', name: 'child', role: 'node' } },
+      handlers: {
+        welcome: () => {
+          welcomeAt = performance.now();
+        },
+        configuration: () => undefined,
+        cluster: () => undefined,
+        heartbeat: () => undefined,
+      },
+      reporter: { build: () => ({ report: {}, acknowledge: () => undefined }) },
+      idleMs: () => 0,
+    });
+    const outcome = await link.run();
+    const silentMs = performance.now() - welcomeAt;
+    await parent.stop();
+    timer.stop();
+    assert.equal(outcome.outcome === 'lost' && outcome.isSilent, true);
+    assert.ok(silentMs < 2 * silenceTimeoutMs, `${silentMs} ms`);
+  });
+
   const subscribe = async (idleMs: () => number) => {
     const timer = createTimer();
     const parent = await startFakeParent();
--- a/src/core/distribution/silence.ts
+++ b/src/core/distribution/silence.ts
@@ -1,11 +1,13 @@
 /**
- * Decides whether a peer is silent. Only time in which this process waited for events counts: one
- * that is short of processor time reads late what its peer sent in time, and a node that leaves its
- * parent for that starts over with the most expensive part, a new connection.
+ * Decides whether a peer is silent. For the first message on a new connection, only time in which
+ * this process waited for events counts: one that is short of processor time reads late what its
+ * peer sent in time, and a node that leaves its parent for that starts over with the most expensive
+ * part, a new connection. For later messages all time counts: a node has to leave a parent that is
+ * frozen in time for the next change, however busy the node is.
  */
 
 /** A peer is silent after this multiple of the limit even if the process was always busy. */
-const maxFactor = 4;
+const maxFactor = 2;
 
 export interface SilenceOptions {
   readonly now: () => number;
@@ -19,6 +21,9 @@
     reset(): void;
   };
   readonly queries: {
+    /** True if the peer was not heard for this time, whatever this process did meanwhile. */
+    lasts(limitMs: number): boolean;
+    /** True if this process waited for the peer for this time. */
     exceeds(limitMs: number): boolean;
   };
 }
@@ -36,6 +41,7 @@
       },
     },
     queries: {
+      lasts: (limitMs) => now() - heardAt > limitMs,
       exceeds: (limitMs) => {
         const elapsedMs = now() - heardAt;
         const waitedMs = Math.min(elapsedMs, idleMs() - idleWhenHeardMs);
--- a/src/plugins/distribution/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -205,8 +205,11 @@
   const run = async (): Promise<LinkOutcome> => {
     silence.commands.reset();
     const cancelSilence = timer.every(heartbeatMs / 2, () => {
-      const limitMs = subscriptionId === '' ? welcomeTimeoutMs : silenceTimeoutMs;
-      if (silence.queries.exceeds(limitMs)) {
+      const isOver =
+        subscriptionId === ''
+          ? silence.queries.exceeds(welcomeTimeoutMs)
+          : silence.queries.lasts(silenceTimeoutMs);
+      if (isOver) {
         isSilent = true;
         end('silent');
       }
