Count all time against a parent whose connection is not established

All control instances had lost power for 1.5 s.

The time in which a process is busy is left out only once the connection is established.

Test: rpcSessions.test for what the decision rests on.

--- a/__tests__/rpcSessions.test.ts
+++ b/__tests__/rpcSessions.test.ts
@@ -107,3 +107,14 @@
   const late = once(limit, 'abort').then(() => 'late');
   assert.equal(await Promise.race([server.close(100).then(() => 'closed'), late]), 'closed');
 });
+
+// Guards against a child that waits for a parent whose machine is off as it waits for a slow one.
+it('is connected only while a session to the peer is established', async (t) => {
+  const { address } = await startPeer(t);
+  const { transport, isConnected, close } = createRpcTransport(address, []);
+  assert.equal(isConnected(), false);
+  await assert.rejects(createClient(Consensus, transport).join({}), /unimplemented/);
+  assert.equal(isConnected(), true);
+  close();
+  assert.equal(isConnected(), false);
+});
--- a/src/core/distribution/silence.ts
+++ b/src/core/distribution/silence.ts
@@ -2,8 +2,9 @@
  * Decides whether a peer is silent. For the first message on a new connection, only time in which
  * this process waited for events counts: one that is short of processor time reads late what its
  * peer sent in time, and a node that leaves its parent for that starts over with the most expensive
- * part, a new connection. For later messages all time counts: a node has to leave a parent that is
- * frozen in time for the next change, however busy the node is.
+ * part, a new connection. Before the connection is established and after the first message, all
+ * time counts: a node has to leave a parent that is off or frozen in time for the next change,
+ * however busy the node is.
  */
 
 /** A peer is silent after this multiple of the limit even if the process was always busy. */
--- a/src/plugins/distribution/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -105,7 +105,7 @@
 
 export const createFeedLink = (options: FeedLinkOptions): FeedLink => {
   const { address, access, timer, log, random, metrics, request, handlers, reporter } = options;
-  const { transport, close } = createRpcTransport(address, [access.clientInterceptor]);
+  const { transport, isConnected, close } = createRpcTransport(address, [access.clientInterceptor]);
   const client: Client<typeof Feed> = createClient(Feed, transport);
   const abort = new AbortController();
   let subscriptionId = '';
@@ -205,10 +205,11 @@
   const run = async (): Promise<LinkOutcome> => {
     silence.commands.reset();
     const cancelSilence = timer.every(heartbeatMs / 2, () => {
+      const limitMs = subscriptionId === '' ? welcomeTimeoutMs : silenceTimeoutMs;
       const isOver =
-        subscriptionId === ''
-          ? silence.queries.exceeds(welcomeTimeoutMs)
-          : silence.queries.lasts(silenceTimeoutMs);
+        subscriptionId === '' && isConnected()
+          ? silence.queries.exceeds(limitMs)
+          : silence.queries.lasts(limitMs);
       if (isOver) {
         isSilent = true;
         end('silent');
--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -120,6 +120,8 @@
 
 export interface RpcTransport {
   readonly transport: Transport;
+  /** True while a session to the peer is established. */
+  isConnected(): boolean;
   /** Destroys the session and all RPCs on it. */
   close(): void;
 }
@@ -147,5 +149,9 @@
     defaultTimeoutMs: callTimeoutMs,
     useBinaryFormat: true,
   });
-  return { transport, close: () => sessionManager.abort() };
+  return {
+    transport,
+    isConnected: sessionManager.isConnected,
+    close: () => sessionManager.abort(),
+  };
 };
--- a/src/plugins/rpcSessions.ts
+++ b/src/plugins/rpcSessions.ts
@@ -24,6 +24,8 @@
     options: Omit<ClientSessionRequestOptions, 'signal'>,
   ): Promise<ClientHttp2Stream>;
   notifyResponseByteRead(stream: ClientHttp2Stream): void;
+  /** True while a session is established. */
+  isConnected(): boolean;
   /** Destroys the session and all RPCs on it. A later request opens a new session. */
   abort(): void;
 }
@@ -212,6 +214,7 @@
         connection.lastReceivedAt = timer.now();
       }
     },
+    isConnected: () => current !== undefined && isUsable(current),
     abort: () => {
       current = undefined;
       const reason = new ConnectError('connection aborted', Code.Canceled);
