--- a/src/core/distribution/silence.ts
+++ b/src/core/distribution/silence.ts
@@ -7,8 +7,11 @@
  * however busy the node is.
  */
 
-/** A peer is silent after this multiple of the limit even if the process was always busy. */
-const maxFactor = 2;
+/**
+ * A peer is silent after this multiple of the limit even if the process was always busy. With twice
+ * the limit, a busy node was back 1 s late after a short loss of all control instances.
+ */
+const maxFactor = 1.5;
 
 export interface SilenceOptions {
   readonly now: () => number;
