--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -78,6 +78,7 @@
   readonly service: string;
   readonly kind?: 'safe' | 'unsafe' | 'download';
   readonly timeoutMs?: number;
+  readonly targetLatencyMs?: number;
   readonly attempts?: number;
 }
 
@@ -94,7 +95,15 @@
     base_version: base,
     resources: [
       ...routes.map(
-        ({ name, prefix, service, kind = 'safe', timeoutMs = 2_000, attempts = 2 }) => ({
+        ({
+          name,
+          prefix,
+          service,
+          kind = 'safe',
+          timeoutMs = 2_000,
+          targetLatencyMs = 500,
+          attempts = 2,
+        }) => ({
           type: 'routes',
           metadata: { name },
           spec: {
@@ -102,7 +111,7 @@
             path_prefix: prefix,
             route_type: kind,
             timeout_ms: timeoutMs,
-            target_latency_ms: 500,
+            target_latency_ms: targetLatencyMs,
             priority: 1,
             service,
             max_attempts: attempts,
