--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -381,6 +381,11 @@
 ) => {
   const caseFolder = resolve(process.argv[2] ?? '.');
   const deployment = await createDeployment(caseFolder);
+  process.once('SIGTERM', () => {
+    // The run has timers and connections of its own, which would keep the process alive.
+    // eslint-disable-next-line n/no-process-exit
+    deployment.stop().finally(() => process.exit(exitCodes.notRun));
+  });
   const hasTrouble = process.env.TROUBLE !== '0';
   let code: number = exitCodes.notRun;
   try {
