--- a/review/3/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")/../.." || exit 2
-exec node target/review/case-3.js review/3
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
-cd "$(dirname "$0")/../.." || exit 2
-exec node target/review/case-5.js review/5
+# Plays the case in this folder.
+cd "$(dirname "$0")" || exit 2
+number=$(basename "$PWD")
+cd ../.. || exit 2
+exec node "target/review/case-$number.js" "review/$number"
