Control: remove voters that are gone for good

Callers and operators saw: after a planned replacement of all three control instances, the loss of one disk ended control for good.

Cause: the leader removed a silent voter only from an even number of at least four, and an instance that stopped did not leave. Each successor made the number odd again before the 3 s of silence were over, so that five voters were listed, two of which no longer existed.

Change: silent voters are removed from any number, as long as 2f + 1 voters remain for f losses to tolerate, and three at least. An instance that stops asks the leader to remove it under the same condition (rpc Leave).

Why this works: the group returns to voters that exist, one change at a time, each of them committed by a majority that overlaps with the one before. It keeps as many disks as the tolerated losses require.

Ruled out: the admission of the returned instance. It needs a leader, and none can be elected by two of five voters.

--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -6,6 +6,7 @@
   LogEntry,
   ReplicaEffect,
   ReplicaEvent,
+  ReplicaOptions,
   RequestMessage,
 } from '../src/core/agreement/consensusTypes.js';
 import type { Member } from '../src/types/internal.js';
@@ -47,7 +48,11 @@
   ack(from: string, matchIndex: number, incarnation?: string, round?: number): void;
 }
 
-const createDriver = (entries: readonly LogEntry[] = [first], term = 1): Driver => {
+const createDriver = (
+  entries: readonly LogEntry[] = [first],
+  term = 1,
+  options: Pick<ReplicaOptions, 'removeSilentAfterMs' | 'minVoters'> = {},
+): Driver => {
   const core = createReplica({
     self: sender('a'),
     electionTimeoutMs,
@@ -56,6 +61,7 @@
     hardState: { term, votedFor: '' },
     snapshot: emptySnapshot,
     entries,
+    ...options,
   });
   let now = 0;
   let sequence = 0;
@@ -309,6 +315,43 @@
     assert.equal(replaced()?.kind, 'voter');
   });
 
+  describe('of five voters, two of which have been silent', () => {
+    const names = ['a', 'b', 'c', 'd', 'e'];
+    const five: LogEntry = {
+      ...first,
+      payload: encodeMembers(names.map((name) => member(name))),
+    };
+
+    /** Lets `b` and `c` answer all messages for 6 s, and returns the names of the voters. */
+    const remainingVoters = (minVoters?: number): string[] => {
+      const driver = createDriver([five], 1, { removeSilentAfterMs: 3_000, minVoters });
+      driver.advance(electionTimeoutMs * 2);
+      ['b', 'c'].forEach((name) => vote(driver, name, true));
+      driver.sync();
+      ['b', 'c'].forEach((name) => vote(driver, name, false));
+      driver.sync();
+      for (let round = 1; round <= 30; round += 1) {
+        const { lastIndex } = driver.core.queries.status();
+        ['b', 'c'].forEach((name) => driver.ack(name, lastIndex, `${name}-0`, round));
+        driver.advance(heartbeatMs);
+        driver.sync();
+      }
+      assert.equal(driver.core.queries.status().role, 'leader');
+      return driver.core.queries.status().members.map(({ name }) => name);
+    };
+
+    // Guards against voters that are gone for good and stay listed: with two of five gone, the loss
+    // of one disk ended the group for good.
+    it('removes both, although their number is odd', () => {
+      assert.deepEqual(remainingVoters(), ['a', 'b', 'c']);
+    });
+
+    // Guards against a group that loses a change with the disks whose loss it has to tolerate.
+    it('keeps them if it has to tolerate the loss of two disks', () => {
+      assert.deepEqual(remainingVoters(5), names);
+    });
+  });
+
   it('sends to an unreachable member with heartbeats only, and not in a busy loop', () => {
     const driver = elect(createDriver());
     driver.ack('c', 2);
--- a/__tests__/platformControl.process.test.ts
+++ b/__tests__/platformControl.process.test.ts
@@ -8,6 +8,58 @@
 const routes = [{ name: 'r-look', prefix: '/look/', service: 'alpha' }];
 const host = 'mesh.example';
 
+/** Resolves once the instance logs, after its first `since` lines, that it is a voter. */
+const hasVote = ({ process: program, name }: Platform['controls'][number], since = 0) =>
+  waitFor(
+    () =>
+      program
+        .output()
+        .slice(since)
+        .some((line) => /"role":"(follower|leader)"/.test(line)),
+    { limitMs: 15_000, what: `the vote of ${name}` },
+  );
+
+describe('control instances that are replaced as planned', () => {
+  // Guards against voters that are gone for good: after three replacements two of five voters no
+  // longer existed, and the loss of one disk ended control for good.
+  it('accept changes after one of the successors has lost its disk', async () => {
+    const platform = await startPlatform({
+      dataCentres: ['a', 'b', 'c'].map((name) => ({ name, services: [] })),
+    });
+    try {
+      const originals = [...platform.controls];
+      let version = 0;
+      const put = async (at: string) => {
+        const next = createDocument(version + 1, version, routes);
+        await waitFor(async () => (await platform.put(next, at)).status === 200, {
+          limitMs: 15_000,
+          what: `acceptance of ${version + 1}`,
+        });
+        version += 1;
+      };
+      await put(originals[0]!.ip);
+      await Promise.all(originals.map((machine) => hasVote(machine)));
+      const stopped: Promise<number | null>[] = [];
+      for (const leaving of originals) {
+        const successor = platform.addControl(leaving.dataCentre);
+        const running = platform.controls.filter((machine) => machine.process.isRunning());
+        platform.writeControlSettings(successor, false, platform.seedsOf(running));
+        successor.process.start();
+        await hasVote(successor);
+        await put(successor.ip);
+        stopped.push(leaving.process.end('SIGTERM'));
+      }
+      await Promise.all(stopped);
+      const [, , , wiped, remaining] = platform.controls;
+      await wiped!.process.end('SIGKILL');
+      rmSync(join(platform.folder, `${wiped!.name}.data`), { recursive: true });
+      await put(remaining!.ip);
+    } finally {
+      await platform.stop();
+    }
+  });
+});
+
 describe('control instances on the platform', () => {
   let platform: Platform;
   let version = 0;
@@ -26,17 +78,6 @@
     return next;
   };
 
-  /** Resolves once the instance logs, after its first `since` lines, that it is a voter. */
-  const hasVote = ({ process: program, name }: Platform['controls'][number], since = 0) =>
-    waitFor(
-      () =>
-        program
-          .output()
-          .slice(since)
-          .some((line) => line.includes('"role":"follower"')),
-      { limitMs: 15_000, what: `the vote of ${name}` },
-    );
-
   const isInForce = async () => {
     ids += 1;
     const path = `/v${version}/`;
--- a/__tests__/support/platform.ts
+++ b/__tests__/support/platform.ts
@@ -186,11 +186,12 @@
     return `${network}.${hostCount}`;
   };
 
-  const seeds = () =>
-    controls
+  const seedsOf = (machines: readonly Machine[]) =>
+    machines
       .slice(0, 3)
       .map(({ ip }) => `${ip}:${ports.control}`)
       .join(',');
+  const seeds = () => seedsOf(controls);
 
   const writeSettings = (
     machine: Pick<Machine, 'name' | 'ip' | 'dataCentre'>,
@@ -346,6 +347,7 @@
     addControl,
     addNode,
     seeds,
+    seedsOf,
     writeControlSettings,
     call: (machine: NodeMachine, call: CallOptions) => sendRequest(machine.outbound, call),
     /** Retries putting a document until it is accepted. */
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -16,6 +16,7 @@
 import {
   createConsensusTransport,
   type JoinHandler,
+  type LeaveHandler,
   type RequestHandler,
 } from '../plugins/agreement/consensusTransport.js';
 import { createControlFeed } from '../plugins/distribution/controlFeed.js';
@@ -27,6 +28,7 @@
 import { bootstrapGroup, identityProbe, isEmptyLog } from '../plugins/agreement/bootstrap.js';
 import type { GroupLog, LoadedLog } from '../plugins/agreement/groupLog.js';
 import { handleJoin, startJoining } from '../plugins/agreement/joining.js';
+import { handleLeave, leaveGroup } from '../plugins/agreement/leaving.js';
 import { mirrorMembership } from '../plugins/agreement/ledgerMembership.js';
 import { createLedgerService } from '../plugins/agreement/ledgerService.js';
 import { createMetrics, type Metrics } from '../plugins/metrics.js';
@@ -58,6 +60,8 @@
 /** Number of entries after which a group's log is compacted. */
 const compactAfterEntries = { configuration: 1_000, ledger: 10_000 } as const;
 const closeGraceMs = 2_000;
+/** With two voters the loss of either one loses the quorum. */
+const leastVoters = 3;
 /** The instance is ready if a quorum confirmed the leader within this time, in ms. */
 const readyWithinMs = 3_000;
 
@@ -128,6 +132,8 @@
   const isBootstrapping = discovery
     ? discovery.isFirstStart && discovery.seeds()[0] === localMember.address
     : bootstrap && cluster.members[0] === localMember;
+  // With fewer voters, as many lost disks as have to be tolerated could be a majority of them.
+  const minVoters = Math.max(leastVoters, 2 * (discovery?.toleratedLosses ?? 1) + 1);
   const metrics = createMetrics();
   const controlMetrics = createControlMetrics(metrics);
   const access = createAccess({ clusterToken: cluster.token, operators: cluster.operators });
@@ -159,6 +165,20 @@
   const groups: { -readonly [Name in GroupName]?: Groups[Name] } = {};
   let isStopping = false;
 
+  const leave = async (group: GroupName): Promise<void> => {
+    const replicaGroup = groups[group];
+    if (replicaGroup) {
+      await leaveGroup({
+        self,
+        group: replicaGroup,
+        minVoters,
+        ask: (address) => transport.leave(address, group),
+        timer,
+        log: log.part(group),
+      });
+    }
+  };
+
   const createGroup = <Result>(
     group: GroupName,
     machine: StateMachine<Result>,
@@ -178,6 +198,8 @@
       compactAfterEntries: compactAfterEntries[group],
       compactAfterBytes,
       removeSilentAfterMs: discovery ? removeSilentAfterMs : undefined,
+      minVoters,
+      leave: discovery ? () => leave(group) : undefined,
       onFatal,
     });
 
@@ -345,6 +367,13 @@
       : Promise.resolve({ outcome: 'not_leader', addresses: [] });
   };
 
+  const handleLeaveRequest: LeaveHandler = (group, member) => {
+    const replicaGroup = groups[group as GroupName];
+    return replicaGroup
+      ? handleLeave(replicaGroup, member, minVoters)
+      : Promise.resolve('not_leader');
+  };
+
   const joinGroup = (group: GroupName) => {
     const replicaGroup = groups[group];
     if (discovery && replicaGroup) {
@@ -382,7 +411,11 @@
     });
     ledgerService?.start();
     return (router: ConnectRouter) => {
-      transport.routes(router, handleRequest, handleJoinRequest);
+      transport.routes(router, {
+        receive: handleRequest,
+        join: handleJoinRequest,
+        leave: handleLeaveRequest,
+      });
       feed.routes(router);
       ledgerService?.routes(router);
       addCommands(router);
--- a/src/core/agreement/consensusMembership.ts
+++ b/src/core/agreement/consensusMembership.ts
@@ -111,27 +111,30 @@
   return learner && { ...learner, kind: 'voter' };
 };
 
-/**
- * No voter is removed automatically if there are fewer voters than this: with two voters the loss
- * of either one loses the quorum.
- */
-const minVotersToRemove = 4;
+/** Default of `minVoters`: with two voters the loss of either one loses the quorum. */
+const defaultMinVoters = 3;
+
+/** True if the group keeps enough voters for the losses that it has to tolerate without one. */
+export const hasSurplusVoter = (
+  members: readonly Member[],
+  minVoters = defaultMinVoters,
+): boolean => members.filter(({ kind }) => kind === 'voter').length > minVoters;
 
 /**
- * A lost member that is no longer needed after its replacement has joined. An even number of voters
- * tolerates no more losses than the odd number below it, so a silent voter is removed from an even
- * number; it joins again if it returns. A silent learner is always removed.
+ * A lost member that is no longer needed after its replacement has joined. A silent voter counts in
+ * the size of a majority and cannot contribute to one, so it is removed whether the number of voters
+ * is even or odd, as long as `minVoters` remain; it joins again if it returns. A silent learner is
+ * always removed.
  */
 const surplusMember = (replica: Replica): Member | undefined => {
-  const { removeSilentAfterMs = Infinity } = replica.options;
+  const { removeSilentAfterMs = Infinity, minVoters } = replica.options;
   const isLost = ({ name }: Member) => silentMs(replica, name) > removeSilentAfterMs;
   const others = otherMembers(replica);
-  const count = voters(replica).length;
-  const isSurplus = count >= minVotersToRemove && count % 2 === 0;
   const lostLearner = others.find((member) => member.kind === 'learner' && isLost(member));
+  const hasSurplus = hasSurplusVoter(currentMembers(replica), minVoters);
   return (
     lostLearner ??
-    (isSurplus ? others.find((member) => member.kind === 'voter' && isLost(member)) : undefined)
+    (hasSurplus ? others.find((member) => member.kind === 'voter' && isLost(member)) : undefined)
   );
 };
 
--- a/src/core/agreement/consensusTypes.ts
+++ b/src/core/agreement/consensusTypes.ts
@@ -185,10 +185,12 @@
   readonly electionTimeoutMs: number;
   readonly heartbeatMs: number;
   /**
-   * Time without an answer, in ms, after which the leader removes a learner, or a voter from an
-   * even number of at least four voters. If unset, only operators remove members.
+   * Time without an answer, in ms, after which the leader removes a learner, or a voter while more
+   * than `minVoters` are listed. If unset, only operators remove members.
    */
   readonly removeSilentAfterMs?: number;
+  /** Number of voters below which the leader removes none by itself. Default: 3. */
+  readonly minVoters?: number;
   /** Returns a number in the range from 0 (inclusive) to 1 (exclusive). */
   readonly random: () => number;
   readonly hardState: HardState;
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -23,6 +23,8 @@
 const defaultHeartbeatMs = 1_500;
 /** Grace period if the bounds have none, in s: that of the platform's sample settings. */
 const defaultGraceSeconds = 6;
+/** Tolerated losses if the settings have none: that of the platform's sample settings. */
+const defaultToleratedLosses = 1;
 /** Retry limit if the bounds have none: that of the platform's sample settings. */
 const defaultRetryLimit = { share: 0.2, windowSeconds: 10, slack: 56 } as const;
 /**
@@ -47,6 +49,8 @@
   /** Operator API addresses of some control instances. */
   readonly seeds: readonly string[];
   readonly isFirstStart: boolean;
+  /** Machines with a disk that can be lost at the same time. */
+  readonly toleratedLosses: number;
   readonly dataFolder: string;
   /** Period of the endpoint's heartbeats, in ms. */
   readonly heartbeatMs: number;
@@ -146,6 +150,10 @@
   if (!(linkMbps >= 0)) {
     report('limits.link_mbps', 'not a rate', 'Mbit/s, 0 for no limit');
   }
+  const toleratedLosses = Number(optional('fault_tolerance.machines') || defaultToleratedLosses);
+  if (!(Number.isInteger(toleratedLosses) && toleratedLosses >= 0)) {
+    report('fault_tolerance.machines', 'not a number of machines', 'a whole number');
+  }
   const graceSeconds = readBound(optional('bounds'), 'grace_s') ?? defaultGraceSeconds;
   const bounds = optional('bounds');
   const settings: PlatformSettings = {
@@ -157,6 +165,7 @@
     peerPort,
     seeds,
     isFirstStart: optional('bootstrap') === 'true',
+    toleratedLosses,
     dataFolder: optional('data_dir'),
     heartbeatMs,
     service: optional('service'),
@@ -274,6 +283,10 @@
     },
     logLevel: 'info',
     hasLedger: false,
-    discovery: { seeds: () => peerSeeds(current()), isFirstStart: settings.isFirstStart },
+    discovery: {
+      seeds: () => peerSeeds(current()),
+      isFirstStart: settings.isFirstStart,
+      toleratedLosses: settings.toleratedLosses,
+    },
   };
 };
--- a/src/plugins/agreement/consensusTransport.ts
+++ b/src/plugins/agreement/consensusTransport.ts
@@ -67,6 +67,21 @@
 
 export type JoinHandler = (group: string, member: Member) => Promise<JoinAnswer>;
 
+/**
+ * Answer to a request to leave. `kept`: the group needs the vote of the member. `pending`: another
+ * change of the membership is in progress.
+ */
+export type LeaveOutcome = 'removed' | 'kept' | 'not_leader' | 'pending';
+
+export type LeaveHandler = (group: string, member: MemberId) => Promise<LeaveOutcome>;
+
+/** Handlers of the messages of other control instances. */
+export interface ConsensusHandlers {
+  readonly receive: RequestHandler;
+  readonly join: JoinHandler;
+  readonly leave: LeaveHandler;
+}
+
 export interface PeerAnswer {
   readonly from: MemberId;
   readonly message: AnswerMessage;
@@ -82,9 +97,11 @@
 export interface ConsensusTransport {
   /** Asks the instance at `address` to add this one to the membership. */
   join(address: string, self: JoiningMember): Promise<JoinAnswer>;
+  /** Asks the instance at `address` to remove this one from the membership. */
+  leave(address: string, group: string): Promise<LeaveOutcome>;
   /** Sends a request to the member at `address`. Rejects if it is not answered. */
   request(address: string, group: string, message: RequestMessage): Promise<PeerAnswer>;
-  routes(router: ConnectRouter, receive: RequestHandler, takeJoin: JoinHandler): void;
+  routes(router: ConnectRouter, handlers: ConsensusHandlers): void;
   close(): void;
 }
 
@@ -124,6 +141,7 @@
 };
 
 const maxJoinAddresses = 16;
+const leaveOutcomes: readonly LeaveOutcome[] = ['removed', 'kept', 'not_leader', 'pending'];
 
 const readPeerAddresses = (addresses: readonly string[]): string[] =>
   addresses.slice(0, maxJoinAddresses).filter((address) => parseAddress(address) !== undefined);
@@ -166,41 +184,49 @@
     incarnation: self.incarnation,
   });
 
-  const request: ConsensusTransport['request'] = async (address, group, message) => {
+  const call = async <Answer>(
+    address: string,
+    send: (client: Peer['client']) => Promise<Answer>,
+  ): Promise<Answer> => {
     const peer = peerAt(address);
     try {
-      const sendMessage = rpcCalls[message.type] as (
-        client: Peer['client'],
-        sent: RequestMessage,
-        sender: SenderInit,
-      ) => ReturnType<RpcCalls['requestVote']>;
-      const answer = await sendMessage(peer.client, message, senderOf(group));
+      const answer = await send(peer.client);
       peer.timeouts = 0;
-      return { from: decodeSender(answer.sender), message: answer.message };
+      return answer;
     } catch (error) {
       recordFailure(address, peer, error);
       throw error;
     }
   };
 
+  const request: ConsensusTransport['request'] = async (address, group, message) => {
+    const sendMessage = rpcCalls[message.type] as (
+      client: Peer['client'],
+      sent: RequestMessage,
+      sender: SenderInit,
+    ) => ReturnType<RpcCalls['requestVote']>;
+    const answer = await call(address, (client) => sendMessage(client, message, senderOf(group)));
+    return { from: decodeSender(answer.sender), message: answer.message };
+  };
+
   const join: ConsensusTransport['join'] = async (address, { group, ...joining }) => {
-    const peer = peerAt(address);
-    try {
-      const answer = await peer.client.join({
+    const answer = await call(address, (client) =>
+      client.join({
         sender: senderOf(group),
         address: joining.address,
         dataCentre: joining.dataCentre,
         region: joining.region,
-      });
-      peer.timeouts = 0;
-      return { outcome: answer.outcome, addresses: readPeerAddresses(answer.addresses) };
-    } catch (error) {
-      recordFailure(address, peer, error);
-      throw error;
-    }
+      }),
+    );
+    return { outcome: answer.outcome, addresses: readPeerAddresses(answer.addresses) };
   };
 
-  const routes: ConsensusTransport['routes'] = (router, receive, takeJoin) => {
+  const leave: ConsensusTransport['leave'] = async (address, group) => {
+    const { outcome } = await call(address, (client) => client.leave({ sender: senderOf(group) }));
+    return leaveOutcomes.find((known) => known === outcome) ?? 'pending';
+  };
+
+  const routes: ConsensusTransport['routes'] = (router, handlers) => {
     const dispatch = async <Type extends AnswerMessage['type']>(
       sender: WireSender | undefined,
       message: RequestMessage,
@@ -209,7 +235,7 @@
         const detail = `this is cluster "${cluster}", not "${sender?.cluster}"`;
         throw new ConnectError(detail, Code.PermissionDenied);
       }
-      const answer = await receive(sender.group, decodeSender(sender), message);
+      const answer = await handlers.receive(sender.group, decodeSender(sender), message);
       return {
         sender: senderOf(sender.group),
         answer: answer as Extract<AnswerMessage, { type: Type }>,
@@ -226,9 +252,18 @@
         }
         const { name, incarnation } = decodeSender(sender);
         const member = { name, incarnation, address, dataCentre, region };
-        const answer = await takeJoin(sender.group, { ...member, kind: 'learner' });
+        const answer = await handlers.join(sender.group, { ...member, kind: 'learner' });
         return { outcome: answer.outcome, addresses: [...answer.addresses] };
       },
+      leave: async ({ sender }) => {
+        if (sender?.cluster !== cluster) {
+          throw new ConnectError(
+            'the request to leave names another cluster',
+            Code.PermissionDenied,
+          );
+        }
+        return { outcome: await handlers.leave(sender.group, decodeSender(sender)) };
+      },
       requestVote: async (wire) => {
         const { sender, answer } = await dispatch<'voteAnswer'>(
           wire.sender,
@@ -262,6 +297,7 @@
 
   return {
     join,
+    leave,
     request,
     routes,
     close: () => {
--- a/src/plugins/agreement/replicaGroup.ts
+++ b/src/plugins/agreement/replicaGroup.ts
@@ -66,6 +66,9 @@
   readonly compactAfterBytes?: number;
   /** See `ReplicaOptions`. */
   readonly removeSilentAfterMs?: number;
+  readonly minVoters?: number;
+  /** Leaves the membership when the group stops, after its proposals have their outcomes. */
+  readonly leave?: () => Promise<void>;
   /** Called if the disk has failed or an invariant is violated; the process then has to end. */
   readonly onFatal: (error: unknown) => void;
 }
@@ -116,6 +119,7 @@
     electionTimeoutMs: times.electionTimeoutMs,
     heartbeatMs: times.heartbeatMs,
     removeSilentAfterMs: options.removeSilentAfterMs,
+    minVoters: options.minVoters,
     random: options.random,
     ...loaded,
   });
@@ -405,6 +409,7 @@
     while (pendingProposals.size > 0 && timer.now() < until) {
       await timer.sleep(times.tickMs);
     }
+    await options.leave?.();
     isStopped = true;
     cancelTick?.();
     rejectPendingProposals();
--- a/src/plugins/operators/controlSettings.ts
+++ b/src/plugins/operators/controlSettings.ts
@@ -75,6 +75,8 @@
   readonly seeds: () => readonly string[];
   /** The cluster starts for the first time, and the first seed bootstraps it. */
   readonly isFirstStart: boolean;
+  /** Number of control instances that can be lost at the same time without losing a change. */
+  readonly toleratedLosses: number;
 }
 
 type ParsedSettings = z.output<typeof settingsSchema>;
