Calls: end a response at the timeout of its class

The call kept a slot and two connections.

Cause: the deadline bounded the time to the head only. After it, both hops ended a body that brought no byte for 5 s, and nothing ended one that went on.

Change: a declared timeout bounds the whole response. An upstream that kept sending is recorded as too slow. Bytes that a slow caller has not taken by then are given up too. The deadline that is derived from answer_within bounds the head only, as docs/calls.md says.

Why this works: the limit is kept by the first node alone, which every response passes and whose abort closes the connections of both hops.

Ruled out: the time without data alone. A body that stands still was ended after 5 s before, also on a route with a timeout of 1 s.

--- a/__tests__/callRunner.test.ts
+++ b/__tests__/callRunner.test.ts
@@ -90,6 +90,7 @@
         body: { kind: 'none' },
         receivedAt: timer.now(),
         deadlineAt: timer.now() + 1_000,
+        endsAt: Infinity,
       },
       {
         onHead: (head) => {
--- a/src/core/operators/policyDerivation.ts
+++ b/src/core/operators/policyDerivation.ts
@@ -90,6 +90,7 @@
     service,
     ...(split !== undefined && { split }),
     deadlineMs: deadlineMs(trafficClass),
+    ...(trafficClass.timeoutMs !== undefined && { callTimeoutMs: trafficClass.timeoutMs }),
     attemptTimeoutMs: attemptTimeoutMs(trafficClass),
     maxAttempts: maxAttempts ?? (idempotent ? maxAttemptsOfIdempotent : maxAttemptsOfNonIdempotent),
     retryShare,
--- a/src/core/operators/policyReasons.ts
+++ b/src/core/operators/policyReasons.ts
@@ -22,7 +22,11 @@
 
 const percent = (share: number): string => `${Number((share * 100).toFixed(2))}%`;
 
-const deadlineReason = ({ answerWithinMs, atMostOnce, mayWaitMs }: TrafficClass): string => {
+const deadlineReason = (trafficClass: TrafficClass): string => {
+  const { answerWithinMs, atMostOnce, mayWaitMs, timeoutMs } = trafficClass;
+  if (timeoutMs !== undefined) {
+    return 'timeout as declared; a response that has not ended by then is broken off';
+  }
   const base =
     answerWithinMs === undefined
       ? `no answer_within: ${formatDuration(defaultAnswerWithinMs)} + may_wait ${formatDuration(mayWaitMs)}`
--- a/src/plugins/calls/callRunner.ts
+++ b/src/plugins/calls/callRunner.ts
@@ -86,6 +86,8 @@
   /** Time at which the call was read; its maximum wait counts from then. */
   readonly receivedAt: number;
   readonly deadlineAt: number;
+  /** Time at which the response is broken off if it has not ended; Infinity without a timeout. */
+  readonly endsAt: number;
 }
 
 /** Receives the outcome of a call: a response in chunks, or one refusal. */
@@ -170,6 +172,9 @@
     let isOver = false;
     let receivedBytes = 0;
     let cancelHedge: Cancel | undefined;
+    let cancelTimeout: Cancel | undefined;
+    /** The caller does not take further data of the response at the moment. */
+    let isPaused = false;
 
     const recordEnd = ({ endpointId, startedAt }: Attempt, outcome: AttemptOutcome) => {
       const now = timer.now();
@@ -189,6 +194,7 @@
       }
       isOver = true;
       cancelHedge?.();
+      cancelTimeout?.();
       [...activeAttempts].forEach(abortAttempt);
       return true;
     };
@@ -299,6 +305,32 @@
       }
     };
 
+    /**
+     * Ends a call whose response goes on after the timeout of its class. Only an upstream that the
+     * caller kept waiting for is recorded as too slow.
+     */
+    const endAtTimeout = (attempt: Attempt) => {
+      const failure: AttemptFailureReport = {
+        reason: 'deadline_exceeded',
+        run: 'may_have_run',
+        detail: 'the response did not end within the timeout',
+        retried: false,
+      };
+      if (isPaused) {
+        refuse(failure);
+        return;
+      }
+      attempt.running?.abort();
+      onFailure(attempt, failure);
+    };
+
+    const startTimeout = (attempt: Attempt) => {
+      if (plan.endsAt < Infinity) {
+        const leftMs = Math.max(0, plan.endsAt - timer.now());
+        cancelTimeout = timer.after(leftMs, () => endAtTimeout(attempt));
+      }
+    };
+
     /** Retries after a response that reports a failure of the upstream, or marks it as retried. */
     const retryFailedResponse = (attempt: Attempt, head: ResponseHead): boolean => {
       if (!policy.idempotent || !retryableStatuses.has(head.status)) {
@@ -333,12 +365,17 @@
         winner = attempt;
         recordAdmission(head.isStarved ? 'refused' : 'admitted');
         cancelHedge?.();
+        startTimeout(attempt);
         [...activeAttempts].filter((other) => other !== attempt).forEach(abortAttempt);
         listener.onHead(head);
       },
       onData: (chunk) => {
         receivedBytes += chunk.length;
-        return winner === attempt ? listener.onData(chunk) : true;
+        if (winner !== attempt) {
+          return true;
+        }
+        isPaused = !listener.onData(chunk);
+        return !isPaused;
       },
       onEnd: () => {
         activeAttempts.delete(attempt);
@@ -473,7 +510,10 @@
       abort: () => {
         endCall();
       },
-      resume: () => winner?.running?.resume(),
+      resume: () => {
+        isPaused = false;
+        winner?.running?.resume();
+      },
       mayHaveRun: () =>
         mayHaveRun || [...activeAttempts].some(({ running }) => running?.mayHaveRun() ?? false),
     };
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -86,6 +86,8 @@
   readonly rank: number;
   readonly startedAt: number;
   readonly deadlineAt: number;
+  /** See `CallPlan`. */
+  readonly endsAt: number;
   running: RunningCall | undefined;
   isOver: boolean;
 }
@@ -207,6 +209,15 @@
     return timer.now() - call.startedAt > (target?.answerWithinMs ?? Infinity) ? 'late' : 'good';
   };
 
+  /** Breaks off a response whose last bytes the caller has not taken at the timeout of its class. */
+  const limitWriting = ({ response, endsAt }: Call) => {
+    if (endsAt === Infinity || response.writableFinished) {
+      return;
+    }
+    const cancelLimit = timer.after(Math.max(0, endsAt - timer.now()), () => response.destroy());
+    response.once('close', cancelLimit);
+  };
+
   const createOutcomeListener = (call: Call): OutcomeListener => {
     const writer = options.writers.toPeer(call.response);
     let outcome: CallOutcome = 'good';
@@ -222,6 +233,7 @@
       onEnd: () => {
         finish(call, outcome, 'ok');
         writer.end();
+        limitWriting(call);
       },
       onRefusal: (failure) => refuse(call, failure),
     };
@@ -281,6 +293,7 @@
       rank: computeRank(origin, requestId, headers),
       startedAt,
       deadlineAt: startedAt + deadlineMs,
+      endsAt: startedAt + (policy.callTimeoutMs ?? Infinity),
       running: undefined,
       isOver: false,
     };
@@ -304,6 +317,7 @@
     body,
     receivedAt: call.startedAt,
     deadlineAt: call.deadlineAt,
+    endsAt: call.endsAt,
   });
 
   /** The configuration of the call, with the cluster added if it had to be waited for. */
--- a/src/types/public.ts
+++ b/src/types/public.ts
@@ -140,7 +140,10 @@
   readonly className: string;
   readonly service: string;
   readonly split?: readonly WeightedService[];
+  /** Time until the head of a response. */
   readonly deadlineMs: number;
+  /** Time until the end of a response, if the target declares a timeout. */
+  readonly callTimeoutMs?: number;
   readonly attemptTimeoutMs: number;
   /** Maximum attempts for one call, including the first. */
   readonly maxAttempts: number;
