Feed: leave a parent that is cut off in time in another data centre too

Cause: a node whose parent is in another data centre has a search for one in its own planned 6 to 18 s ahead. When that parent was cut off, the search for a connected parent waited for the same time. Besides, a node that was attached for 5 s or more forgot the better parent that it had found, went back to the one it had left, and needed a second search.

Change: a search is planned anew when its reason changes; a better parent is kept when the backoff is reset; the parent left for it is skipped for 1 s; a search does not ask the current parent and does not wait for all answers. A follower counts a heartbeat as a confirmation only once it has applied what the leader had committed.

Why this works: each 404 came from a node whose parent was a control instance of another data centre that had been cut off for 3.6 to 5.0 s, and all nodes of its own data centre had left it after 1.8 to 2.6 s.

Ruled out: heartbeats that reach the instance in the one-way cut. It became a candidate in its old term, so it heard nothing of the new leader.

--- a/__tests__/consensus.test.ts
+++ b/__tests__/consensus.test.ts
@@ -456,6 +456,22 @@
     assert.deepEqual([lastIndex, snapshotIndex], [3, 3]);
   });
 
+  // Guards against a control instance that counts as current, and keeps its nodes, although it
+  // receives heartbeats only, or its disk does not complete writes.
+  it('does not count as confirmed while it has not applied what the leader has committed', () => {
+    const driver = createDriver();
+    driver.request('b', append(1, first, []));
+    assert.equal(driver.core.queries.confirmedAgeMs(0), 0);
+    driver.advance(500);
+    driver.request('b', { ...append(1, first, []), commitIndex: 2 });
+    assert.equal(driver.core.queries.confirmedAgeMs(500), 500);
+    driver.request('b', { ...append(1, first, [command(1, 2)]), commitIndex: 2 });
+    assert.equal(driver.core.queries.confirmedAgeMs(500), 500);
+    driver.sync();
+    driver.request('b', { ...append(1, command(1, 2), []), commitIndex: 2 });
+    assert.equal(driver.core.queries.confirmedAgeMs(500), 0);
+  });
+
   it('answers heartbeats while a snapshot is being written', () => {
     const driver = createDriver();
     driver.request('b', { ...append(2, first, [command(2, 2)]), commitIndex: 2 });
--- a/__tests__/parentLoop.test.ts
+++ b/__tests__/parentLoop.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { it } from 'node:test';
+import { describe, it } from 'node:test';
 import { createParentChoice } from '../src/core/distribution/parentChoice.js';
 import type { ParentHeartbeat } from '../src/core/distribution/parentHealth.js';
 import type { FeedLink, LinkOutcome, ProbeResult } from '../src/plugins/distribution/feedClient.js';
@@ -21,11 +21,21 @@
 /** A parent that does not answer is given up after this time, as in the real feed client. */
 const welcomeTimeoutMs = 1_000;
 
-const heartbeatOf = (path: readonly string[], isRooted: boolean): ParentHeartbeat => ({
+/** A node has to apply a change within this time, also if its parent was cut off meanwhile. */
+const applyLimitMs = 2_000;
+const staleAgeMs = 60_000;
+
+/** A control instance answers nothing, is connected to the source, or is cut off from it. */
+type ControlState = 'off' | 'fresh' | 'stale';
+
+const heartbeatOf = (address: string, state: ControlState): ParentHeartbeat => ({
   headVersion: version,
-  confirmedAgeMs: isRooted ? 0 : 60_000,
-  path,
-  rootDataCentre: isRooted ? 'dc-0' : '',
+  confirmedAgeMs: state === 'fresh' ? 0 : staleAgeMs,
+  path: [address],
+  rootDataCentre:
+    state === 'fresh'
+      ? (controls.find((control) => control.address === address)?.dataCentre ?? '')
+      : '',
 });
 
 const lost = (reason: string, isSilent: boolean): LinkOutcome => ({
@@ -42,11 +52,15 @@
     setImmediate(resolve);
   });
 
-/** Simulates a node while the control instances have no power until it is restored. */
+/** Simulates a node. All control instances are off until their state is set. */
 const createSimulation = (seed: number, peerKind: PeerKind) => {
   const timer = createManualTimer();
   const random = createRandom(seed);
-  let isPowered = false;
+  const states = new Map<string, ControlState>();
+  const attempts: string[] = [];
+  /** A peer that feeds others is not connected to a control instance. */
+  const stateOf = (address: string): ControlState =>
+    isControl(address) ? (states.get(address) ?? 'off') : 'stale';
   const isControl = (address: string) => controls.some((control) => control.address === address);
   const choice = createParentChoice({
     dataCentre: 'dc-0',
@@ -60,7 +74,8 @@
     let finish: (outcome: LinkOutcome) => void = () => undefined;
     const run = () =>
       new Promise<LinkOutcome>((resolve) => {
-        if (isControl(address) && !isPowered) {
+        attempts.push(address);
+        if (stateOf(address) === 'off') {
           timer.after(welcomeTimeoutMs, () => resolve(lost('silent', true)));
           return;
         }
@@ -70,8 +85,7 @@
           );
           return;
         }
-        const sendHeartbeat = () =>
-          loop.receiveHeartbeat(heartbeatOf([address], isControl(address)));
+        const sendHeartbeat = () => loop.receiveHeartbeat(heartbeatOf(address, stateOf(address)));
         timer.after(1, sendHeartbeat);
         const cancelHeartbeats = timer.every(500, sendHeartbeat);
         finish = (outcome) => {
@@ -89,13 +103,13 @@
   };
 
   const probe = async (address: string): Promise<ProbeResult | undefined> => {
-    if (isControl(address) && !isPowered) {
+    if (stateOf(address) === 'off') {
       await timer.sleep(welcomeTimeoutMs);
       return undefined;
     }
     const { headVersion, confirmedAgeMs, path, rootDataCentre } = heartbeatOf(
-      [address],
-      isControl(address),
+      address,
+      stateOf(address),
     );
     const heartbeat = {
       headVersion: { term: BigInt(headVersion.term), index: BigInt(headVersion.index) },
@@ -125,14 +139,21 @@
       await flushPromises();
     }
   };
-  const restorePower = () => {
-    isPowered = true;
-  };
+  const setStates = (...next: ControlState[]) =>
+    next.forEach((state, index) => states.set(controls[index]!.address, state));
   const attachedToControl = () => {
     const address = loop.link()?.address;
     return address !== undefined && isControl(address) && loop.rootDataCentre() !== '';
   };
-  return { loop, advance, attachedToControl, restorePower };
+  const waitUntil = async (isReached: () => boolean) => {
+    let waitedMs = 0;
+    while (!isReached() && waitedMs < 30_000) {
+      await advance(25);
+      waitedMs += 25;
+    }
+    return waitedMs;
+  };
+  return { loop, advance, attachedToControl, setStates, waitUntil, attempts };
 };
 
 /** Longest time to attach after an outage, over 20 seeds. */
@@ -142,13 +163,8 @@
     const simulation = createSimulation(seed, peerKind);
     simulation.loop.start();
     await simulation.advance(outageMs);
-    simulation.restorePower();
-    let waitedMs = 0;
-    while (!simulation.attachedToControl() && waitedMs < 30_000) {
-      await simulation.advance(25);
-      waitedMs += 25;
-    }
-    longest = Math.max(longest, waitedMs);
+    simulation.setStates('fresh', 'fresh', 'fresh');
+    longest = Math.max(longest, await simulation.waitUntil(simulation.attachedToControl));
   }
   return longest;
 };
@@ -162,3 +178,44 @@
     }),
   ),
 );
+
+describe('a node whose parent is cut off from the source', () => {
+  const seeds = Array.from({ length: 20 }, (_, index) => index + 1);
+  const [own, second, third] = controls.map(({ address }) => address);
+
+  /** Attaches to a control instance and stays there for 6 s, long enough to reset the backoff. */
+  const attach = async (seed: number, states: readonly ControlState[]) => {
+    const simulation = createSimulation(seed, 'none');
+    simulation.setStates(...states);
+    simulation.loop.start();
+    await simulation.waitUntil(simulation.attachedToControl);
+    await simulation.advance(6_000);
+    return simulation;
+  };
+
+  // Guards against a reset of the backoff that forgets the better parent: the node went back to the
+  // one that was cut off, and needed a second search.
+  it('moves to a better parent at the first try after a long attachment', async () => {
+    for (const seed of seeds) {
+      const { setStates, waitUntil, loop, attempts } = await attach(seed, ['fresh', 'off', 'off']);
+      setStates('stale', 'fresh', 'fresh');
+      const before = attempts.length;
+      await waitUntil(() => loop.rootDataCentre() !== '' && loop.link()?.address !== own);
+      assert.ok(!attempts.slice(before).includes(own!), `seed ${seed}: ${attempts.join(' ')}`);
+    }
+  });
+
+  // Guards against a wait of up to 18 s for the next search for a parent in the own data centre,
+  // after a parent in another one was cut off.
+  it('finds another one within 2 s, also if it was in another data centre', async () => {
+    for (const seed of seeds) {
+      const { setStates, waitUntil, loop } = await attach(seed, ['off', 'fresh', 'off']);
+      assert.equal(loop.link()?.address, second);
+      setStates('off', 'stale', 'fresh');
+      const waitedMs = await waitUntil(
+        () => loop.link()?.address === third && loop.rootDataCentre() !== '',
+      );
+      assert.ok(waitedMs <= applyLimitMs, `seed ${seed}: ${waitedMs} ms`);
+    }
+  });
+});
--- a/src/core/agreement/consensusReplication.ts
+++ b/src/core/agreement/consensusReplication.ts
@@ -231,7 +231,6 @@
 export const handleAppendEntries = (replica: Replica, message: AppendEntries): AppendAnswer => {
   const { queries } = replica.log;
   const { previousIndex, previousTerm, entries, round } = message;
-  replica.confirmedAt = Math.max(replica.confirmedAt, replica.now - message.confirmedAgeMs);
   const answer = { type: 'appendAnswer', term: replica.term, round } as const;
   const isCompacted = previousIndex < queries.snapshot().index;
   if (!isCompacted && queries.termAt(previousIndex) !== previousTerm) {
@@ -241,6 +240,10 @@
   const matchIndex = previousIndex + entries.length;
   replica.commitIndex = Math.max(replica.commitIndex, Math.min(message.commitIndex, matchIndex));
   applyCommitted(replica);
+  // A replica that lacks committed entries has an old state, however recent the message is.
+  if (replica.appliedIndex >= message.commitIndex) {
+    replica.confirmedAt = Math.max(replica.confirmedAt, replica.now - message.confirmedAgeMs);
+  }
   return { ...answer, success: true, matchIndex };
 };
 
--- a/src/core/distribution/parentChoice.ts
+++ b/src/core/distribution/parentChoice.ts
@@ -52,8 +52,8 @@
     resetBackoff(): void;
     /** Skips an address for `avoidMs`. */
     avoid(address: string, now: number): void;
-    /** Makes an address the next choice, without a delay. */
-    prefer(address: string): void;
+    /** Makes an address the next choice, without a delay, and skips the one left for it. */
+    prefer(address: string, left: string, now: number): void;
     learnPeers(addresses: readonly string[]): void;
     /** Sets the control instances that a parent named. Those of the settings are kept as well. */
     learnControls(controls: readonly ControlAddress[]): void;
@@ -88,6 +88,8 @@
   /** Parents that asked the node to retry later, with the time until which they are skipped. */
   const busyUntil = new Map<string, number>();
   let lastTried = '';
+  /** Better parent that a search found. Unlike `queue` it is kept when the backoff is reset. */
+  let preferred: string | undefined;
   let queue: string[] = [];
   let redirects = 0;
   let attemptCount = 0;
@@ -142,7 +144,16 @@
     return { address, delayMs };
   };
 
+  const skip = (address: string, now: number) => {
+    avoidUntil.set(address, Math.max(avoidUntil.get(address) ?? 0, now + avoidSilentMs));
+  };
+
   const chooseParent = (now: number): ParentAttempt | undefined => {
+    if (preferred !== undefined) {
+      const address = preferred;
+      preferred = undefined;
+      return recordAttempt(address, 0);
+    }
     const redirectTarget = queue.find((address) => !isAvoided(address, now));
     queue = queue.slice(
       redirectTarget === undefined ? queue.length : queue.indexOf(redirectTarget) + 1,
@@ -197,9 +208,11 @@
       avoid: (address, now) => {
         avoidUntil.set(address, now + avoidMs);
       },
-      prefer: (address) => {
-        queue = [address];
+      prefer: (address, left, now) => {
+        preferred = address;
+        queue = [];
         avoidUntil.delete(address);
+        skip(left, now);
       },
       learnPeers,
       learnControls: (learned) => {
@@ -219,7 +232,7 @@
       silent: (address, now) => {
         // The attempt has already waited for its timeout, and caused no load if the machine is off.
         useShortBackoff = true;
-        avoidUntil.set(address, Math.max(avoidUntil.get(address) ?? 0, now + avoidSilentMs));
+        skip(address, now);
       },
       refused: () => {
         useShortBackoff = true;
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -10,6 +10,7 @@
   staleParentMs,
   type ParentHeartbeat,
   type ParentHealth,
+  type SearchReason,
 } from '../../core/distribution/parentHealth.js';
 import { compareVersions, isNewer } from '../../core/agreement/version.js';
 import type { Log } from '../../utils/log.js';
@@ -73,6 +74,8 @@
   let running: Promise<void> = Promise.resolve();
   let isSearching = false;
   let nextSearchAt = 0;
+  /** Reason for which the next search was planned. */
+  let searchedFor: SearchReason | undefined;
   /** Number of searches since the parent was last healthy. */
   let searches = 0;
 
@@ -98,19 +101,21 @@
     }
   };
 
-  const isBetter = ({ address, heartbeat }: ProbeResult): boolean => {
+  const isFresh = ({ heartbeat }: ProbeResult): boolean =>
+    Number(heartbeat.confirmedAgeMs) <= staleParentMs && heartbeat.rootDataCentre !== '';
+
+  const isBetter = (result: ProbeResult): boolean => {
+    const { address, heartbeat } = result;
     const head = readVersion(heartbeat.headVersion);
-    const ageMs = Number(heartbeat.confirmedAgeMs);
     if (heartbeat.path.includes(name) || address === link?.address) {
       return false;
     }
     if (isNewer(options.newest(), head)) {
       return false;
     }
-    const isFresh = ageMs <= staleParentMs && heartbeat.rootDataCentre !== '';
     return health.queries.searchReason(timer.now()) === 'foreign'
-      ? isFresh && heartbeat.rootDataCentre === dataCentre
-      : isFresh || isNewer(head, options.newest());
+      ? isFresh(result) && heartbeat.rootDataCentre === dataCentre
+      : isFresh(result) || isNewer(head, options.newest());
   };
 
   const searchTargets = (): string[] => {
@@ -120,6 +125,7 @@
     }
     const pick = (addresses: string[], count: number) =>
       addresses
+        .filter((address) => address !== link?.address)
         .map((address) => ({ address, order: random() }))
         .sort((a, b) => a.order - b.order)
         .slice(0, count)
@@ -127,8 +133,31 @@
     return [...pick(localControls(), 1), ...pick(remoteControls(), 1), ...pick(peers(), 1)];
   };
 
+  const moveTo = ({ address }: ProbeResult) => {
+    if (link && !stopping.signal.aborted) {
+      choice.commands.prefer(address, link.address, timer.now());
+      link.end('found a better parent');
+    }
+  };
+
   const search = async () => {
-    const results = await Promise.all(searchTargets().slice(0, maxProbes).map(options.probe));
+    let hasMoved = false;
+    const results = await Promise.all(
+      searchTargets()
+        .slice(0, maxProbes)
+        .map(async (address) => {
+          const result = await options.probe(address);
+          // The other targets may be unresponsive, and are not waited for.
+          if (!hasMoved && result && isFresh(result) && isBetter(result)) {
+            hasMoved = true;
+            moveTo(result);
+          }
+          return result;
+        }),
+    );
+    if (hasMoved) {
+      return;
+    }
     const better = results
       .filter((result) => result !== undefined)
       .filter(isBetter)
@@ -139,9 +168,8 @@
             readVersion(a.heartbeat.headVersion),
           ) || Number(a.heartbeat.confirmedAgeMs - b.heartbeat.confirmedAgeMs),
       )[0];
-    if (better && link && !stopping.signal.aborted) {
-      choice.commands.prefer(better.address);
-      link.end('found a better parent');
+    if (better) {
+      moveTo(better);
     }
   };
 
@@ -157,9 +185,14 @@
 
   const searchIfDue = () => {
     const now = timer.now();
-    if (!health.queries.searchReason(now)) {
+    const reason = health.queries.searchReason(now);
+    if (reason !== searchedFor) {
+      // A search for a parent in the own data centre is planned too late for one that is cut off.
+      searchedFor = reason;
       searches = 0;
       nextSearchAt = 0;
+    }
+    if (!reason) {
       return;
     }
     if (isSearching || !link) {
