Calls: read on after a response that came before its request's body

Cause: the reader of a streamed body stops when its call is over, and its listener for "readable" stays on the request. The rest of the body is never read, and Node.js reads no further request from the connection.

Change: once the response is over, the iterator of the body is ended and the rest of the body is read and dropped, within the deadline of the call or 5 s.

Ruled out: closing the connection with the early response. Unread bytes would reset it, and the caller could lose the response.

--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -46,6 +46,9 @@
 const computeRank = (origin: CallOrigin, requestId: string, { parentId }: CallHeaders): number =>
   callRank(origin === 'upstream' ? (parentId ?? requestId) : requestId);
 
+/** Least time that a caller has for the rest of a body that was answered early, in ms. */
+const minDiscardMs = 5_000;
+
 export interface CallServerOptions {
   readonly address: Address;
   readonly dataCentre: string;
@@ -360,6 +363,26 @@
     upstream.queries.hasFreeSlot(call.service) ||
     throttle.commands.admit(toThrottledCall(call), timer.now());
 
+  /** An upstream may answer before it has read a large body, whose rest the caller still sends. */
+  const discardBodyAfterResponse = (call: Call, { discardRest }: RequestBodyWithPrefix) => {
+    const { request, response } = call;
+    const discard = () => {
+      discardRest();
+      if (request.complete || request.destroyed) {
+        return;
+      }
+      const limitMs = Math.max(minDiscardMs, call.deadlineAt - timer.now());
+      const cancelLimit = timer.after(limitMs, () => request.destroy());
+      request.once('end', cancelLimit);
+      request.once('close', cancelLimit);
+    };
+    if (response.closed) {
+      discard();
+    } else {
+      response.once('close', discard);
+    }
+  };
+
   const run = async (call: Call): Promise<void> => {
     if (!passesThrottle(call)) {
       refuse(call, createThrottleRefusal(call));
@@ -367,6 +390,7 @@
     }
     const cancelBodyTimeout = startBodyTimeout(call);
     const body = await readBody(call.request).finally(cancelBodyTimeout);
+    discardBodyAfterResponse(call, body);
     const activeConfiguration = await withCluster(call);
     if (call.isOver) {
       return;
--- a/src/plugins/calls/requestBody.ts
+++ b/src/plugins/calls/requestBody.ts
@@ -17,6 +17,11 @@
   readonly body: RequestBody;
   /** The first bytes, up to `maxBufferedBytes` and one chunk. */
   readonly prefix: Buffer;
+  /**
+   * Reads and drops what its reader has left of the body, so that the connection can carry the next
+   * request. Does nothing if the body was read to its end.
+   */
+  discardRest(): void;
 }
 
 async function* concatParts(
@@ -31,10 +36,26 @@
   }
 }
 
+/**
+ * The iterator has to end before the request can flow: its listener for `readable` keeps a stream
+ * paused, and Node.js reads no further request from the connection of an unread one.
+ */
+const discardRest = async (request: IncomingMessage, parts: AsyncIterator<Buffer>) => {
+  if (request.complete && request.readableLength === 0) {
+    return;
+  }
+  try {
+    await parts.return?.();
+  } catch {
+    // The connection is broken, so there is nothing left to read.
+  }
+  request.resume();
+};
+
 /** Buffers the body of a request up to the limit. Throws `bad_request` if it ends early. */
 export const readBody = async (request: IncomingMessage): Promise<RequestBodyWithPrefix> => {
   if (!hasBody(request)) {
-    return { body: noBody, prefix: Buffer.alloc(0) };
+    return { body: noBody, prefix: Buffer.alloc(0), discardRest: () => undefined };
   }
   const parts = request.iterator({ destroyOnReturn: false }) as AsyncIterator<Buffer>;
   const first: Buffer[] = [];
@@ -48,6 +69,9 @@
         return {
           body: { kind: 'stream', parts: concatParts(first, parts) },
           prefix: Buffer.concat(first),
+          discardRest: () => {
+            discardRest(request, parts);
+          },
         };
       }
       next = await parts.next();
@@ -58,5 +82,9 @@
     });
   }
   const wholeBody = Buffer.concat(first);
-  return { body: { kind: 'kept', bytes: wholeBody }, prefix: wholeBody };
+  return {
+    body: { kind: 'kept', bytes: wholeBody },
+    prefix: wholeBody,
+    discardRest: () => undefined,
+  };
 };
