Calls: read the bodies of uploads while they wait

Cause: a node read the first 64 KiB of a body and the rest only once the call had a slot. The same holds for the connection between two nodes. The end of the connection, or the cancellation, waits behind the unread bytes.

Dropping what is left of a body is now the same mechanism.

Ruled out: a check of the connection at the start of the call alone. It reads the same unread bytes, while the call already holds its slot.

--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -23,6 +23,7 @@
 import type { AtMostOnceRunner } from './atMostOnceRunner.js';
 import type { ResponseWriters } from './responseWriters.js';
 import { toFailureReport, writeRefusal } from './callResponses.js';
+import { createBodyBudget } from './bodyBuffer.js';
 import { hasBody } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
 import type { CallStartScheduler } from './callStartScheduler.js';
@@ -117,6 +118,8 @@
     throttle,
   } = options;
 
+  const bodyBudget = createBodyBudget();
+
   const responseHeaders = ({ activeConfiguration, requestId }: Call): string[] =>
     callers.responseHeaders({
       requestId,
@@ -389,7 +392,7 @@
       return;
     }
     const cancelBodyTimeout = startBodyTimeout(call);
-    const body = await readBody(call.request).finally(cancelBodyTimeout);
+    const body = await readBody(call.request, bodyBudget).finally(cancelBodyTimeout);
     discardBodyAfterResponse(call, body);
     const activeConfiguration = await withCluster(call);
     if (call.isOver) {
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -14,6 +14,7 @@
 import type { Access } from '../operators/access.js';
 import type { Address } from '../rpc.js';
 import type { ResponseWriters } from './responseWriters.js';
+import { createBodyBudget } from './bodyBuffer.js';
 import { toFailureReport, writeRefusal } from './callResponses.js';
 import { attemptIdHeader, loadHeader } from './callHeaders.js';
 import { createCallListener, type CallListener } from './callListener.js';
@@ -45,6 +46,7 @@
 export const createForwardServer = (options: ForwardServerOptions): CallListener => {
   const { access, log, starts: startScheduler, timer, upstream } = options;
   const links = new Set<InboundLink>();
+  const bodyBudget = createBodyBudget();
 
   const load = () => formatLoad(upstream.queries.load());
 
@@ -133,6 +135,7 @@
     const link = createInboundLink({
       socket,
       inactivityTimeoutMs,
+      bodyBudget,
       onCall: handleCall,
       onBusy: (isBusy) => listener.setBusy(socket, isBusy),
       onMalformed: (detail) => log.warn('malformed frame from a node', { detail }),
--- a/src/plugins/calls/inboundLink.ts
+++ b/src/plugins/calls/inboundLink.ts
@@ -4,14 +4,11 @@
  */
 import { EventEmitter } from 'node:events';
 import type { Socket } from 'node:net';
-import { Readable } from 'node:stream';
 import type { ResponseHead, RequestBody } from '../../types/calls.js';
+import { createBodyBuffer, type BodyBudget, type BodyBuffer } from './bodyBuffer.js';
 import type { ResponseTarget } from './callResponses.js';
 import { createFrameReader, encodeFrame, maxFrameBodyBytes, type Frame } from './linkFrames.js';
 
-/** Bytes of a request body that are buffered for the upstream before the connection is paused. */
-const bodyHighWaterMark = 64 * 1_024;
-
 /** Response to a call on the connection. */
 export interface LinkResponse extends ResponseTarget {
   /** Sends a refusal instead of a response; closes the connection if a response was begun. */
@@ -31,6 +28,7 @@
    * peer does not read.
    */
   readonly inactivityTimeoutMs: number;
+  readonly bodyBudget: BodyBudget;
   /** Handles a call. The function that it returns is called if the sender cancels the call. */
   readonly onCall: (call: ReceivedCall) => () => void;
   /** Called with true when a call begins and with false when it ends. */
@@ -46,7 +44,7 @@
 }
 
 interface CurrentCall {
-  readonly body: Readable | undefined;
+  readonly body: BodyBuffer | undefined;
   readonly answer: LinkResponse;
   onCancel: (() => void) | undefined;
   /** Ends the response without notifying the sending node. */
@@ -162,18 +160,14 @@
     return { answer: response, close };
   };
 
-  const bodyStream = () =>
-    new Readable({ highWaterMark: bodyHighWaterMark, read: () => socket.resume() });
-
   const startCall = ({ head, body }: Frame) => {
     const isStreamed = (head as { bodyKind?: unknown } | undefined)?.bodyKind === 'stream';
-    const stream = isStreamed ? bodyStream() : undefined;
-    // An upstream that does not read a body to its end breaks the stream. Without a listener, that
-    // error would end the process.
-    stream?.on('error', () => undefined);
+    const stream = isStreamed
+      ? createBodyBuffer(options.bodyBudget, () => socket.resume())
+      : undefined;
     const { answer: response, close } = createResponse(() => {
       current = undefined;
-      stream?.destroy();
+      stream?.destroy(new Error('the call is over'));
       // The rest of the body is discarded, but the frames that follow it have to be read.
       socket.resume();
       options.onBusy(false);
@@ -184,14 +178,14 @@
     const completeBody = body.length > 0 ? ({ kind: 'kept', bytes: body } as const) : undefined;
     call.onCancel = options.onCall({
       head,
-      body: stream ? { kind: 'stream', parts: stream } : (completeBody ?? { kind: 'none' }),
+      body: stream ? { kind: 'stream', parts: stream.parts } : (completeBody ?? { kind: 'none' }),
       answer: response,
     });
   };
 
   const cancelCurrent = () => {
     const call = current;
-    call?.body?.destroy();
+    call?.body?.destroy(new Error('the call was cancelled'));
     call?.onCancel?.();
     call?.close();
   };
@@ -211,7 +205,7 @@
         socket.pause();
       }
     },
-    end: () => current?.body?.push(null),
+    end: () => current?.body?.end(),
     cancel: () => {
       cancelCurrent();
       write('cancelled');
