Platform: reject heartbeats that lack a field

Cause: only the fields that are used were checked, so that a check-in of another writer without zone, version and cold_remaining_ms counted as valid, and with a later start took the place of the endpoint's own ones.

Change: all fields are required and checked.

Evidence: platformAdapter.test, "are rejected if they are malformed", failed before with these four values and passes now.

--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -167,6 +167,11 @@
       null,
       { ...heartbeat, state: 'resting' },
       { ...heartbeat, born: undefined },
+      // Such a heartbeat took the place of the endpoint's own, whose `draining` was then ignored.
+      { ...heartbeat, zone: undefined },
+      { ...heartbeat, version: undefined },
+      { ...heartbeat, cold_remaining_ms: undefined },
+      { ...heartbeat, cold_remaining_ms: '0' },
       { ...heartbeat, slots: '18' },
     ];
     others.forEach((value) =>
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -27,11 +27,18 @@
 /** Connections allowed beyond the endpoint's slots, since some may be closing as others open. */
 const extraConnections = 4;
 
+/**
+ * All fields that an endpoint sends, also those that are not used here: a heartbeat of another
+ * writer may lack any of them, and must not take the place of the endpoint's own.
+ */
 const heartbeatSchema = z.object({
   service: z.string().min(1),
   address: z.string().refine(isConnectable, 'ip:port'),
+  zone: z.string().min(1),
+  version: z.string(),
   slots: z.int().min(1).max(maxSlots),
   state: z.enum(['ready', 'draining']),
+  cold_remaining_ms: z.number().min(0),
   sequence: z.int().min(0),
   /** Start of the endpoint's process, in ms since the Unix epoch. */
   born: z.int().min(0),
