Platform: notice settings that change in the first second

Cause: the first check of the file, 1 s after the start, took the time of change that it found as the initial one, although the settings had been read before.

Change: the first check reads the file again; a reload is logged only if the settings differ.

Evidence: settingsWatch.test failed before (no change within 2 s) and passes now.

--- a/src/platform/settingsWatch.ts
+++ b/src/platform/settingsWatch.ts
@@ -27,7 +27,11 @@
 
   const reload = () => {
     try {
+      const before = JSON.stringify(current);
       current = readPlatformSettings(file);
+      if (JSON.stringify(current) === before) {
+        return;
+      }
       log.info('settings reloaded', { seeds: current.seeds.join(','), service: current.service });
     } catch (error) {
       log.error('invalid settings ignored', { error: String(error) });
@@ -36,10 +40,12 @@
 
   const checkModified = async () => {
     const { mtimeMs } = await stat(file);
-    if (modifiedAtMs !== undefined && mtimeMs !== modifiedAtMs) {
+    // The file may have changed between the reading at the start and the first check, which
+    // therefore reads it again.
+    if (mtimeMs !== modifiedAtMs) {
+      modifiedAtMs = mtimeMs;
       reload();
     }
-    modifiedAtMs = mtimeMs;
   };
 
   timer.every(checkPeriodMs, () => {
