Node: log a blocked event loop with its processor time

Change: a turn of the event loop longer than 1 s is logged with its user, system and garbage collection time and the memory of the process.

--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -7,6 +7,7 @@
 import { createAccess } from '../plugins/operators/access.js';
 import { createFeedMetrics, observePeerTraffic } from '../plugins/distribution/feedMetrics.js';
 import { createLedgerClient } from '../plugins/calls/ledgerClient.js';
+import { watchEventLoop } from '../plugins/eventLoopWatch.js';
 import { createMetrics } from '../plugins/metrics.js';
 import { createNodeFeed } from '../plugins/distribution/nodeFeed.js';
 import { createNodeRuntime, type NodeRuntime } from '../plugins/calls/nodeRuntime.js';
@@ -123,6 +124,7 @@
     random,
   });
   const adapterServer = adapter?.start(runtime);
+  const stopWatch = watchEventLoop(timer, log);
 
   await peerServer.listen();
   // The first configuration arrives while the code of the call path warms up.
@@ -143,6 +145,7 @@
 
   return {
     stop: async (limitMs) => {
+      stopWatch();
       await runtime.stop(limitMs);
       await feed.stop();
       await peerServer.close(peerGraceMs);
