Calls: send large responses for 5 ms at most in one turn

Cause: the loop that sends due chunks of paced responses ran while a chunk was due. If sending one takes longer than the link needs for it, the next one is always due, and the loop ends only when nothing is pending.

Change: the loop ends after 5 ms and goes on in another turn.

Ruled out: garbage collection (276 ms), system calls (7 ms), a computation over the configuration (no other handler took over 400 ms).

--- a/src/plugins/calls/responseWriters.ts
+++ b/src/plugins/calls/responseWriters.ts
@@ -30,6 +30,13 @@
  */
 const maxPendingBytes = 1_024 * 1_024;
 
+/**
+ * Longest time for which chunks are sent in one turn of the event loop, in ms. Time passes while a
+ * chunk is sent. If that takes longer than the link needs for the chunk, the next one is due
+ * already, and the process would do nothing else as long as any response is pending.
+ */
+const maxPumpMs = 5;
+
 export interface ResponseWriters {
   /** Creates the writer of a response to another node. */
   toNode(target: ResponseTarget): ResponseWriter;
@@ -193,10 +200,11 @@
       return;
     }
     isPumping = true;
+    const until = timer.now() + maxPumpMs;
     let chunk = pacer.commands.takeNext(timer.now());
     while (chunk) {
       responses.get(chunk.id)?.send(chunk.bytes);
-      chunk = pacer.commands.takeNext(timer.now());
+      chunk = timer.now() < until ? pacer.commands.takeNext(timer.now()) : undefined;
     }
     isPumping = false;
     const waitMs = pacer.queries.untilNextMs(timer.now());
