--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -27,6 +27,7 @@
   'data_dir=/data/my-core',
   'heartbeat_ms=1500',
   'limits.link_mbps=7.5',
+  'fault_tolerance.machines=2',
   'bounds=drain_ms=2000,grace_s=8,recovery_s=15',
   'something.later=1',
 ].join('\n');
@@ -39,6 +40,8 @@
     const control = toControlSettings(settings, 9464, () => settings);
     assert.equal(control.cluster.members[0]?.address, '10.1.0.42:7380');
     assert.equal(control.discovery?.isFirstStart, true);
+    // Guards against a group that removes voters whose disks it needs for the losses to tolerate.
+    assert.equal(control.discovery?.toleratedLosses, 2);
     const node = toNodeSettings(settings, 9464);
     assert.equal(node.link?.rate_mbps, 7.5);
     assert.deepEqual(
--- a/src/plugins/calls/bodyBuffer.ts
+++ b/src/plugins/calls/bodyBuffer.ts
@@ -3,6 +3,7 @@
  * not read does not show its end either: a call that waits for a slot would be started after its
  * caller has left. So bodies are read ahead of their upstream, within limits.
  */
+
 /** Bytes of one body that are buffered whatever the other calls hold. */
 const minBytes = 64 * 1_024;
 /** Bytes of one body that are buffered as long as the budget has room. */
