Calls: log and count where calls are lost, and slot time for nothing

Change: refusals carry the stage at which they were made, as a label of auburnsill_refusals_total and in the log. auburnsill_slot_use_seconds counts slot time by what became of the call. No change of decisions.

--- a/src/core/calls/lateStart.ts
+++ b/src/core/calls/lateStart.ts
@@ -19,6 +19,7 @@
 export const refuseLateStart = (waitedMs: number, random: () => number): AttemptFailureReport => ({
   reason: 'overloaded',
   run: 'not_run',
+  stage: 'late_start',
   detail: `node overloaded: the call waited ${Math.round(waitedMs)} ms to be started`,
   retried: false,
   retryAfterMs: retryAfterMs(waitedMs, random),
--- a/src/plugins/calls/callMetrics.ts
+++ b/src/plugins/calls/callMetrics.ts
@@ -3,6 +3,9 @@
  */
 import type { AdmissionRefusal } from '../../core/calls/admission.js';
 import type { Distance } from '../../core/calls/routingTiers.js';
+import type { CallOutcome } from '../../core/operators/burn.js';
+import type { LoadTotals } from '../../core/calls/loadTotals.js';
+import type { AttemptFailureReport } from '../../types/calls.js';
 import type { FailureReason } from '../../utils/failure.js';
 import { createLabelLimiter, type Metrics } from '../metrics.js';
 
@@ -15,10 +18,23 @@
 /** Where the chosen endpoint is: at the choosing node, or at which distance from it. */
 export type EndpointProximity = 'own' | Distance;
 
+/**
+ * What a call used its slot of the upstream for. `starved`: it failed after a call that the upstream
+ * made for it was refused for lack of capacity.
+ */
+export type SlotResult = 'answered' | 'failed' | 'starved' | 'refused' | 'cancelled';
+
 export interface CallMetrics {
-  recordCall(className: string, result: FailureReason | 'ok', durationMs: number): void;
+  recordCall(
+    className: string,
+    result: FailureReason | 'ok',
+    durationMs: number,
+    outcome: CallOutcome,
+  ): void;
   recordRetry(className: string): void;
-  recordRefusal(className: string, reason: FailureReason, origin: CallOrigin): void;
+  recordRefusal(className: string, failure: AttemptFailureReport, origin: CallOrigin): void;
+  /** A call has left its slot of the upstream. */
+  recordSlotUse(className: string, result: SlotResult, durationMs: number): void;
   recordChoice(className: string, kind: AttemptKind, proximity: EndpointProximity): void;
   /** The admission beside the upstream refused a call with `remainingMs` left to its deadline. */
   recordGateRefusal(className: string, reason: AdmissionRefusal, remainingMs: number): void;
@@ -32,8 +48,8 @@
   recordCallerDisconnect(wasRunning: boolean): void;
 }
 
-/** Registers the metrics of calls. */
-export const createCallMetrics = (metrics: Metrics): CallMetrics => {
+/** Registers the metrics of calls; `totals` are counted beside them for the log. */
+export const createCallMetrics = (metrics: Metrics, totals?: LoadTotals): CallMetrics => {
   const limitClassLabel = createLabelLimiter();
   const calls = metrics.counter('auburnsill_calls_total', 'Calls by class and result.', [
     'class',
@@ -49,8 +65,13 @@
   ]);
   const refusals = metrics.counter(
     'auburnsill_refusals_total',
-    'Calls that ended without an answer of an upstream, by reason and by who made them.',
-    ['class', 'reason', 'origin'],
+    'Calls that ended without an answer of an upstream, by reason, by who made them and by where.',
+    ['class', 'reason', 'origin', 'stage'],
+  );
+  const slotTime = metrics.latency(
+    'auburnsill_slot_use_seconds',
+    'Time for which calls occupied a slot of the upstream, by what became of them.',
+    ['class', 'result'],
   );
   const endpointChoices = metrics.counter(
     'auburnsill_choices_total',
@@ -87,19 +108,36 @@
     ['stage'],
   );
   return {
-    recordCall: (className, result, durationMs) => {
+    recordCall: (className, result, durationMs, outcome) => {
       const name = limitClassLabel(className);
       calls.inc({ class: name, result });
       duration.observe({ class: name }, durationMs / 1_000);
+      totals?.commands.add(name, 'calls');
+      if (outcome === 'good' || outcome === 'late' || outcome === 'failed') {
+        totals?.commands.add(name, outcome);
+      }
     },
     recordRetry: (className) => retries.inc({ class: limitClassLabel(className) }),
-    recordRefusal: (className, reason, origin) =>
-      refusals.inc({ class: limitClassLabel(className), reason, origin }),
+    recordRefusal: (className, { reason, stage }, origin) => {
+      const name = limitClassLabel(className);
+      refusals.inc({ class: name, reason, origin, stage: stage ?? 'other' });
+      totals?.commands.add(name, stage ? `refused_${stage}` : 'refused_other');
+    },
+    recordSlotUse: (className, result, durationMs) => {
+      const name = limitClassLabel(className);
+      slotTime.observe({ class: name, result }, durationMs / 1_000);
+      totals?.commands.add(name, 'slot_ms', durationMs);
+      if (result === 'starved') {
+        totals?.commands.add(name, 'starved_runs');
+        totals?.commands.add(name, 'starved_slot_ms', durationMs);
+      }
+    },
     recordChoice: (className, kind, place) =>
       endpointChoices.inc({ class: limitClassLabel(className), attempt: kind, place }),
     recordGateRefusal: (className, reason, remainingMs) => {
       const name = limitClassLabel(className);
       admissionRefusals.inc({ class: name, reason });
+      totals?.commands.add(name, 'not_admitted');
       admissionRefusalRemaining.observe({ class: name }, Math.max(0, remainingMs) / 1_000);
     },
     recordNestedRefusal: (className, parentClass) =>
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -133,7 +133,7 @@
     const { className } = call.policy;
     const { dataCentre } = options;
     options.burn.commands.recordOutcome({ className, dataCentre, outcome }, now);
-    metrics.recordCall(className, result, now - call.startedAt);
+    metrics.recordCall(className, result, now - call.startedAt, outcome);
   };
 
   const toThrottledCall = ({ policy, service, caller, rank }: Call): ThrottledCall => ({
@@ -148,6 +148,7 @@
     return {
       reason: 'overloaded',
       run: 'not_run',
+      stage: 'arrival',
       detail: 'most calls of the class are refused at the moment',
       retried: false,
       ...(retryAfterMs !== undefined && {
@@ -172,6 +173,7 @@
       service: call.service,
       reason: failure.reason,
       run: failure.run,
+      stage: failure.stage,
       detail: failure.detail,
       took_ms: Math.round(elapsedMs),
       remaining_ms: Math.round(call.deadlineAt - timer.now()),
@@ -195,7 +197,7 @@
     const elapsedMs = timer.now() - call.startedAt;
     const outcome = classifyRefusal(failure.reason, elapsedMs, call.policy.maxWaitMs);
     finish(call, outcome, failure.reason);
-    metrics.recordRefusal(call.policy.className, failure.reason, call.origin);
+    metrics.recordRefusal(call.policy.className, failure, call.origin);
     if (call.origin === 'upstream' && call.headers.parentId !== undefined) {
       upstream.commands.recordNestedRefusal({
         className: call.policy.className,
@@ -421,7 +423,7 @@
       call = parseCall(request, response);
     } catch (error) {
       const failure = toFailureReport(error);
-      metrics.recordCall('unknown', failure.reason, 0);
+      metrics.recordCall('unknown', failure.reason, 0, 'failed');
       const requestId = callers.readRequestId(request) ?? randomUUID();
       writeRefusal(response, callers.refusal(withRetryAfter(failure), requestId), timer);
       return;
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -23,7 +23,7 @@
 import type { FailureReason } from '../../utils/failure.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { ResponseVerdict, UpstreamInterface } from '../../types/callInterface.js';
-import type { CallMetrics } from './callMetrics.js';
+import type { CallMetrics, SlotResult } from './callMetrics.js';
 import { createCallStartScheduler, type CallStartScheduler } from './callStartScheduler.js';
 import { startExchange } from './exchange.js';
 import { createUpstreamPool, type UpstreamPool } from './upstreamPool.js';
@@ -96,7 +96,7 @@
   readonly starts?: CallStartScheduler;
   readonly metrics?: Pick<
     CallMetrics,
-    'recordGateRefusal' | 'recordNestedRefusal' | 'recordUpstreamFailure'
+    'recordGateRefusal' | 'recordNestedRefusal' | 'recordSlotUse' | 'recordUpstreamFailure'
   >;
 }
 
@@ -111,6 +111,14 @@
 const slotsOf = ({ slots, connections }: UpstreamDescription): number =>
   Math.min(slots, connections);
 
+const slotResults: Readonly<Record<FinishOutcome['outcome'], SlotResult>> = {
+  ok: 'answered',
+  failed: 'failed',
+  overloaded: 'refused',
+  refused: 'refused',
+  cancelled: 'cancelled',
+};
+
 const refusalByVerdict: Partial<Record<ResponseVerdict, FailureReason>> = {
   refused: 'overloaded',
   other_instance: 'no_upstream',
@@ -148,6 +156,7 @@
   ): AttemptFailureReport => ({
     reason,
     run: 'not_run',
+    stage: byUpstream ? 'upstream' : 'admission',
     retried: false,
     byUpstream,
     ...(reason === 'overloaded' && {
@@ -194,9 +203,12 @@
     const finish = (outcome: FinishOutcome['outcome']) => {
       isOver = true;
       entries.delete(attemptId);
-      runningCalls.delete(request.requestId);
       const now = timer.now();
       const latencyMs = now - (admittedAt ?? now);
+      if (admittedAt !== undefined) {
+        metrics?.recordSlotUse(request.className, slotResult(outcome), latencyMs);
+      }
+      runningCalls.delete(request.requestId);
       const effects =
         admittedAt === undefined
           ? admission?.commands.cancel(attemptId, now)
@@ -204,6 +216,13 @@
       applyEffects(effects ?? []);
     };
 
+    const slotResult = (outcome: FinishOutcome['outcome']): SlotResult => {
+      if (outcome !== 'ok' || status < minFailureStatus) {
+        return slotResults[outcome];
+      }
+      return runningCalls.get(request.requestId)?.isStarved ? 'starved' : 'failed';
+    };
+
     const completionOutcome = (): FinishOutcome['outcome'] => {
       if (hasFreeSlots) {
         return 'refused';
--- a/src/plugins/calls/nodeQueues.ts
+++ b/src/plugins/calls/nodeQueues.ts
@@ -83,7 +83,12 @@
           return;
         }
         isOver = true;
-        listener.onFailure({ reason: refusal, run: 'not_run', retried: false });
+        listener.onFailure({
+          reason: refusal,
+          run: 'not_run',
+          stage: 'link_queue',
+          retried: false,
+        });
       },
     );
 
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -5,6 +5,7 @@
 import { createBurnCounters, burnReport } from '../../core/operators/burn.js';
 import { createEndpointTracker } from '../../core/calls/endpointTracker.js';
 import { explainPolicy, retryShare, classesOfService } from '../../core/operators/policy.js';
+import { createLoadTotals } from '../../core/calls/loadTotals.js';
 import { createOverloadThrottle } from '../../core/calls/overloadThrottle.js';
 import { createRetryBudgets, type RetryBudgetsOptions } from '../../core/calls/retry.js';
 import { formatVersion } from '../../core/agreement/version.js';
@@ -32,6 +33,7 @@
 import { createForwardServer } from './forwardServer.js';
 import { createLocalUpstream } from './localUpstream.js';
 import type { Metrics } from '../metrics.js';
+import { startLoadSummary } from './loadSummary.js';
 import { createNodeQueues } from './nodeQueues.js';
 import { startPauseDetection } from './pauseDetection.js';
 import { createRemoteSender } from './remoteSender.js';
@@ -106,7 +108,8 @@
     configurationView.queries.fleetNodes,
   );
   const burn = createBurnCounters();
-  const callMetrics = createCallMetrics(metrics);
+  const loadTotals = createLoadTotals();
+  const callMetrics = createCallMetrics(metrics, loadTotals);
   const logDecision = createRateLimitedLog(log.part('calls'), timer);
   const startScheduler = createCallStartScheduler({
     timer,
@@ -280,6 +283,7 @@
     const boundCalls = await calls.listen();
     announcement.start();
     timer.every(housekeepingIntervalMs, runHousekeeping);
+    startLoadSummary({ totals: loadTotals, upstream, timer, log: log.part('load') });
     isStarted = true;
     return { calls: boundCalls, forward: boundForward, admin: boundAdmin };
   };
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -49,9 +49,17 @@
   readonly isStarved?: boolean;
 }
 
+/**
+ * Where a call was refused for lack of capacity: on arrival from its caller, by a node that could
+ * not start it in time, in the queue in front of another node, by the admission control beside the
+ * upstream, or by the upstream itself.
+ */
+export type RefusalStage = 'arrival' | 'late_start' | 'link_queue' | 'admission' | 'upstream';
+
 export interface AttemptFailureReport {
   readonly reason: FailureReason;
   readonly run: RunState;
+  readonly stage?: RefusalStage;
   readonly detail?: string;
   /** A node closer to the upstream has already retried. */
   readonly retried: boolean;
