Calls: refuse calls whose nested calls starve although a slot is free

Callers saw failures (500) and refusals of lookups while two of three endpoints of the called service were left, and the lookups that ran earned nothing.

Cause: a node passes its throttle by when the endpoint beside it has a free slot.

Change: the throttle follows two things apart, the admission controls of the service and the nested calls of the admitted calls. A free slot says nothing about the second.

Test: starvedParents sends calls to the node beside an endpoint with free slots.

--- a/__tests__/starvedParents.test.ts
+++ b/__tests__/starvedParents.test.ts
@@ -53,10 +53,10 @@
   });
   after(() => mesh.stop());
 
-  const callMany = async (path: string, count: number) => {
+  const callMany = async (path: string, count: number, address = mesh.caller) => {
     const statuses: number[] = [];
     for (let sent = 0; sent < count; sent += 1) {
-      const { status, headers } = await makeCall(mesh.caller, path);
+      const { status, headers } = await makeCall(address, path);
       statuses.push(status);
       if (status === 503) {
         assert.equal(headers['x-run'], 'not_run');
@@ -73,6 +73,16 @@
     assert.equal(statuses.filter((status) => status === 503).length, count - runs['/parent']);
   });
 
+  // Guards against a free slot that hides the shortage of the service that nested calls need.
+  it('are refused before they run by the node beside an endpoint with free slots, too', async () => {
+    const runsBefore = runs['/parent'];
+    const count = 200;
+    const statuses = await callMany('/parent', count, mesh.beside);
+    const newRuns = runs['/parent'] - runsBefore;
+    assert.ok(newRuns < count / 4, `${newRuns} of ${count} ran`);
+    assert.equal(statuses.filter((status) => status === 503).length, count - newRuns);
+  });
+
   it('do not affect calls of other classes of their service', async () => {
     const statuses = await callMany('/other', 50);
     assert.deepEqual([...new Set(statuses)], [200]);
--- a/src/plugins/calls/callRunner.ts
+++ b/src/plugins/calls/callRunner.ts
@@ -363,7 +363,7 @@
           return;
         }
         winner = attempt;
-        recordAdmission(head.isStarved ? 'refused' : 'admitted');
+        recordAdmission(head.isStarved ? 'starved' : 'admitted');
         cancelHedge?.();
         startTimeout(attempt);
         [...activeAttempts].filter((other) => other !== attempt).forEach(abortAttempt);
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -359,14 +359,13 @@
         )
       : () => undefined;
 
-  /**
-   * True if the call may proceed. A free slot of the local upstream is better evidence of capacity
-   * than the state of the throttle.
-   */
   const passesThrottle = (call: Call): boolean =>
     call.origin === 'upstream' ||
-    upstream.queries.hasFreeSlot(call.service) ||
-    throttle.commands.admit(toThrottledCall(call), timer.now());
+    throttle.commands.admit(
+      toThrottledCall(call),
+      timer.now(),
+      upstream.queries.hasFreeSlot(call.service),
+    );
 
   /** An upstream may answer before it has read a large body, whose rest the caller still sends. */
   const discardBodyAfterResponse = (call: Call, { discardRest }: RequestBodyWithPrefix) => {
