Calls: let the forwarded share grow steadily after failures

Callers saw failures and refusals alternate while a service was short of capacity.

Cause: once no forwarded call had failed for 0.5 s, the forwarded share grew with the square of the admitted calls in a row, in proportion to the admitted calls. A node with 20 to 75 calls of a class a second sees such gaps by chance every few seconds, and then forwarded all calls at once.

Change: after 1 s without a failure the forwarded share grows by 0.35 of the calls a second, and 1.07 calls in place of 1.1 are forwarded for each success.

After an outage all calls are forwarded again within 4 s as before (overloadThrottle.test).

--- a/src/core/calls/refusalController.ts
+++ b/src/core/calls/refusalController.ts
@@ -1,7 +1,7 @@
 /**
  * Controls which share of the calls of a group a node refuses by itself, from the outcomes of those
  * that it forwards. The forwarded calls follow the number of successful ones, with a small excess
- * that detects free capacity.
+ * that detects free capacity, and grow steadily once none fails any more.
  */
 
 export interface RefusalController {
@@ -23,19 +23,17 @@
  * Calls forwarded for each successful one. A value above 1 keeps the admission controls busy and
  * detects free capacity.
  */
-const sentPerSuccess = 1.1;
+const sentPerSuccess = 1.07;
 /**
- * Number of consecutive successful calls that raises `sentPerSuccess` by 1. The increase is
- * quadratic in their number: with a linear one, it took 4 s and more after an outage until all
- * calls were forwarded again.
+ * Share of the calls, per second, by which those forwarded grow once none has failed for
+ * `minFailureFreeMs`: after an outage, all are forwarded again within 4 s. Growth in proportion to
+ * the successful calls made the forwarded share alternate between a part and all of the calls.
  */
-const streakPerGrowth = 6;
-/**
- * Time without a failure after which such a streak counts, in ms. Under steady overload, short
- * streaks occur by chance; when they counted immediately, a quarter of the calls was forwarded only
- * to be refused.
- */
-const minFailureFreeMs = 500;
+const growthPerSecond = 0.35;
+/** Under steady overload, shorter times without a failure occur by chance. */
+const minFailureFreeMs = 1_000;
+/** Number of calls that have to succeed in that time. */
+const minSuccessesForGrowth = 3;
 /** Upper bound of the refused share: at least a tenth of the calls is forwarded as probes. */
 const maxRefusedShare = 0.9;
 /**
@@ -88,8 +86,9 @@
         if (calls < minCalls) {
           return 0;
         }
-        const sentGrowth = now - failedAt > minFailureFreeMs ? (streak / streakPerGrowth) ** 2 : 0;
-        const forwardedShare = ((sentPerSuccess + sentGrowth) * successes) / calls;
+        const growthMs = streak < minSuccessesForGrowth ? 0 : now - failedAt - minFailureFreeMs;
+        const grownShare = Math.max(0, growthMs / 1_000) * growthPerSecond;
+        const forwardedShare = (sentPerSuccess * successes) / calls + grownShare;
         return Math.max(0, Math.min(maxRefusedShare, 1 - forwardedShare, 1 - minProbes / calls));
       },
     },
