Admission: let no call wait until it can only be late

Cause: a call could wait for half of its target, whatever its work takes there. Lookups take 240 ms and more of 500 ms, so those that waited to the limit ended late, and they kept the slots from calls that were still on time. Under overload some call always waits to the limit.

Change: a call waits until two average slot times of its class at this endpoint are left to its target, at least 0.3 of its limit. The time of the target travels with the call. Nested calls keep the limit of their class: what matters is the target of their parent.

Tests: two in admission.test, which both fail before the change.

--- a/__tests__/admission.test.ts
+++ b/__tests__/admission.test.ts
@@ -228,6 +228,31 @@
     ]);
   });
 
+  /** Fills the only slot of an admission whose calls take 100 ms. */
+  const createBusyAdmission = (): Admission => {
+    const admission = createAdmission({ slots: 1, isAdaptive: false });
+    admission.commands.request(createCall('first'), 0);
+    admission.commands.finish('first', 100, finishOutcome(100));
+    admission.commands.request(createCall('running'), 100);
+    return admission;
+  };
+
+  // Guards against calls that take a slot under overload when they can only be late.
+  it('refuses a queued call as soon as it is not expected to end on target', () => {
+    const admission = createBusyAdmission();
+    const call = createCall('queued', { maxWaitMs: 250, targetAt: 450 });
+    assert.deepEqual(idsOf(admission.commands.request(call, 100), 'waiting'), ['queued']);
+    assert.deepEqual(idsOf(admission.commands.tick(249), 'refused'), []);
+    assert.deepEqual(idsOf(admission.commands.tick(250), 'refused'), ['queued']);
+  });
+
+  it('lets a call that may miss its target wait for a part of its limit', () => {
+    const admission = createBusyAdmission();
+    admission.commands.request(createCall('queued', { maxWaitMs: 200, targetAt: 150 }), 100);
+    assert.deepEqual(idsOf(admission.commands.tick(150), 'refused'), []);
+    assert.deepEqual(idsOf(admission.commands.tick(160), 'refused'), ['queued']);
+  });
+
   it('gives a class no credit for the time in which it had no queued calls', () => {
     const sources = [{ className: 'a' }, { className: 'b' }];
     const admission = createAdmission({ slots: 1, maxWaiting: 100 });
--- a/src/core/calls/admission.ts
+++ b/src/core/calls/admission.ts
@@ -29,6 +29,8 @@
   readonly maxWaitMs: number;
   /** Time after which a response is of no use, on the same clock as `now`. */
   readonly deadlineAt: number;
+  /** Time until which a response is on target, on the same clock. Default: no such limit. */
+  readonly targetAt?: number;
 }
 
 export type AdmissionRefusal = 'overloaded' | 'deadline_past' | 'leaving';
@@ -110,6 +112,13 @@
 
 const defaultMaxWaiting = 1_000;
 const averageWeight = 0.1;
+/**
+ * Average slot times that a call leaves between its start and its target. With one, half of the
+ * calls that waited to the limit were late, and took the slots of calls that were still on time.
+ */
+const slotTimesBeforeTarget = 2;
+/** Share of its maximum wait that a call may use in any case, since slot times vary. */
+const minWaitShare = 0.3;
 /** Weight of one sample in the average demand, which is sampled at each arrival. */
 const demandWeight = 0.02;
 /** Slot time charged to a class until its first call has ended, in ms. */
@@ -287,9 +296,20 @@
       : 0;
   };
 
+  /** Longest wait after which the call is expected to end on target. */
+  const waitLimitMs = (
+    { averageSlotMs = 0 }: ClassState,
+    { maxWaitMs, targetAt = Infinity }: AdmissionCall,
+    now: number,
+  ): number => {
+    const onTargetMs = targetAt - now - slotTimesBeforeTarget * averageSlotMs;
+    return Math.min(maxWaitMs, Math.max(onTargetMs, minWaitShare * maxWaitMs));
+  };
+
   /** A call may always join an empty queue, or a wrong estimate could starve its class. */
-  const isWaitTooLong = (state: ClassState, call: AdmissionCall): boolean =>
-    state.waitQueue.queries.size() > 0 && expectedWaitMs(state, call) > call.maxWaitMs;
+  const isWaitTooLong = (state: ClassState, call: AdmissionCall, now: number): boolean =>
+    state.waitQueue.queries.size() > 0 &&
+    expectedWaitMs(state, call) > waitLimitMs(state, call, now);
 
   /** Number of queued calls that each class may keep in a full queue, by its importance. */
   const queueQuotas = (requester: ClassState): ((state: ClassState) => number) => {
@@ -344,7 +364,7 @@
       // A class accumulates no credit for the time in which it had no queued calls.
       state.virtualTime = Math.max(state.virtualTime, servedVirtualTime);
     }
-    const expiresAt = Math.min(now + call.maxWaitMs, call.deadlineAt);
+    const expiresAt = Math.min(now + waitLimitMs(state, call, now), call.deadlineAt);
     state.waitQueue.commands.push({ call, expiresAt });
     waitingClass.set(call.id, state);
     earliestExpiry = Math.min(earliestExpiry, expiresAt);
@@ -370,7 +390,7 @@
     if (state.waitQueue.queries.size() === 0 && canStart(state, now)) {
       return [...expired, admit(state, call.id, 0, now)];
     }
-    if (call.maxWaitMs <= 0 || isWaitTooLong(state, call)) {
+    if (call.maxWaitMs <= 0 || isWaitTooLong(state, call, now)) {
       return [...expired, refuse(call.id, 'overloaded')];
     }
     return [...expired, ...enqueue(state, call, now)];
--- a/src/core/operators/policyDerivation.ts
+++ b/src/core/operators/policyDerivation.ts
@@ -46,6 +46,11 @@
   return Math.max(0, Math.floor((answerWithinMs - (workMs ?? answerWithinMs / 2)) / 2));
 };
 
+/** Whether the wait limit is shorter than the target; a longer one makes late responses useful. */
+const waitsWithinTarget = (trafficClass: TrafficClass): boolean =>
+  trafficClass.answerWithinMs !== undefined &&
+  maxWaitMs(trafficClass) < trafficClass.answerWithinMs;
+
 /**
  * Timeout of one attempt, in ms. For idempotent calls it is `answer_within`, which leaves time for
  * a retry before the deadline.
@@ -96,6 +101,7 @@
     retryShare,
     priority: importance,
     maxWaitMs: maxWaitMs(trafficClass),
+    ...(waitsWithinTarget(trafficClass) && { targetMs: trafficClass.answerWithinMs }),
     slotShare: importance / totalImportance,
     ...(hedgeMs !== undefined && { hedgeAfterMs: hedgeMs }),
     atMostOnce,
--- a/src/plugins/calls/callRunner.ts
+++ b/src/plugins/calls/callRunner.ts
@@ -86,6 +86,8 @@
   /** Time at which the call was read; its maximum wait counts from then. */
   readonly receivedAt: number;
   readonly deadlineAt: number;
+  /** See `AttemptRequest`. */
+  readonly targetAt?: number;
   /** Time at which the response is broken off if it has not ended; Infinity without a timeout. */
   readonly endsAt: number;
 }
@@ -403,6 +405,7 @@
       headers: plan.headers,
       body: plan.body,
       deadlineAt: plan.deadlineAt,
+      targetAt: plan.targetAt,
       headTimeoutMs: policy.attemptTimeoutMs,
       needsFreshConnection: isHedge,
     });
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -325,6 +325,9 @@
     body,
     receivedAt: call.startedAt,
     deadlineAt: call.deadlineAt,
+    // What a nested call has to be on time for is the target of its parent.
+    ...(call.origin === 'caller' &&
+      call.policy.targetMs !== undefined && { targetAt: call.startedAt + call.policy.targetMs }),
     endsAt: call.endsAt,
   });
 
--- a/src/plugins/calls/forwardServer.ts
+++ b/src/plugins/calls/forwardServer.ts
@@ -68,7 +68,7 @@
       );
       return () => undefined;
     }
-    const { deadlineMs, maxWaitMs, ...fields } = call;
+    const { deadlineMs, targetMs, maxWaitMs, ...fields } = call;
     const writer = options.writers.toNode(response);
 
     const start = (waitedMs: number) =>
@@ -78,6 +78,7 @@
           body,
           maxWaitMs: Math.max(0, maxWaitMs - waitedMs),
           deadlineAt: receivedAt + deadlineMs,
+          ...(targetMs !== undefined && { targetAt: receivedAt + targetMs }),
           headTimeoutMs: deadlineMs,
         },
         {
--- a/src/plugins/calls/linkHeads.ts
+++ b/src/plugins/calls/linkHeads.ts
@@ -14,9 +14,11 @@
 /** Head of a call: the request of the attempt, with times in ms from when it is sent. */
 export interface CallHead extends Omit<
   AttemptRequest,
-  'body' | 'deadlineAt' | 'headTimeoutMs' | 'needsFreshConnection'
+  'body' | 'deadlineAt' | 'targetAt' | 'headTimeoutMs' | 'needsFreshConnection'
 > {
   readonly deadlineMs: number;
+  /** Negative if the target has been missed already. */
+  readonly targetMs?: number;
   readonly bodyKind: RequestBody['kind'];
 }
 
@@ -63,6 +65,7 @@
   const isCallHead =
     isRecord(value) &&
     hasFields(value, callHeadFields) &&
+    (value.targetMs === undefined || typeof value.targetMs === 'number') &&
     isStringArray(value.headers) &&
     value.headers.length % 2 === 0 &&
     value.attemptId !== '' &&
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -367,6 +367,7 @@
             rank: request.rank,
             maxWaitMs: request.maxWaitMs,
             deadlineAt: request.deadlineAt,
+            targetAt: request.targetAt,
           },
           timer.now(),
         ),
--- a/src/plugins/calls/nodeQueues.ts
+++ b/src/plugins/calls/nodeQueues.ts
@@ -44,7 +44,8 @@
     listener: AttemptListener,
   ): RunningAttempt => {
     const queue = queueFor(endpoint.forwardAddress);
-    const { attemptId, caller, className, deadlineAt, maxWaitMs, priority, rank } = request;
+    const { attemptId, caller, className, deadlineAt, targetAt, maxWaitMs } = request;
+    const { priority, rank } = request;
     const requestedAt = timer.now();
     let running: RunningAttempt | undefined;
     let isOver = false;
@@ -76,7 +77,7 @@
     };
 
     queue.commands.request(
-      { id: attemptId, className, caller, priority, rank, maxWaitMs, deadlineAt },
+      { id: attemptId, className, caller, priority, rank, maxWaitMs, deadlineAt, targetAt },
       (refusal) => {
         if (refusal === undefined) {
           start();
--- a/src/plugins/calls/remoteSender.ts
+++ b/src/plugins/calls/remoteSender.ts
@@ -43,6 +43,7 @@
   rank: request.rank,
   maxWaitMs: request.maxWaitMs,
   deadlineMs: Math.max(0.1, request.deadlineAt - now),
+  ...(request.targetAt !== undefined && { targetMs: Math.round(request.targetAt - now) }),
   method: request.method,
   path: request.path,
   headers: request.headers,
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -33,6 +33,8 @@
   readonly body: RequestBody;
   /** Deadline, in the monotonic time of the timer. */
   readonly deadlineAt: number;
+  /** Time until which a response is on target, on the same clock; unset without such a limit. */
+  readonly targetAt?: number;
   /** Time within which the response head has to arrive, in ms. */
   readonly headTimeoutMs: number;
   /** An earlier attempt got no response, possibly because its connection was dead. */
--- a/src/types/public.ts
+++ b/src/types/public.ts
@@ -151,6 +151,11 @@
   readonly retryShare: number;
   readonly priority: number;
   readonly maxWaitMs: number;
+  /**
+   * Response time within which a call has to start early enough to end. Unset if the target lets
+   * calls wait for longer than that.
+   */
+  readonly targetMs?: number;
   /** Share of an endpoint's slots that this class gets when all classes compete for them. */
   readonly slotShare: number;
   /** Delay before an idempotent call is hedged, that is, sent a second time. Unset: no hedging. */
