--- a/src/plugins/calls/callRunner.ts
+++ b/src/plugins/calls/callRunner.ts
@@ -11,6 +11,7 @@
   AdmissionOutcome,
   ThrottledCall,
 } from '../../core/calls/overloadThrottle.js';
+import { nestedMaxWaitMs } from '../../core/calls/nestedCalls.js';
 import {
   canReroute,
   decideHedge,
@@ -162,6 +163,9 @@
     const { policy } = plan;
     const budget = options.retryBudgetFor(policy.className, plan.service);
     const { service, caller, rank } = plan;
+    const callMaxWaitMs = plan.isNested
+      ? nestedMaxWaitMs(policy.maxWaitMs, plan.deadlineAt - plan.receivedAt)
+      : policy.maxWaitMs;
     const throttledCall: ThrottledCall = { className: policy.className, service, caller, rank };
     const activeAttempts = new Set<Attempt>();
     const excluded = new Set<string>();
@@ -399,7 +403,7 @@
       priority: policy.priority,
       rank: plan.rank,
       // A rerouted call must not wait for its full limit at each endpoint.
-      maxWaitMs: Math.max(0, policy.maxWaitMs - (timer.now() - plan.receivedAt)),
+      maxWaitMs: Math.max(0, callMaxWaitMs - (timer.now() - plan.receivedAt)),
       method: plan.method,
       path: plan.path,
       headers: plan.headers,
