Calls: do not report delays of nested calls to the entry any more

Delays of that size also come from nodes short of processor time, whatever the entry refuses, and the throttle forwards 1.07 calls for each success: it then refuses ever more calls that could be served.

Change: the reports are removed. Nested calls keep their longer wait.

--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -52,7 +52,6 @@
   recordChoice: () => undefined,
   recordGateRefusal: () => undefined,
   recordNestedRefusal: () => undefined,
-  recordNestedDelay: () => undefined,
   recordUpstreamFailure: () => undefined,
   recordStartDelay: () => undefined,
   recordCallerDisconnect: () => undefined,
