--- a/__tests__/nestedCalls.test.ts
+++ b/__tests__/nestedCalls.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { after, before, describe, it } from 'node:test';
-import { nestedMaxWaitMs } from '../src/core/calls/nestedCalls.js';
+import { isNestedCallDelayed, nestedMaxWaitMs } from '../src/core/calls/nestedCalls.js';
 import { formatResponse, makeCall, startMesh, type Mesh } from './support/callMesh.js';
 import { waitFor } from './support/waitFor.js';
 
@@ -66,6 +66,15 @@
     assert.equal((await parent).status, 200);
     assert.equal((await filler).status, 200);
   });
+
+  // Guards against an overload that is only noticed once nested calls are refused.
+  it('is counted as delayed, so that fewer parent calls are accepted', async () => {
+    const { body } = await makeCall(mesh.upstreamNode.admin, '/metrics');
+    assert.match(
+      body,
+      /auburnsill_nested_delays_total\{class="child",parent_class="parent"[^}]*\} 1/,
+    );
+  });
 });
 
 describe('the limits of nested calls', () => {
@@ -74,4 +83,9 @@
     assert.equal(nestedMaxWaitMs(75, 200), 120);
     assert.equal(nestedMaxWaitMs(75, 50), 75);
   });
+
+  it('count all time in which the upstream did not process the call', () => {
+    assert.equal(isNestedCallDelayed(160, 80, 75), true);
+    assert.equal(isNestedCallDelayed(150, 80, 75), false);
+  });
 });
--- a/src/core/calls/nestedCalls.ts
+++ b/src/core/calls/nestedCalls.ts
@@ -1,7 +1,8 @@
 /**
  * Rules for nested calls, which an upstream makes for a call that it is processing. If one is
- * refused, the slot time that its parent call has used is lost, so it may wait longer than other
- * calls of its class.
+ * refused, the slot time that its parent call has used is lost. So a nested call may wait longer
+ * than other calls of its class, and a wait beyond the limit of its class is reported to the node
+ * that accepted the parent call: that node then accepts fewer of them before any is lost.
  */
 
 /** Factor by which the maximum wait of a nested call exceeds that of its class. */
@@ -12,3 +13,13 @@
 /** Maximum wait of a nested call in ms, given that of its class and the time to its deadline. */
 export const nestedMaxWaitMs = (maxWaitMs: number, remainingMs: number): number =>
   Math.max(maxWaitMs, Math.min(waitFactor * maxWaitMs, maxWaitShare * remainingMs));
+
+/**
+ * Whether an answered nested call has waited longer than the limit of its class. All time in which
+ * the upstream did not process it counts, including the queues of nodes short of processor time.
+ */
+export const isNestedCallDelayed = (
+  elapsedMs: number,
+  processedMs: number,
+  maxWaitMs: number,
+): boolean => elapsedMs - processedMs > maxWaitMs;
--- a/src/core/calls/overloadThrottle.ts
+++ b/src/core/calls/overloadThrottle.ts
@@ -10,7 +10,8 @@
 
 /**
  * Outcome of a forwarded call. `refused`: an admission control refused it for lack of capacity.
- * `starved`: it was admitted, but one of its nested calls was refused for lack of capacity.
+ * `starved`: it was admitted, but one of its nested calls was refused or delayed for lack of
+ * capacity.
  */
 export type AdmissionOutcome = 'admitted' | 'refused' | 'starved';
 
--- a/src/plugins/calls/callMetrics.ts
+++ b/src/plugins/calls/callMetrics.ts
@@ -40,6 +40,8 @@
   recordGateRefusal(className: string, reason: AdmissionRefusal, remainingMs: number): void;
   /** A call that the upstream made on behalf of a running one was refused. */
   recordNestedRefusal(className: string, parentClass: string): void;
+  /** A call that the upstream made for a running one waited longer than the limit of its class. */
+  recordNestedDelay(className: string, parentClass: string): void;
   /** The upstream failed a call; `refusedCalls` of the calls that it made for it were refused. */
   recordUpstreamFailure(className: string, refusedCalls: number): void;
   /** The start of a call was deferred until the connections had been polled again. */
@@ -93,6 +95,11 @@
     'Refused calls that the upstream made for a running one, by the class of both.',
     ['class', 'parent_class'],
   );
+  const nestedDelays = metrics.counter(
+    'auburnsill_nested_delays_total',
+    'Answered calls that the upstream made for a running one and that waited too long.',
+    ['class', 'parent_class'],
+  );
   const upstreamFailures = metrics.counter(
     'auburnsill_upstream_failures_total',
     'Answers of the upstream from status 500, by whether one of its own calls was refused before.',
@@ -145,6 +152,11 @@
         class: limitClassLabel(className),
         parent_class: limitClassLabel(parentClass),
       }),
+    recordNestedDelay: (className, parentClass) =>
+      nestedDelays.inc({
+        class: limitClassLabel(className),
+        parent_class: limitClassLabel(parentClass),
+      }),
     recordUpstreamFailure: (className, refusedCalls) =>
       upstreamFailures.inc({
         class: limitClassLabel(className),
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -11,8 +11,9 @@
 import { jitterAround, defaultRetryAfterMs } from '../../core/calls/retryAfter.js';
 import { callRank } from '../../core/calls/callRank.js';
 import { isStartTooLate, refuseLateStart } from '../../core/calls/lateStart.js';
+import { isNestedCallDelayed } from '../../core/calls/nestedCalls.js';
 import { matchClass } from '../../core/calls/classMatching.js';
-import type { AttemptFailureReport } from '../../types/calls.js';
+import type { AttemptFailureReport, ResponseHead } from '../../types/calls.js';
 import type { CallerInterface, CallHeaders } from '../../types/callInterface.js';
 import type { ActiveConfiguration, ConfigurationView, StopTimes } from '../../types/internal.js';
 import type { Policy } from '../../types/public.js';
@@ -209,6 +210,20 @@
     writeRefusal(call.response, callers.refusal(withRetryAfter(failure), call.requestId), timer);
   };
 
+  /** Reports a nested call that waited too long, so that fewer parent calls are accepted. */
+  const reportDelay = (
+    { origin, headers: { parentId }, policy, startedAt }: Call,
+    { processedMs }: ResponseHead,
+  ) => {
+    const isDelayed =
+      origin === 'upstream' &&
+      processedMs !== undefined &&
+      isNestedCallDelayed(timer.now() - startedAt, processedMs, policy.maxWaitMs);
+    if (isDelayed && parentId !== undefined) {
+      upstream.commands.recordNestedDelay({ className: policy.className, parentId });
+    }
+  };
+
   const classifyOutcome = (call: Call, status: number): CallOutcome => {
     if (status >= 500) {
       return 'failed';
@@ -231,6 +246,7 @@
     let outcome: CallOutcome = 'good';
     return {
       onHead: (head) => {
+        reportDelay(call, head);
         outcome = classifyOutcome(call, head.status);
         if (outcome === 'failed') {
           logFailedResponse(call, head.status);
--- a/src/plugins/calls/inboundLink.ts
+++ b/src/plugins/calls/inboundLink.ts
@@ -119,9 +119,14 @@
         return socket.writableNeedDrain;
       },
       once: (event, listener) => events.once(event, listener),
-      writeResponseHead: ({ status, headers, isStarved }, extraHeaders) => {
+      writeResponseHead: ({ status, headers, isStarved, processedMs }, extraHeaders) => {
         // The first header of a name counts, so that headers of the upstream cannot replace these.
-        responseHead = { status, headers: [...extraHeaders, ...headers], isStarved };
+        responseHead = {
+          status,
+          headers: [...extraHeaders, ...headers],
+          isStarved,
+          processedMs,
+        };
       },
       flushHeaders: () => {
         if (!isHeadWritten && !isOver) {
--- a/src/plugins/calls/linkHeads.ts
+++ b/src/plugins/calls/linkHeads.ts
@@ -82,6 +82,7 @@
         status: value.status as number,
         headers: value.headers as string[],
         isStarved: value.isStarved === true,
+        ...(typeof value.processedMs === 'number' && { processedMs: value.processedMs }),
       }
     : undefined;
 };
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -56,6 +56,8 @@
     send(request: AttemptRequest, listener: AttemptListener): RunningAttempt;
     /** Records a refusal of a nested call, which the upstream made for a call that it works on. */
     recordNestedRefusal(refusal: NestedRefusal): void;
+    /** Records a nested call that was answered, but waited longer than the limit of its class. */
+    recordNestedDelay(delay: NestedDelay): void;
     stop(): Promise<void>;
   };
   readonly queries: {
@@ -79,14 +81,18 @@
   readonly className: string;
   /** Number of nested calls, made by the upstream for this call, that were refused. */
   refusedCalls: number;
-  /** At least one nested call was refused for lack of capacity. */
+  /** At least one nested call was refused or delayed for lack of capacity. */
   isStarved: boolean;
 }
 
-/** Refusal of a nested call, which the upstream made for a call that it works on. */
-export interface NestedRefusal {
+/** A nested call, which the upstream made for a call that it works on, waited too long. */
+export interface NestedDelay {
   readonly className: string;
   readonly parentId: string;
+}
+
+/** Refusal of a nested call, which the upstream made for a call that it works on. */
+export interface NestedRefusal extends NestedDelay {
   /** The nested call was refused for lack of capacity, before any upstream received it. */
   readonly isCapacityRefusal: boolean;
 }
@@ -96,7 +102,11 @@
   readonly starts?: CallStartScheduler;
   readonly metrics?: Pick<
     CallMetrics,
-    'recordGateRefusal' | 'recordNestedRefusal' | 'recordSlotUse' | 'recordUpstreamFailure'
+    | 'recordGateRefusal'
+    | 'recordNestedDelay'
+    | 'recordNestedRefusal'
+    | 'recordSlotUse'
+    | 'recordUpstreamFailure'
   >;
 }
 
@@ -230,10 +240,14 @@
       return isRefused || status === 503 ? 'overloaded' : 'ok';
     };
 
-    const recordFailure = (head: ResponseHead): ResponseHead => {
+    const completeHead = (head: ResponseHead): ResponseHead => {
       const runningCall = runningCalls.get(request.requestId);
-      metrics?.recordUpstreamFailure(request.className, runningCall?.refusedCalls ?? 0);
-      return runningCall?.isStarved ? { ...head, isStarved: true } : head;
+      if (status >= minFailureStatus) {
+        metrics?.recordUpstreamFailure(request.className, runningCall?.refusedCalls ?? 0);
+      }
+      const now = timer.now();
+      const processedMs = Math.round(now - (admittedAt ?? now));
+      return { ...head, processedMs, ...(runningCall?.isStarved && { isStarved: true }) };
     };
 
     const exchangeListener: AttemptListener = {
@@ -242,7 +256,7 @@
         isUnreachable = false;
         const reason = refusalByVerdict[upstreams.classifyResponse(status, head.headers, request)];
         if (reason === undefined) {
-          listener.onHead(status >= minFailureStatus ? recordFailure(head) : head);
+          listener.onHead(completeHead(head));
           return;
         }
         isRefused = true;
@@ -396,6 +410,14 @@
     }
   };
 
+  const recordNestedDelay = ({ className, parentId }: NestedDelay) => {
+    const runningCall = runningCalls.get(parentId);
+    if (runningCall) {
+      runningCall.isStarved = true;
+      metrics?.recordNestedDelay(className, runningCall.className);
+    }
+  };
+
   const replacePool = (address: string, connections: number) => {
     upstreamPool?.pool.close().catch(() => undefined);
     upstreamPool = createUpstreamPool(address, connections);
@@ -459,6 +481,7 @@
       },
       send,
       recordNestedRefusal,
+      recordNestedDelay,
       stop: async () => {
         cancelTick?.();
         await upstreamPool?.pool.destroy();
--- a/src/plugins/calls/warmUp.ts
+++ b/src/plugins/calls/warmUp.ts
@@ -52,6 +52,7 @@
   recordChoice: () => undefined,
   recordGateRefusal: () => undefined,
   recordNestedRefusal: () => undefined,
+  recordNestedDelay: () => undefined,
   recordUpstreamFailure: () => undefined,
   recordStartDelay: () => undefined,
   recordCallerDisconnect: () => undefined,
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -47,8 +47,10 @@
   readonly headers: string[];
   /** The response was recorded for an earlier call with the same idempotency key. */
   readonly isReplayed?: boolean;
-  /** The upstream failed the call after a nested call of it was refused for lack of capacity. */
+  /** A nested call of this call was refused or delayed for lack of capacity. */
   readonly isStarved?: boolean;
+  /** Time from the start of the call at the upstream to this head, in ms. */
+  readonly processedMs?: number;
 }
 
 /**
