Calls: tolerate more starved calls while a slot is free

Cause: with 1.07 calls forwarded for each that is not starved, whatever the endpoint beside the node has free, the nodes refused lookups while the called service had room: nested calls are also refused or delayed for reasons that do not depend on the entry, such as an endpoint that has just started.

With a free slot beside the node, 1.5 calls are forwarded for each that is not starved, so that a shortage of the called service can't take more than a third of the runs; without one, 1.07.

--- a/__tests__/refusalController.test.ts
+++ b/__tests__/refusalController.test.ts
@@ -21,7 +21,7 @@
       controller.commands.recordOutcome(pending.shift()!.hasCapacity, now);
     }
     const rank = random();
-    if (rank < controller.queries.refusedShare(now)) {
+    if (rank < controller.queries.refusedShare(now, 1.07)) {
       controller.commands.recordRefused(now);
     } else {
       // Of the calls with the highest ranks, a twentieth fails by chance.
--- a/src/core/calls/overloadThrottle.ts
+++ b/src/core/calls/overloadThrottle.ts
@@ -54,6 +54,15 @@
   };
 }
 
+/** Calls forwarded for each that an admission control admits. */
+const sentPerAdmitted = 1.07;
+/** Calls forwarded for each that is not starved. */
+const sentPerCompleted = 1.07;
+/**
+ * The same with a free slot beside the node: a starved call then takes no slot from others, but
+ * still costs processor time in two services. With 1.07, capacity of the called service stayed free.
+ */
+const sentPerCompletedWithSlot = 1.5;
 /** Weight of the latest refusal in the average of the requested retry delays. */
 const retryAfterWeight = 0.2;
 /** Maximum number of groups kept. */
@@ -109,10 +118,18 @@
         if (!state) {
           return true;
         }
-        const controllers = hasFreeSlot ? [state.nestedCalls] : [state.nestedCalls, state.slots];
-        const refusing = controllers.filter(({ queries }) => call.rank < queries.refusedShare(now));
-        refusing.forEach(({ commands }) => commands.recordRefused(now));
-        return refusing.length === 0;
+        const { nestedCalls, slots } = state;
+        const perCompleted = hasFreeSlot ? sentPerCompletedWithSlot : sentPerCompleted;
+        const isStarving = call.rank < nestedCalls.queries.refusedShare(now, perCompleted);
+        const lacksSlots =
+          !hasFreeSlot && call.rank < slots.queries.refusedShare(now, sentPerAdmitted);
+        if (isStarving) {
+          nestedCalls.commands.recordRefused(now);
+        }
+        if (lacksSlots) {
+          slots.commands.recordRefused(now);
+        }
+        return !isStarving && !lacksSlots;
       },
       recordSent: (call, outcome, now, retryAfterMs) => {
         const key = keyOf(call);
@@ -129,8 +146,8 @@
         const state = states.get(keyOf(group));
         return state
           ? Math.max(
-              state.slots.queries.refusedShare(now),
-              state.nestedCalls.queries.refusedShare(now),
+              state.slots.queries.refusedShare(now, sentPerAdmitted),
+              state.nestedCalls.queries.refusedShare(now, sentPerCompleted),
             )
           : 0;
       },
--- a/src/core/calls/refusalController.ts
+++ b/src/core/calls/refusalController.ts
@@ -12,18 +12,17 @@
     recordOutcome(hasCapacity: boolean, now: number): void;
   };
   readonly queries: {
-    /** Share of calls, those of lowest rank, that are to be refused. */
-    refusedShare(now: number): number;
+    /**
+     * Share of calls, those of lowest rank, that are to be refused so that `sentPerSuccess` calls
+     * are forwarded for each successful one. The excess over 1 keeps the admission controls busy and
+     * detects free capacity.
+     */
+    refusedShare(now: number, sentPerSuccess: number): number;
   };
 }
 
 /** Time constant of the counts in ms: about the time in which overload sets in or subsides. */
 const timeConstantMs = 1_000;
-/**
- * Calls forwarded for each successful one. A value above 1 keeps the admission controls busy and
- * detects free capacity.
- */
-const sentPerSuccess = 1.07;
 /**
  * Share of the calls, per second, by which those forwarded grow once none has failed for
  * `minFailureFreeMs`: after an outage, all are forwarded again within 4 s. Growth in proportion to
@@ -81,7 +80,7 @@
       },
     },
     queries: {
-      refusedShare: (now) => {
+      refusedShare: (now, sentPerSuccess) => {
         decay(now);
         if (calls < minCalls) {
           return 0;
