--- /dev/null
+++ b/__tests__/linkHeads.test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict';
+import { it } from 'node:test';
+import { readRefusalHead } from '../src/plugins/calls/linkHeads.js';
+
+const createRefusal = (stage: unknown) => ({
+  attemptId: 'a-1',
+  load: '1,2,0',
+  failure: { reason: 'overloaded', run: 'not_run', retried: false, stage },
+});
+
+// Guards against a metric with a series for each text that another node sends.
+it('drops an unknown stage of a refusal', () => {
+  const readStage = (stage: unknown) => readRefusalHead(createRefusal(stage))?.failure.stage;
+  assert.equal(readStage('admission'), 'admission');
+  assert.equal(readStage('other-text'), undefined);
+  assert.equal(readStage(7), undefined);
+  assert.equal(readRefusalHead(createRefusal('other-text'))?.failure.reason, 'overloaded');
+});
--- a/src/plugins/calls/linkHeads.ts
+++ b/src/plugins/calls/linkHeads.ts
@@ -3,11 +3,12 @@
  * Fields from the network are validated before they are used.
  */
 import type { EndpointLoad } from '../../core/calls/endpointTracker.js';
-import type {
-  ResponseHead,
-  AttemptFailureReport,
-  AttemptRequest,
-  RequestBody,
+import {
+  refusalStages,
+  type ResponseHead,
+  type AttemptFailureReport,
+  type AttemptRequest,
+  type RequestBody,
 } from '../../types/calls.js';
 import { failureTable } from '../../utils/failure.js';
 
@@ -98,7 +99,14 @@
     typeof failure.reason === 'string' &&
     Object.hasOwn(failureTable, failure.reason) &&
     (failure.run === 'not_run' || failure.run === 'may_have_run');
-  return isFailureReport ? (value as unknown as RefusalHead) : undefined;
+  if (!isFailureReport) {
+    return undefined;
+  }
+  const refusal = value as unknown as RefusalHead;
+  // The stage becomes a label of a metric, whose values have to be bounded.
+  return refusalStages.some((stage) => stage === failure.stage)
+    ? refusal
+    : { ...refusal, failure: { ...refusal.failure, stage: undefined } };
 };
 
 /** Parses the text form of a load: in flight, limit, waiting and, if known, the work in ms. */
--- a/src/plugins/calls/localUpstream.ts
+++ b/src/plugins/calls/localUpstream.ts
@@ -57,7 +57,7 @@
     /** Records a refusal of a nested call, which the upstream made for a call that it works on. */
     recordNestedRefusal(refusal: NestedRefusal): void;
     /** Records a nested call that was answered, but waited longer than the limit of its class. */
-    recordNestedDelay(delay: NestedDelay): void;
+    recordNestedDelay(call: NestedCall): void;
     stop(): Promise<void>;
   };
   readonly queries: {
@@ -85,14 +85,14 @@
   isStarved: boolean;
 }
 
-/** A nested call, which the upstream made for a call that it works on, waited too long. */
-export interface NestedDelay {
+/** A nested call, which the upstream made for a call that it works on. */
+export interface NestedCall {
   readonly className: string;
   readonly parentId: string;
 }
 
 /** Refusal of a nested call, which the upstream made for a call that it works on. */
-export interface NestedRefusal extends NestedDelay {
+export interface NestedRefusal extends NestedCall {
   /** The nested call was refused for lack of capacity, before any upstream received it. */
   readonly isCapacityRefusal: boolean;
 }
@@ -410,7 +410,7 @@
     }
   };
 
-  const recordNestedDelay = ({ className, parentId }: NestedDelay) => {
+  const recordNestedDelay = ({ className, parentId }: NestedCall) => {
     const runningCall = runningCalls.get(parentId);
     if (runningCall) {
       runningCall.isStarved = true;
--- a/src/types/calls.ts
+++ b/src/types/calls.ts
@@ -58,7 +58,15 @@
  * not start it in time, in the queue in front of another node, by the admission control beside the
  * upstream, or by the upstream itself.
  */
-export type RefusalStage = 'arrival' | 'late_start' | 'link_queue' | 'admission' | 'upstream';
+export const refusalStages = [
+  'arrival',
+  'late_start',
+  'link_queue',
+  'admission',
+  'upstream',
+] as const;
+
+export type RefusalStage = (typeof refusalStages)[number];
 
 export interface AttemptFailureReport {
   readonly reason: FailureReason;
