--- a/__tests__/nodeQueues.test.ts
+++ b/__tests__/nodeQueues.test.ts
@@ -74,7 +74,9 @@
     send('short', { maxWaitMs: 100 });
     send('long', { maxWaitMs: 1_000 });
     timer.advance(200);
-    assert.deepEqual(failures, [{ reason: 'overloaded', run: 'not_run', retried: false }]);
+    assert.deepEqual(failures, [
+      { reason: 'overloaded', run: 'not_run', stage: 'link_queue', retried: false },
+    ]);
     sent[0]!.listener.onEnd();
     assert.equal(sent.at(-1)!.request.attemptId, 'long');
     assert.equal(sent.at(-1)!.request.maxWaitMs, 800);
