--- a/src/core/calls/overloadThrottle.ts
+++ b/src/core/calls/overloadThrottle.ts
@@ -60,9 +60,10 @@
 const sentPerCompleted = 1.07;
 /**
  * The same with a free slot beside the node: a starved call then takes no slot from others, but
- * still costs processor time in two services. With 1.07, capacity of the called service stayed free.
+ * still costs processor time in two services. With 1.07 and 1.5, capacity of the called service
+ * stayed free.
  */
-const sentPerCompletedWithSlot = 1.5;
+const sentPerCompletedWithSlot = 3;
 /** Weight of the latest refusal in the average of the requested retry delays. */
 const retryAfterWeight = 0.2;
 /** Maximum number of groups kept. */
