Feed: log and count why a configuration is not confirmed

The logs could not tell whether a late version was due to a time without a parent, to several attempts in a row, to the wait for endpoints of a new service or to a late event loop.

New lines: 'parent attached' with the time without a parent and the number of attempts, 'configuration not confirmed' with the step that took too long and the load of the event loop, 'configuration confirmed'. 'version in force' has the time since the arrival. New metrics for the same, and a gauge of the age of the last confirmation. No decision is changed.

--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -5,7 +5,11 @@
 import { randomBytes } from 'node:crypto';
 import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import { createAccess } from '../plugins/operators/access.js';
-import { createFeedMetrics, observePeerTraffic } from '../plugins/distribution/feedMetrics.js';
+import {
+  createFeedMetrics,
+  observeConfirmation,
+  observePeerTraffic,
+} from '../plugins/distribution/feedMetrics.js';
 import { createLedgerClient } from '../plugins/calls/ledgerClient.js';
 import { watchEventLoop } from '../plugins/eventLoopWatch.js';
 import { createMetrics } from '../plugins/metrics.js';
@@ -100,6 +104,7 @@
     interceptors: [access.serverInterceptor],
   });
   observePeerTraffic(metrics.registry, peerServer.traffic);
+  observeConfirmation(metrics.registry, feed.view.queries.confirmedAgeMs);
   const ledger = createLedgerClient({ addresses: sortControlAddresses(settings), access, timer });
   const runtime = createNodeRuntime({
     node,
--- a/src/core/distribution/parentHealth.ts
+++ b/src/core/distribution/parentHealth.ts
@@ -44,6 +44,8 @@
   };
   readonly queries: {
     lastHeartbeat(): ParentHeartbeat | undefined;
+    /** Time since that heartbeat in ms; Infinity without one. */
+    heardAgoMs(now: number): number;
     /** Why to search for a better parent; undefined if the current one is good. */
     searchReason(now: number): SearchReason | undefined;
   };
@@ -51,6 +53,7 @@
 
 export const createParentHealth = (name: string, dataCentre: string): ParentHealth => {
   let latest: ParentHeartbeat | undefined;
+  let heardAt = -Infinity;
   let lagSince: number | undefined;
   let unrootedSince: number | undefined;
   let lagLimitMs = minLagMs;
@@ -74,11 +77,13 @@
     commands: {
       attached: () => {
         latest = undefined;
+        heardAt = -Infinity;
         lagSince = undefined;
         unrootedSince = undefined;
       },
       evaluate: (heartbeat, newest, now) => {
         latest = heartbeat;
+        heardAt = now;
         if (heartbeat.path.includes(name) || heartbeat.path.length > maxPathLength) {
           return 'cycle';
         }
@@ -88,6 +93,7 @@
     },
     queries: {
       lastHeartbeat: () => latest,
+      heardAgoMs: (now) => now - heardAt,
       searchReason: (now) => {
         if (!latest) {
           return undefined;
--- a/src/plugins/distribution/feedMetrics.ts
+++ b/src/plugins/distribution/feedMetrics.ts
@@ -3,23 +3,34 @@
  * those of the encoded messages, without HTTP/2 headers.
  */
 import { toBinary } from '@bufbuild/protobuf';
-import { Counter, Gauge, type Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 import {
   FeedMessageSchema,
   ReportRequestSchema,
   type FeedMessage,
   type ReportRequest,
 } from '../../gen/auburnsill/v1/feed_pb.js';
+import type { GapCause } from '../../core/distribution/confirmationGap.js';
 import type { Traffic } from '../rpc.js';
 
+/** Bucket bounds in seconds. A change has to be in force within 2 s. */
+const delayBuckets = [0.05, 0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, 10, 30];
+const msPerSecond = 1_000;
+
 export interface FeedMetrics {
   sent(message: FeedMessage | ReportRequest): void;
   received(message: FeedMessage | ReportRequest): void;
   redirected(): void;
   /** A parent was lost or left, by reason. */
   parentLost(reason: string): void;
+  /** The node attached to a parent, after a time without any. */
+  parentFound(withoutParentMs: number): void;
   /** An update was refused, by reason. */
   refused(reason: string): void;
+  /** A version came into force, at this time after its arrival. */
+  activated(stagedMs: number): void;
+  /** The version in force was not confirmed in time, by the step that took too long. */
+  unconfirmed(cause: GapCause): void;
 }
 
 /** Reasons used as labels. Error texts would create an unbounded number of time series. */
@@ -59,6 +70,18 @@
   });
 };
 
+/** Exports the time since the version in force on a node was last confirmed. */
+export const observeConfirmation = (registry: Registry, confirmedAgeMs: () => number): void => {
+  const gauge = new Gauge({
+    name: 'auburnsill_feed_confirmed_age_seconds',
+    help: 'Time since the version in force was last confirmed as the newest one.',
+    registers: [registry],
+    collect: () => {
+      gauge.set(confirmedAgeMs() / msPerSecond);
+    },
+  });
+};
+
 /** Creates the metrics of the feed in a registry. */
 export const createFeedMetrics = (registry: Registry): FeedMetrics => {
   const registers = [registry];
@@ -92,6 +115,25 @@
     registers,
   });
 
+  const withoutParent = new Histogram({
+    name: 'auburnsill_feed_without_parent_seconds',
+    help: 'Time without a parent, at each attachment.',
+    buckets: delayBuckets,
+    registers,
+  });
+  const staged = new Histogram({
+    name: 'auburnsill_feed_staged_seconds',
+    help: 'Time from the arrival of a version until it was in force.',
+    buckets: delayBuckets,
+    registers,
+  });
+  const unconfirmed = new Counter({
+    name: 'auburnsill_feed_unconfirmed_total',
+    help: 'Times at which the version in force was not confirmed in time.',
+    labelNames: ['cause'],
+    registers,
+  });
+
   const record = (direction: string, message: FeedMessage | ReportRequest) => {
     const labels = { direction, kind: kindOf(message) };
     messages.inc(labels);
@@ -103,6 +145,9 @@
     received: (message) => record('received', message),
     redirected: () => redirects.inc(),
     parentLost: (reason) => losses.inc({ reason: knownReasons.has(reason) ? reason : 'other' }),
+    parentFound: (withoutParentMs) => withoutParent.observe(withoutParentMs / msPerSecond),
     refused: (reason) => refusals.inc({ reason }),
+    activated: (stagedMs) => staged.observe(stagedMs / msPerSecond),
+    unconfirmed: (cause) => unconfirmed.inc({ cause }),
   };
 };
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -34,6 +34,7 @@
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
+import { createConfirmationWatch } from './confirmationWatch.js';
 import { createFeedLink, probeFeed, type FeedLink } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import { createFeedServer, type Publication } from './feedServer.js';
@@ -110,6 +111,7 @@
   // Freshness of the state that is passed on, and of the state that is in force here.
   const freshness = createFreshness();
   const inForceFreshness = createFreshness();
+  const confirmationWatch = createConfirmationWatch(log, metrics);
   const listeners = new Set<(active: ActiveConfiguration) => void>();
   const cancels: Cancel[] = [];
   let refusals = 0;
@@ -117,6 +119,8 @@
   /** Highest number heard of: in a partition, each side knows only a part of the nodes. */
   let fleetNodes = 0;
   let firstHeartbeatAt = Infinity;
+  /** Arrival of the oldest version that is not in force yet. */
+  let receivedAt: number | undefined;
 
   const choice = createParentChoice({
     dataCentre: node.dataCentre,
@@ -140,7 +144,14 @@
     const active = serving.commands.activate(timer.now());
     notify(active);
     if (active && isNewer(active.version, before)) {
-      log.info('version in force', { version: formatVersion(active.version) });
+      const stagedMs = timer.now() - (receivedAt ?? timer.now());
+      receivedAt = undefined;
+      log.info('version in force', {
+        version: formatVersion(active.version),
+        parent: parents.link()?.address,
+        staged_ms: Math.round(stagedMs),
+      });
+      metrics?.activated(stagedMs);
       subtree.commands.recordOwnVersion({ name: node.name, version: active.version }, timer.now());
       parents.link()?.scheduleReport();
     }
@@ -189,6 +200,7 @@
   const resultHandlers: Record<ConfigurationUpdateResult, () => void> = {
     stored: () => {
       refusals = 0;
+      receivedAt ??= timer.now();
       server.publish();
       stageNewest();
     },
@@ -395,6 +407,14 @@
 
   const tick = () => {
     const now = timer.now();
+    confirmationWatch.check({
+      ...parents.lastHeartbeat(),
+      confirmedAgeMs: inForceFreshness.queries.ageMs(now),
+      head: headVersion,
+      received: newest(),
+      inForce: inForce(),
+      parent: parents.link()?.address,
+    });
     subtree.commands.tick(now);
     const dropped = serving.commands.dropUnused(now);
     notify(dropped);
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -63,6 +63,8 @@
   leave(reason: string): void;
   path(): readonly string[];
   rootDataCentre(): string;
+  /** Last heartbeat of the current parent, if it has sent one, and the time since then in ms. */
+  lastHeartbeat(): { readonly heartbeat: ParentHeartbeat | undefined; readonly heardAgoMs: number };
 }
 
 export const createParentLoop = (options: ParentLoopOptions): ParentLoop => {
@@ -78,6 +80,10 @@
   let searchedFor: SearchReason | undefined;
   /** Number of searches since the parent was last healthy. */
   let searches = 0;
+  /** Since when the node has had no parent; undefined while it has one. */
+  let parentlessSince: number | undefined = timer.now();
+  /** Number of parents tried since then. */
+  let attempts = 0;
 
   const path = (): readonly string[] => [...(health.queries.lastHeartbeat()?.path ?? []), name];
   const rootDataCentre = (): string => health.queries.lastHeartbeat()?.rootDataCentre ?? '';
@@ -89,8 +95,26 @@
     }
   };
 
+  const recordAttachment = (heartbeat: ParentHeartbeat) => {
+    if (parentlessSince === undefined) {
+      return;
+    }
+    const withoutParentMs = timer.now() - parentlessSince;
+    log.info('parent attached', {
+      address: link?.address,
+      depth: heartbeat.path.length,
+      confirmed_age_ms: heartbeat.confirmedAgeMs,
+      without_parent_ms: Math.round(withoutParentMs),
+      attempts,
+    });
+    metrics?.parentFound(withoutParentMs);
+    parentlessSince = undefined;
+    attempts = 0;
+  };
+
   const receiveHeartbeat = (heartbeat: ParentHeartbeat) => {
     const previousPath = path().join(' ');
+    recordAttachment(heartbeat);
     const verdict = health.commands.evaluate(heartbeat, options.newest(), timer.now());
     if (verdict !== 'keep') {
       leave(verdict === 'cycle' ? 'cycle in the path' : 'the parent lags');
@@ -235,11 +259,13 @@
   const attach = async (address: string) => {
     health.commands.attached();
     nextSearchAt = 0;
+    attempts += 1;
     link = options.createLink(address);
     const startedAt = timer.now();
     const outcome = await link.run();
     const hadPath = health.queries.lastHeartbeat() !== undefined;
     link = undefined;
+    parentlessSince ??= timer.now();
     health.commands.attached();
     handleOutcome(outcome, address, timer.now() - startedAt);
     if (hadPath) {
@@ -273,5 +299,9 @@
     leave,
     path,
     rootDataCentre,
+    lastHeartbeat: () => ({
+      heartbeat: health.queries.lastHeartbeat(),
+      heardAgoMs: health.queries.heardAgoMs(timer.now()),
+    }),
   };
 };
