Feed: keep the parent until a better one has sent its first heartbeat

What callers saw: 404 on added routes, and calls by replaced routes, more than 2 s after the acknowledgement of the change.

Cause: a node that moved to a better parent left the present one first. The new one may redirect it to a slow node, and each attempt has its own limit of 1 to 1.5 s, so that the limits added up while the node received nothing. A silent parent was left only after 1.5 s, and only then another was sought. Class: break before make, and limits in a row.

Change: a link is a candidate until its first heartbeat, and the current parent is kept until then. A move follows redirects beside the parent and is given up if no candidate is better. An overdue heartbeat starts a search at 0.75 s. Without a parent, a second one is tried after 0.4 s, two at a time. Messages of a candidate are held until it is the parent, and services that became needed since its request are subscribed then; before, they were lost.

searchReason of a parent without a root is now tested with heartbeats in time: with a single one at 0 s the parent would count as quiet.

--- a/__tests__/feedCore.test.ts
+++ b/__tests__/feedCore.test.ts
@@ -177,10 +177,21 @@
       0,
     );
     assert.equal(health.queries.searchReason(0), 'foreign');
-    health.commands.evaluate({ ...heartbeat, headVersion: at(1), rootDataCentre: '' }, at(1), 0);
+    const unrooted = { ...heartbeat, headVersion: at(1), rootDataCentre: '' };
+    [0, 500, 999].forEach((now) => health.commands.evaluate(unrooted, at(1), now));
     assert.equal(health.queries.searchReason(999), undefined);
     assert.equal(health.queries.searchReason(1_000), 'detached');
   });
+
+  // Guards against a search that starts only when the silent parent is given up.
+  it('searches for another parent as soon as a heartbeat is overdue', () => {
+    const health = createParentHealth('self', 'dc-a');
+    health.commands.evaluate({ ...heartbeat, headVersion: at(1) }, at(1), 1_000);
+    assert.equal(health.queries.searchReason(1_750), undefined);
+    assert.equal(health.queries.searchReason(1_751), 'quiet');
+    health.commands.evaluate({ ...heartbeat, headVersion: at(1) }, at(1), 1_800);
+    assert.equal(health.queries.searchReason(1_800), undefined);
+  });
 });
 
 describe('freshness', () => {
--- a/__tests__/parentLoop.test.ts
+++ b/__tests__/parentLoop.test.ts
@@ -85,7 +85,12 @@
           );
           return;
         }
-        const sendHeartbeat = () => loop.receiveHeartbeat(heartbeatOf(address, stateOf(address)));
+        const sendHeartbeat = () => {
+          const heartbeat = heartbeatOf(address, stateOf(address));
+          if (loop.offer(link, heartbeat)) {
+            loop.receiveHeartbeat(heartbeat);
+          }
+        };
         timer.after(1, sendHeartbeat);
         const cancelHeartbeats = timer.every(500, sendHeartbeat);
         finish = (outcome) => {
@@ -93,13 +98,14 @@
           resolve(outcome);
         };
       });
-    return {
+    const link: FeedLink = {
       address,
       run,
       scheduleReport: () => undefined,
       change: () => undefined,
       end: (reason) => finish(lost(reason, false)),
     };
+    return link;
   };
 
   const probe = async (address: string): Promise<ProbeResult | undefined> => {
--- a/__tests__/support/feedSimulation.ts
+++ b/__tests__/support/feedSimulation.ts
@@ -151,8 +151,17 @@
       const created: Subscription = {
         child,
         receiveHeartbeat: (heartbeat) =>
-          receive(parent, () => child.loop?.receiveHeartbeat(heartbeat)),
-        receiveVersion: (index) => receive(parent, () => publish(child, index)),
+          receive(parent, () => {
+            if (child.loop?.offer(link, heartbeat)) {
+              child.loop.receiveHeartbeat(heartbeat);
+            }
+          }),
+        receiveVersion: (index) =>
+          receive(parent, () => {
+            if (child.loop?.link() === link) {
+              publish(child, index);
+            }
+          }),
         end: (reason) => receive(parent, () => finish(lost(reason, { attached: true }))),
       };
       parent.subscriptions.set(child.name, created);
@@ -204,13 +213,14 @@
         actLater(parent, latencyMs + child.lagMs + parent.lagMs, () => connect(parent));
       });
 
-    return {
+    const link: FeedLink = {
       address,
       run,
       scheduleReport: () => undefined,
       change: () => undefined,
       end: (reason) => finish(lost(reason, { attached: isAttached })),
     };
+    return link;
   };
 
   const probe = async (
--- a/src/core/distribution/parentChoice.ts
+++ b/src/core/distribution/parentChoice.ts
@@ -46,14 +46,22 @@
   readonly commands: {
     /** Chooses the next parent to try. Undefined if no address is known. */
     chooseParent(now: number): ParentAttempt | undefined;
-    /** The last parent redirected the node. A parent that named no address is retried later. */
-    redirected(addresses: readonly string[], retryAfterMs: number, now: number): void;
+    /**
+     * A parent, by default the last one, redirected the node. A parent that named no address is
+     * retried later.
+     */
+    redirected(
+      addresses: readonly string[],
+      retryAfterMs: number,
+      now: number,
+      from?: string,
+    ): void;
     /** Resets the delays, after the feed has been up for long enough. */
     resetBackoff(): void;
     /** Skips an address for `avoidMs`. */
     avoid(address: string, now: number): void;
-    /** Makes an address the next choice, without a delay, and skips the one left for it. */
-    prefer(address: string, left: string, now: number): void;
+    /** The node left this parent for a better one: it is skipped for a short time. */
+    replaced(address: string, now: number): void;
     learnPeers(addresses: readonly string[]): void;
     /** Sets the control instances that a parent named. Those of the settings are kept as well. */
     learnControls(controls: readonly ControlAddress[]): void;
@@ -88,8 +96,6 @@
   /** Parents that asked the node to retry later, with the time until which they are skipped. */
   const busyUntil = new Map<string, number>();
   let lastTried = '';
-  /** Better parent that a search found. Unlike `queue` it is kept when the backoff is reset. */
-  let preferred: string | undefined;
   let queue: string[] = [];
   let redirects = 0;
   let attemptCount = 0;
@@ -149,11 +155,6 @@
   };
 
   const chooseParent = (now: number): ParentAttempt | undefined => {
-    if (preferred !== undefined) {
-      const address = preferred;
-      preferred = undefined;
-      return recordAttempt(address, 0);
-    }
     const redirectTarget = queue.find((address) => !isAvoided(address, now));
     queue = queue.slice(
       redirectTarget === undefined ? queue.length : queue.indexOf(redirectTarget) + 1,
@@ -186,14 +187,14 @@
   return {
     commands: {
       chooseParent,
-      redirected: (addresses, retryAfter, now) => {
+      redirected: (addresses, retryAfter, now, from = lastTried) => {
         redirects += 1;
         const requestedMs = Math.min(maxRetryAfterMs, retryAfter);
         const targets = addresses.filter((address) => address !== ownAddress);
         if (targets.length === 0) {
           // Other parents may have room now, so the next attempt follows soon.
           useShortBackoff = true;
-          busyUntil.set(lastTried, now + requestedMs * (1 + random()));
+          busyUntil.set(from, now + requestedMs * (1 + random()));
         } else {
           retryAfterMs = Math.max(retryAfterMs, requestedMs);
         }
@@ -208,11 +209,9 @@
       avoid: (address, now) => {
         avoidUntil.set(address, now + avoidMs);
       },
-      prefer: (address, left, now) => {
-        preferred = address;
+      replaced: (address, now) => {
         queue = [];
-        avoidUntil.delete(address);
-        skip(left, now);
+        skip(address, now);
       },
       learnPeers,
       learnControls: (learned) => {
--- a/src/core/distribution/parentHealth.ts
+++ b/src/core/distribution/parentHealth.ts
@@ -1,7 +1,7 @@
 /**
  * Health of the parent that a node is attached to. The node leaves a parent that lags behind the
- * node's own version, or whose path contains the node. It keeps a parent that is cut off from the
- * source or whose root is in another data centre, and searches for a better one meanwhile.
+ * node's own version, or whose path contains the node. It keeps a parent that is quiet, cut off from
+ * the source or whose root is in another data centre, and searches for a better one meanwhile.
  */
 import type { Version } from '../../types/public.js';
 import { maxPathLength } from './childAdmission.js';
@@ -18,6 +18,12 @@
  */
 export const staleParentMs = 1_500;
 
+/**
+ * Time since the last heartbeat after which a better parent is searched for, one and a half times
+ * the period of heartbeats. The parent itself is given up only after three periods.
+ */
+const quietParentMs = 750;
+
 /** Contents of a parent's heartbeat. */
 export interface ParentHeartbeat {
   readonly headVersion: Version;
@@ -30,10 +36,11 @@
 export type ParentVerdict = 'keep' | 'cycle' | 'lags';
 
 /**
- * Why a better parent is searched for. `detached`: the path has no control instance at its root, or
- * the last confirmation is too old. `foreign`: the root is in another data centre.
+ * Why a better parent is searched for. `quiet`: a heartbeat is overdue. `detached`: the path has no
+ * control instance at its root, or the last confirmation is too old. `foreign`: the root is in
+ * another data centre.
  */
-export type SearchReason = 'detached' | 'foreign';
+export type SearchReason = 'quiet' | 'detached' | 'foreign';
 
 export interface ParentHealth {
   readonly commands: {
@@ -98,6 +105,9 @@
         if (!latest) {
           return undefined;
         }
+        if (now - heardAt > quietParentMs) {
+          return 'quiet';
+        }
         const isUnrooted = unrootedSince !== undefined && now - unrootedSince >= unrootedMs;
         if (isUnrooted || latest.confirmedAgeMs > staleParentMs) {
           return 'detached';
--- a/src/plugins/distribution/controlExchange.ts
+++ b/src/plugins/distribution/controlExchange.ts
@@ -164,6 +164,7 @@
       handlers: {
         welcome: () => {
           remote.lostAt = undefined;
+          link.scheduleReport();
         },
         configuration: () => undefined,
         heartbeat: () => undefined,
--- a/src/plugins/distribution/feedClient.ts
+++ b/src/plugins/distribution/feedClient.ts
@@ -90,7 +90,10 @@
   readonly address: string;
   /** Resolves when the subscription has ended. Never rejects. */
   run(): Promise<LinkOutcome>;
-  /** Schedules a report after `reportBatchMs`, combined with other changes until then. */
+  /**
+   * Schedules a report after `reportBatchMs`, combined with other changes until then. The first one
+   * after the welcome is scheduled by the caller.
+   */
   scheduleReport(): void;
   /** Changes the subscription. The link ends if the request fails. */
   change(change: MessageInitShape<typeof ChangeSubscriptionRequestSchema>): void;
@@ -172,7 +175,6 @@
     if (kind === 'welcome') {
       subscriptionId = value.subscriptionId;
       handlers.welcome(value);
-      scheduleReport();
     } else if (kind === 'redirect') {
       const { retryAfterMs } = value;
       const addresses = readAddresses(value.addresses);
--- a/src/plugins/distribution/feedMessages.ts
+++ b/src/plugins/distribution/feedMessages.ts
@@ -15,6 +15,7 @@
   type ControlRecord as ControlRecordMessage,
   type EndpointRecord,
   type FeedMessage,
+  type Heartbeat,
   type NodeVersion as NodeVersionMessage,
   type ReportRequest,
   type VersionCount as VersionCountMessage,
@@ -29,6 +30,7 @@
   Withdrawal,
 } from '../../core/distribution/feed.js';
 import type { ClusterChange, ClusterCursor } from '../../core/distribution/clusterLog.js';
+import type { ParentHeartbeat } from '../../core/distribution/parentHealth.js';
 import type { ConfigurationChange } from '../../core/distribution/configurationStore.js';
 import { noVersion } from '../../core/agreement/version.js';
 import { Failure } from '../../utils/failure.js';
@@ -67,6 +69,13 @@
       }
     : noVersion;
 
+export const readHeartbeat = (message: Heartbeat): ParentHeartbeat => ({
+  headVersion: readVersion(message.headVersion),
+  confirmedAgeMs: Number(message.confirmedAgeMs),
+  path: message.path,
+  rootDataCentre: message.rootDataCentre,
+});
+
 export const writeVersion = ({ term, index }: Version) => ({
   term: BigInt(term),
   index: BigInt(index),
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -31,6 +31,7 @@
 import { derivePolicies } from '../../core/operators/policy.js';
 import { createSubtree } from '../../core/distribution/subtree.js';
 import { formatVersion, isNewer, noVersion } from '../../core/agreement/version.js';
+import type { ParentHeartbeat } from '../../core/distribution/parentHealth.js';
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { Access } from '../operators/access.js';
@@ -44,6 +45,7 @@
   readCluster,
   readConfiguration,
   readControls,
+  readHeartbeat,
   readNodeVersions,
   readVersion,
   writeCursor,
@@ -248,31 +250,41 @@
     }
   };
 
-  const onWelcome = (message: Welcome) => {
+  /** Subscribes to services that became needed since the request of the current link. */
+  const subscribeToMissing = (requested: readonly { service: string }[]) => {
+    const known = new Set(requested.map(({ service }) => service));
+    const missing = clusters.queries.cursors().filter(({ service }) => !known.has(service));
+    if (missing.length > 0) {
+      parents.link()?.change({ add: missing.map(writeCursor) });
+    }
+  };
+
+  const onWelcome = (message: Welcome, requested: readonly { service: string }[]) => {
     raiseFloor(message);
     choice.commands.learnControls(readControls(message.controls));
     choice.commands.learnPeers(readAddresses(message.peers));
     refusals = 0;
     upwardReport.commands.reset();
+    parents.link()?.scheduleReport();
+    subscribeToMissing(requested);
     syncSubscriptions();
   };
 
-  const onHeartbeat = (message: Heartbeat) => {
+  const onHeartbeat = (message: Heartbeat, heartbeat: ParentHeartbeat) => {
     const now = timer.now();
-    const ageMs = Number(message.confirmedAgeMs);
-    headVersion = readVersion(message.headVersion);
+    const { confirmedAgeMs } = heartbeat;
+    headVersion = heartbeat.headVersion;
     fleetNodes = Math.max(fleetNodes, message.fleetNodes);
     firstHeartbeatAt = Math.min(firstHeartbeatAt, now);
     // A confirmation applies to a version only if that is not older than the confirmed one.
     if (!isNewer(headVersion, newest())) {
-      freshness.commands.confirm(ageMs, now);
+      freshness.commands.confirm(confirmedAgeMs, now);
     }
     if (!isNewer(headVersion, inForce())) {
-      inForceFreshness.commands.confirm(ageMs, now);
+      inForceFreshness.commands.confirm(confirmedAgeMs, now);
     }
-    const { path, rootDataCentre } = message;
     choice.commands.learnControls(readControls(message.controls));
-    parents.receiveHeartbeat({ headVersion, confirmedAgeMs: ageMs, path, rootDataCentre });
+    parents.receiveHeartbeat(heartbeat);
   };
 
   const ownStatus = (): SubtreeStatus => {
@@ -333,23 +345,44 @@
     };
   };
 
-  const createLink = (address: string): FeedLink =>
-    createFeedLink({
+  /**
+   * Creates a link whose messages take effect once it is that of the current parent. Those of a
+   * candidate are held until its first heartbeat, which a parent sends right after its welcome.
+   */
+  const createLink = (address: string): FeedLink => {
+    const request = subscribeRequest();
+    const held: (() => void)[] = [];
+    const whenCurrent = (handle: () => void) => {
+      if (parents.link() === link) {
+        handle();
+      } else {
+        held.push(handle);
+      }
+    };
+    const link = createFeedLink({
       address,
       access,
       timer,
       log,
       random,
       metrics,
-      request: subscribeRequest(),
+      request,
       handlers: {
-        welcome: onWelcome,
-        configuration: onConfiguration,
-        cluster: onCluster,
-        heartbeat: onHeartbeat,
+        welcome: (message) => whenCurrent(() => onWelcome(message, request.clusters)),
+        configuration: (message) => whenCurrent(() => onConfiguration(message)),
+        cluster: (message) => whenCurrent(() => onCluster(message)),
+        heartbeat: (message) => {
+          const heartbeat = readHeartbeat(message);
+          if (parents.offer(link, heartbeat)) {
+            held.splice(0).forEach((handle) => handle());
+            onHeartbeat(message, heartbeat);
+          }
+        },
       },
       reporter: { build: buildReport },
     });
+    return link;
+  };
 
   const probe = (address: string) => probeFeed({ address, access, request: subscribeRequest() });
 
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -1,7 +1,9 @@
 /**
  * Keeps a node attached to one parent of the fan-out tree. It chooses a parent, follows redirects
  * and leaves a parent that lags, is part of a cycle or is unresponsive. While the current parent is
- * cut off from the source, or its root is in another data centre, it searches for a better one.
+ * quiet or cut off from the source, or its root is in another data centre, it searches for a better
+ * one. A link is a candidate until its first heartbeat shows that it works. The current parent is
+ * kept until then, so that a node is not without a parent while it tries slow ones.
  */
 import type { Version } from '../../types/public.js';
 import type { ParentChoice } from '../../core/distribution/parentChoice.js';
@@ -17,7 +19,7 @@
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { FeedLink, LinkOutcome, ProbeResult } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
-import { readVersion } from './feedMessages.js';
+import { readHeartbeat } from './feedMessages.js';
 
 /** Wait before the next choice when no address is known. */
 const noParentWaitMs = 1_000;
@@ -35,7 +37,15 @@
 const foreignSearchFactor = 4;
 const maxProbes = 3;
 const searchCheckMs = 250;
-
+/** Candidates at the same time. Each one is a new connection, which costs more than a message. */
+const maxCandidates = 2;
+/**
+ * A candidate that sends no heartbeat for this time is slow: another one is tried as well. A parent
+ * in the own data centre is not worth a move then, since a heartbeat is due every 500 ms.
+ */
+const hedgeMs = 400;
+/** Redirects that a move to a better parent follows. */
+const maxMoveAttempts = 4;
 export interface ParentLoopOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -57,6 +67,11 @@
   stop(): Promise<void>;
   /** The subscription to the current parent. */
   link(): FeedLink | undefined;
+  /**
+   * Offers a heartbeat of a link, which makes a candidate the current parent if it is good enough.
+   * Returns whether the link is that of the current parent.
+   */
+  offer(link: FeedLink, heartbeat: ParentHeartbeat): boolean;
   /** Handles a heartbeat of the current parent. */
   receiveHeartbeat(heartbeat: ParentHeartbeat): void;
   /** Leaves the current parent because of a fault. */
@@ -67,12 +82,24 @@
   lastHeartbeat(): { readonly heartbeat: ParentHeartbeat | undefined; readonly heardAgoMs: number };
 }
 
+interface Attachment {
+  readonly link: FeedLink;
+  readonly address: string;
+  readonly startedAt: number;
+  /** Resolves when the link has ended, and its outcome was handled. */
+  readonly ended: Promise<LinkOutcome>;
+  /** Resolves as soon as the link is that of the current parent, or has ended. */
+  readonly settled: Promise<void>;
+  settle(): void;
+}
+
 export const createParentLoop = (options: ParentLoopOptions): ParentLoop => {
   const { name, dataCentre, choice, timer, log, random, metrics } = options;
   const health: ParentHealth = createParentHealth(name, dataCentre);
   const stopping = new AbortController();
   const cancels: Cancel[] = [];
-  let link: FeedLink | undefined;
+  const candidates = new Set<Attachment>();
+  let current: Attachment | undefined;
   let running: Promise<void> = Promise.resolve();
   let isSearching = false;
   let nextSearchAt = 0;
@@ -89,57 +116,82 @@
   const rootDataCentre = (): string => health.queries.lastHeartbeat()?.rootDataCentre ?? '';
 
   const leave = (reason: string) => {
-    if (link) {
-      choice.commands.avoid(link.address, timer.now());
-      link.end(reason);
+    if (current) {
+      choice.commands.avoid(current.address, timer.now());
+      current.link.end(reason);
     }
   };
 
-  const recordAttachment = (heartbeat: ParentHeartbeat) => {
-    if (parentlessSince === undefined) {
+  const receiveHeartbeat = (heartbeat: ParentHeartbeat) => {
+    const previousPath = path().join(' ');
+    const verdict = health.commands.evaluate(heartbeat, options.newest(), timer.now());
+    if (verdict !== 'keep') {
+      leave(verdict === 'cycle' ? 'cycle in the path' : 'the parent lags');
       return;
     }
-    const withoutParentMs = timer.now() - parentlessSince;
+    if (path().join(' ') !== previousPath) {
+      options.pathChanged();
+    }
+  };
+
+  const isFresh = ({ confirmedAgeMs, rootDataCentre: root }: ParentHeartbeat): boolean =>
+    confirmedAgeMs <= staleParentMs && root !== '';
+
+  const isOtherParent = (address: string): boolean => address !== current?.address;
+
+  const isBetter = (address: string, heartbeat: ParentHeartbeat): boolean => {
+    const reason = health.queries.searchReason(timer.now());
+    const { headVersion } = heartbeat;
+    if (reason === undefined || heartbeat.path.includes(name) || !isOtherParent(address)) {
+      return false;
+    }
+    if (isNewer(options.newest(), headVersion)) {
+      return false;
+    }
+    return reason === 'foreign'
+      ? isFresh(heartbeat) && heartbeat.rootDataCentre === dataCentre
+      : isFresh(heartbeat) || isNewer(headVersion, options.newest());
+  };
+
+  const makeCurrent = (next: Attachment, heartbeat: ParentHeartbeat) => {
+    const previous = current;
+    const withoutParentMs = parentlessSince === undefined ? 0 : timer.now() - parentlessSince;
     log.info('parent attached', {
-      address: link?.address,
+      address: next.address,
       depth: heartbeat.path.length,
       confirmed_age_ms: heartbeat.confirmedAgeMs,
       without_parent_ms: Math.round(withoutParentMs),
       attempts,
     });
     metrics?.parentFound(withoutParentMs);
+    current = next;
+    candidates.delete(next);
     parentlessSince = undefined;
     attempts = 0;
-  };
-
-  const receiveHeartbeat = (heartbeat: ParentHeartbeat) => {
-    const previousPath = path().join(' ');
-    recordAttachment(heartbeat);
-    const verdict = health.commands.evaluate(heartbeat, options.newest(), timer.now());
-    if (verdict !== 'keep') {
-      leave(verdict === 'cycle' ? 'cycle in the path' : 'the parent lags');
-      return;
-    }
-    if (path().join(' ') !== previousPath) {
-      options.pathChanged();
+    nextSearchAt = 0;
+    health.commands.attached();
+    next.settle();
+    candidates.forEach(({ link }) => link.end('another parent answered first'));
+    if (previous) {
+      choice.commands.replaced(previous.address, timer.now());
+      previous.link.end('found a better parent');
     }
   };
 
-  const isFresh = ({ heartbeat }: ProbeResult): boolean =>
-    Number(heartbeat.confirmedAgeMs) <= staleParentMs && heartbeat.rootDataCentre !== '';
-
-  const isBetter = (result: ProbeResult): boolean => {
-    const { address, heartbeat } = result;
-    const head = readVersion(heartbeat.headVersion);
-    if (heartbeat.path.includes(name) || address === link?.address) {
+  const offer: ParentLoop['offer'] = (link, heartbeat) => {
+    if (link === current?.link) {
+      return true;
+    }
+    const candidate = [...candidates].find((each) => each.link === link);
+    if (!candidate || stopping.signal.aborted) {
       return false;
     }
-    if (isNewer(options.newest(), head)) {
+    if (current && !isBetter(candidate.address, heartbeat)) {
+      link.end('not better than the parent');
       return false;
     }
-    return health.queries.searchReason(timer.now()) === 'foreign'
-      ? isFresh(result) && heartbeat.rootDataCentre === dataCentre
-      : isFresh(result) || isNewer(head, options.newest());
+    makeCurrent(candidate, heartbeat);
+    return true;
   };
 
   const searchTargets = (): string[] => {
@@ -149,7 +201,7 @@
     }
     const pick = (addresses: string[], count: number) =>
       addresses
-        .filter((address) => address !== link?.address)
+        .filter(isOtherParent)
         .map((address) => ({ address, order: random() }))
         .sort((a, b) => a.order - b.order)
         .slice(0, count)
@@ -157,43 +209,61 @@
     return [...pick(localControls(), 1), ...pick(remoteControls(), 1), ...pick(peers(), 1)];
   };
 
-  const moveTo = ({ address }: ProbeResult) => {
-    if (link && !stopping.signal.aborted) {
-      choice.commands.prefer(address, link.address, timer.now());
-      link.end('found a better parent');
+  /**
+   * Tries a better parent, and those to which it redirects, beside the current one. If the current
+   * one is failing, a target that is slow to answer is kept while the next one is tried.
+   */
+  const moveTo = async (target: string) => {
+    const targets = [target];
+    for (let tries = 0; tries < maxMoveAttempts; tries += 1) {
+      const reason = health.queries.searchReason(timer.now());
+      const address = targets.find(isOtherParent);
+      if (!address || !reason || candidates.size >= maxCandidates || stopping.signal.aborted) {
+        return;
+      }
+      targets.splice(0, targets.indexOf(address) + 1);
+      const candidate = connect(address);
+      await Promise.race([candidate.settled, timer.sleep(hedgeMs, stopping.signal)]);
+      if (candidates.has(candidate)) {
+        if (reason === 'foreign') {
+          candidate.link.end('no heartbeat in time');
+          return;
+        }
+      } else if (candidate !== current) {
+        const outcome = await candidate.ended;
+        targets.unshift(...(outcome.outcome === 'redirected' ? outcome.addresses : []));
+      }
     }
   };
 
   const search = async () => {
-    let hasMoved = false;
+    let isFound = false;
     const results = await Promise.all(
       searchTargets()
         .slice(0, maxProbes)
         .map(async (address) => {
           const result = await options.probe(address);
+          const heartbeat = result && readHeartbeat(result.heartbeat);
           // The other targets may be unresponsive, and are not waited for.
-          if (!hasMoved && result && isFresh(result) && isBetter(result)) {
-            hasMoved = true;
-            moveTo(result);
+          if (!isFound && heartbeat && isFresh(heartbeat) && isBetter(address, heartbeat)) {
+            isFound = true;
+            await moveTo(address);
           }
-          return result;
+          return heartbeat && { address, heartbeat };
         }),
     );
-    if (hasMoved) {
+    if (isFound) {
       return;
     }
     const better = results
       .filter((result) => result !== undefined)
-      .filter(isBetter)
+      .filter(({ address, heartbeat }) => isBetter(address, heartbeat))
       .sort(
-        (a, b) =>
-          compareVersions(
-            readVersion(b.heartbeat.headVersion),
-            readVersion(a.heartbeat.headVersion),
-          ) || Number(a.heartbeat.confirmedAgeMs - b.heartbeat.confirmedAgeMs),
+        ({ heartbeat: a }, { heartbeat: b }) =>
+          compareVersions(b.headVersion, a.headVersion) || a.confirmedAgeMs - b.confirmedAgeMs,
       )[0];
     if (better) {
-      moveTo(better);
+      await moveTo(better.address);
     }
   };
 
@@ -202,6 +272,10 @@
     if (health.queries.searchReason(timer.now()) === 'foreign') {
       return searchPeriodMs * foreignSearchFactor * (0.5 + random());
     }
+    if (health.queries.searchReason(timer.now()) === 'quiet') {
+      // No node above can find a better parent for this one.
+      return 0;
+    }
     const factor = Math.min(maxSearchFactor, Math.max(1, path().length - 1));
     const periodMs = Math.min(maxDetachedSearchMs, detachedSearchMs * 2 ** Math.min(searches, 10));
     return periodMs * factor * (0.5 + random());
@@ -219,7 +293,7 @@
     if (!reason) {
       return;
     }
-    if (isSearching || !link) {
+    if (isSearching || !current) {
       return;
     }
     if (nextSearchAt === 0 || now < nextSearchAt) {
@@ -236,9 +310,9 @@
       });
   };
 
-  const handleOutcome = (outcome: LinkOutcome, address: string, lastedMs: number) => {
+  const handleOutcome = (outcome: LinkOutcome, address: string) => {
     if (outcome.outcome === 'redirected') {
-      choice.commands.redirected(outcome.addresses, outcome.retryAfterMs, timer.now());
+      choice.commands.redirected(outcome.addresses, outcome.retryAfterMs, timer.now(), address);
       return;
     }
     if (outcome.isRefused) {
@@ -247,38 +321,78 @@
     if (outcome.isSilent) {
       choice.commands.silent(address, timer.now());
     }
-    if (outcome.attached) {
+  };
+
+  const handleEnd = (attachment: Attachment, outcome: LinkOutcome) => {
+    const { address, startedAt } = attachment;
+    const isCandidate = candidates.delete(attachment);
+    attachment.settle();
+    // The redirects of a candidate that should replace the parent are followed by the move.
+    if (!isCandidate || !current) {
+      handleOutcome(outcome, address);
+    }
+    if (isCandidate) {
+      return;
+    }
+    if (outcome.outcome === 'lost') {
       log.info('parent lost', { address, reason: outcome.reason });
       metrics?.parentLost(outcome.reason);
     }
-    if (lastedMs >= stableAttachmentMs) {
+    if (timer.now() - startedAt >= stableAttachmentMs) {
       choice.commands.resetBackoff();
     }
+    if (current === attachment) {
+      current = undefined;
+      parentlessSince = timer.now();
+      health.commands.attached();
+      options.pathChanged();
+    }
   };
 
-  const attach = async (address: string) => {
-    health.commands.attached();
-    nextSearchAt = 0;
+  const connect = (address: string): Attachment => {
     attempts += 1;
-    link = options.createLink(address);
-    const startedAt = timer.now();
-    const outcome = await link.run();
-    const hadPath = health.queries.lastHeartbeat() !== undefined;
-    link = undefined;
-    parentlessSince ??= timer.now();
-    health.commands.attached();
-    handleOutcome(outcome, address, timer.now() - startedAt);
-    if (hadPath) {
-      options.pathChanged();
+    const link = options.createLink(address);
+    let settle: () => void = () => undefined;
+    const settled = new Promise<void>((resolve) => {
+      settle = resolve;
+    });
+    const ended = link.run().then((outcome) => {
+      handleEnd(attachment, outcome);
+      return outcome;
+    });
+    const attachment: Attachment = {
+      link,
+      address,
+      startedAt: timer.now(),
+      ended,
+      settled,
+      settle,
+    };
+    candidates.add(attachment);
+    return attachment;
+  };
+
+  const connectNext = async () => {
+    const attempt = choice.commands.chooseParent(timer.now());
+    await timer.sleep(attempt?.delayMs ?? noParentWaitMs, stopping.signal);
+    if (!attempt || current || stopping.signal.aborted) {
+      return;
+    }
+    const candidate = connect(attempt.address);
+    await Promise.race([candidate.settled, timer.sleep(hedgeMs, stopping.signal)]);
+    if (candidates.has(candidate)) {
+      choice.commands.silent(attempt.address, timer.now());
     }
   };
 
   const loop = async () => {
     while (!stopping.signal.aborted) {
-      const attempt = choice.commands.chooseParent(timer.now());
-      await timer.sleep(attempt?.delayMs ?? noParentWaitMs, stopping.signal);
-      if (attempt && !stopping.signal.aborted) {
-        await attach(attempt.address);
+      if (current) {
+        await current.ended;
+      } else if (candidates.size < maxCandidates) {
+        await connectNext();
+      } else {
+        await Promise.race([...candidates].map(({ settled }) => settled));
       }
     }
   };
@@ -291,10 +405,12 @@
     stop: async () => {
       cancels.forEach((cancel) => cancel());
       stopping.abort();
-      link?.end('stopping');
-      await running;
+      const attachments = [...candidates, ...(current ? [current] : [])];
+      attachments.forEach(({ link }) => link.end('stopping'));
+      await Promise.all([running, ...attachments.map(({ ended }) => ended)]);
     },
-    link: () => link,
+    link: () => current?.link,
+    offer,
     receiveHeartbeat,
     leave,
     path,
