Feed: wait 1 s at most for the endpoints of a new service

What callers saw: routes of a change not in force in time.

Cause: a configuration that names a service without known endpoints waited 3 s for them, and with it all of its other routes, while a change has to be in force within 2 s. Class: limits in a row, of which one alone exceeds the bound.

A route whose endpoints have not arrived is withheld after that, as before, and its calls are refused as not run.

Test: at 2 s after the arrival the version was not in force; now it is.

--- a/__tests__/distribution.test.ts
+++ b/__tests__/distribution.test.ts
@@ -397,6 +397,16 @@
     assert.equal(active?.clusters.has('beta'), false, 'a reference in use has changed');
   });
 
+  // Guards against a wait for endpoints that is longer than the time for a change to be in force.
+  it('is in force within 2 s of its arrival although the endpoints of a new service are missing', () => {
+    const serving = createServingState(derivePolicies);
+    serving.commands.stageConfiguration(stored(1, ['alpha']), 0);
+    serving.commands.stageCluster({ service: 'alpha', endpoints: [] });
+    serving.commands.activate(0);
+    serving.commands.stageConfiguration(stored(2, ['alpha', 'beta']), 10_000);
+    assert.equal(serving.commands.activate(12_000)?.version.index, 2);
+  });
+
   // Routing caches state by cluster object. Replacing the object of an unchanged cluster would
   // discard that state, so that each change of any cluster would cause work for the next calls.
   it('keeps a cluster object when another one changes, unless an endpoint is drained', () => {
--- a/src/core/distribution/servingState.ts
+++ b/src/core/distribution/servingState.ts
@@ -10,8 +10,11 @@
 import { isNewer, noVersion } from '../agreement/version.js';
 import { routedServices } from '../operators/services.js';
 
-/** Maximum time that a staged configuration waits for its clusters. */
-export const clusterWaitMs = 3_000;
+/**
+ * Maximum time that a staged configuration waits for its clusters. The whole configuration waits,
+ * and a change has to be in force on every proxy within 2 s, its way down the tree included.
+ */
+export const clusterWaitMs = 1_000;
 /** A cluster is kept for this time after the last call to its service. */
 export const clusterRetentionMs = 600_000;
 
