Calls: answer 404 only with a configuration that was confirmed lately

What callers saw: 404, which is final, for a route that had been added more than 2 s before, from a node that had not heard of it.

Cause: a node does not know that it is behind. It counts as detached only after 10 s without a confirmation, and until then it answered 404 with the same certainty as for a route that never was.

Change: if no class matches and the last confirmation of the version in force is older than 1.5 s, the call is refused as not run: 503 with the new code E318 (unconfirmed) and a retry-after of 1 to 2 s. Within that time the confirmation proves that no change older than 2 s is missing. Calls of known classes go on, also without a control instance. A caller of a wrong path gets 503 in place of 404 while the node is cut off.

--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -236,12 +236,14 @@
         | 'deadline_exceeded'
         | 'upstream_failed'
         | 'no_configuration'
+        | 'unconfirmed'
         | 'unknown_class',
       run: 'not_run' | 'may_have_run',
     ) => callers.refusal({ reason, run, retried: false }, 'r').status;
     assert.equal(status('overloaded', 'not_run'), 503);
     assert.equal(status('no_configuration', 'not_run'), 503);
     assert.equal(status('unknown_class', 'not_run'), 404);
+    assert.equal(status('unconfirmed', 'not_run'), 503);
     assert.equal(status('bad_request', 'not_run'), 400);
     assert.equal(status('overloaded', 'may_have_run'), 502);
     assert.equal(status('bad_request', 'may_have_run'), 502);
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -274,6 +274,7 @@
   }
   const clusters = new Map<string, Cluster>();
   let lastCluster: Cluster | undefined;
+  let confirmedAgeMs = 0;
   const policies = derivePolicies(configuration);
   const activeConfiguration: ActiveConfiguration = {
     version: { term: 1, index: 1 },
@@ -290,7 +291,7 @@
     queries: {
       current: () => activeConfiguration,
       isDetached: () => false,
-      confirmedAgeMs: () => 0,
+      confirmedAgeMs: () => confirmedAgeMs,
       fleetNodes: () => 0,
     },
     onChange: () => () => undefined,
@@ -379,6 +380,10 @@
         clusters.set(lastCluster.service, lastCluster);
       }
     },
+    /** Sets the time since the configuration of both nodes was confirmed. */
+    setConfirmedAge: (ms: number) => {
+      confirmedAgeMs = ms;
+    },
     stopAnnouncing: () => clearInterval(announcementTimer),
     call: makeCall,
     /** Fetches `/report` from a node's admin address. */
--- a/src/core/calls/retry.ts
+++ b/src/core/calls/retry.ts
@@ -113,6 +113,7 @@
   'malformed_message',
   'no_configuration',
   'unauthorized',
+  'unconfirmed',
   'unknown_class',
 ]);
 
--- a/src/core/calls/retryAfter.ts
+++ b/src/core/calls/retryAfter.ts
@@ -10,6 +10,8 @@
 const defaultMs: Partial<Record<FailureReason, number>> = {
   // A starting node has its configuration within a second of finding a parent.
   no_configuration: 1_000,
+  // A node finds a parent with the newest configuration within 2 s.
+  unconfirmed: 1_000,
   // Endpoints send a check-in about once a second.
   no_upstream: 1_000,
   // Other nodes have already been informed that the endpoint is leaving.
--- a/src/core/distribution/freshness.ts
+++ b/src/core/distribution/freshness.ts
@@ -6,6 +6,12 @@
 /** A proxy is detached if its last confirmation is older than this. */
 export const confirmationLeaseMs = 10_000;
 
+/**
+ * A class that a node does not know is only known to be missing if the last confirmation is not
+ * older. A change has to be in force within 2 s; the rest is for the heartbeat's way.
+ */
+export const maxKnownAgeMs = 1_500;
+
 /** Age reported by a process that has never received a confirmation. */
 export const neverConfirmedMs = Number.MAX_SAFE_INTEGER;
 
--- a/src/plugins/calls/callServer.ts
+++ b/src/plugins/calls/callServer.ts
@@ -12,6 +12,7 @@
 import { callRank } from '../../core/calls/callRank.js';
 import { isStartTooLate, refuseLateStart } from '../../core/calls/lateStart.js';
 import { isNestedCallDelayed } from '../../core/calls/nestedCalls.js';
+import { maxKnownAgeMs } from '../../core/distribution/freshness.js';
 import { matchClass } from '../../core/calls/classMatching.js';
 import type { AttemptFailureReport, ResponseHead } from '../../types/calls.js';
 import type { CallerInterface, CallHeaders } from '../../types/callInterface.js';
@@ -291,7 +292,11 @@
     });
     const policy = trafficClass && activeConfiguration.policies.get(trafficClass.name);
     if (!policy) {
-      throw new Failure('unknown_class', className ?? `${method} ${path}`);
+      const isConfirmed = configurationView.queries.confirmedAgeMs() <= maxKnownAgeMs;
+      throw new Failure(
+        isConfirmed ? 'unknown_class' : 'unconfirmed',
+        className ?? `${method} ${path}`,
+      );
     }
     if (policy.atMostOnce && headers.key === undefined) {
       throw new Failure('key_required', policy.className);
--- a/src/utils/failure.ts
+++ b/src/utils/failure.ts
@@ -59,6 +59,12 @@
     run: 'not_run',
     text: 'the node holds no configuration yet',
   },
+  unconfirmed: {
+    code: 'E318',
+    status: 503,
+    run: 'not_run',
+    text: 'no class matches, and the configuration may be out of date',
+  },
   no_upstream: { code: 'E303', status: 503, run: 'not_run', text: 'no endpoint is available' },
   deadline_exceeded: {
     code: 'E304',
