Feed: redirect to no child that is behind

What callers saw: late changes and 404 on added routes, from nodes that had looked for a new parent.

Cause: a full parent redirects to its children with the smallest subtrees. A frozen, slow or starting node has few children of its own, so it was among the first, and each attempt there took 1 to 1.5 s. Class: a choice by place that ignores freshness.

Change: a child that has not reported the version that its parent held half a second ago is named only if all children are behind.

--- a/__tests__/feedCore.test.ts
+++ b/__tests__/feedCore.test.ts
@@ -44,7 +44,12 @@
 const four = createEndpoint('four', 'lookup');
 
 describe('admission of children', () => {
-  const parent = { path: ['control'], canFeed: true, countNodes: () => 0 };
+  const parent = {
+    path: ['control'],
+    canFeed: true,
+    countNodes: () => 0,
+    isBehind: () => false,
+  };
   const request = (name: string) => ({ name, address: `${name}:1`, role: 'node' as const });
 
   it('admits 16 children and redirects the others to them evenly', () => {
@@ -62,6 +67,23 @@
     assert.deepEqual(new Set(redirects.values()), new Set([10]));
   });
 
+  // Guards against redirects to a child that is frozen or slow, whose own children would be behind.
+  it('redirects to children that are not behind, as long as there are any', () => {
+    const admission = createChildAdmission(0);
+    for (let index = 0; index < maxChildren; index += 1) {
+      admission.commands.admitChild(request(`node-${index}`), parent, 0);
+    }
+    const redirectsWhile = (isBehind: (child: string) => boolean) => {
+      const decision = admission.commands.admitChild(request('new'), { ...parent, isBehind }, 0);
+      return decision.outcome === 'redirected' ? decision.addresses : [];
+    };
+    assert.deepEqual(
+      redirectsWhile((child) => child !== 'node-7'),
+      ['node-7:1'],
+    );
+    assert.equal(redirectsWhile(() => true).length, 3);
+  });
+
   it('bounds the rate of admissions when children come and go', () => {
     const admission = createChildAdmission(0);
     let admitted = 0;
--- a/__tests__/feedFailover.test.ts
+++ b/__tests__/feedFailover.test.ts
@@ -7,7 +7,10 @@
 /** A node counts again after this time without a fault of its own. */
 const settleMs = 3_000;
 const changePeriodMs = 400;
-const seeds = Array.from({ length: 20 }, (_, index) => index + 1);
+const seeds = Array.from(
+  { length: Number(process.env.FAILOVER_SEEDS ?? 20) },
+  (_, index) => index + 1,
+);
 
 type Fleet = ReturnType<typeof createSimulatedFleet>;
 
--- a/__tests__/support/feedSimulation.ts
+++ b/__tests__/support/feedSimulation.ts
@@ -19,6 +19,8 @@
 
 const latencyMs = 2;
 const heartbeatMs = 500;
+/** Time for which a node collects changes before it reports them. */
+const reportMs = 100;
 const stepMs = 10;
 /** Limits of the real feed client. */
 const welcomeTimeoutMs = 1_000;
@@ -32,6 +34,8 @@
 
 interface Subscription {
   readonly child: SimulatedProcess;
+  /** Version that the child has reported. */
+  reportedVersion: number;
   receiveHeartbeat(heartbeat: ParentHeartbeat): void;
   receiveVersion(index: number): void;
   end(reason: string): void;
@@ -48,6 +52,9 @@
   /** Last time at which the process started, or stopped being silent or late. */
   undisturbedSince: number;
   version: number;
+  /** Versions at the last two heartbeats: the one that children report by now, and the newest. */
+  settledVersion: number;
+  lastVersion: number;
   /** Number of the process's start, so that messages to an earlier one are dropped. */
   life: number;
   subscriptions: Map<string, Subscription>;
@@ -110,9 +117,22 @@
     }
   };
 
+  /** Reports the version of a node to its parent, which processes the report some time later. */
+  const report = (node: SimulatedProcess) => {
+    const parent = processes.get(node.loop?.link()?.address ?? '');
+    const subscription = parent?.subscriptions.get(node.name);
+    const index = node.version;
+    if (parent && subscription) {
+      actLater(parent, reportMs + latencyMs + node.lagMs + parent.lagMs, () => {
+        subscription.reportedVersion = Math.max(subscription.reportedVersion, index);
+      });
+    }
+  };
+
   const publish = (process: SimulatedProcess, index: number) => {
     if (index > process.version) {
       process.version = index;
+      report(process);
       process.subscriptions.forEach((subscription) => subscription.receiveVersion(index));
     }
   };
@@ -127,6 +147,8 @@
         path: parent.heartbeat().path,
         canFeed: parent.version > 0 || parent.heartbeat().rootDataCentre !== '',
         countNodes: (name) => countNodes(processes.get(`${name}:1`) ?? child),
+        isBehind: (name) =>
+          (parent.subscriptions.get(name)?.reportedVersion ?? 0) < parent.settledVersion,
       },
       timer.now(),
     );
@@ -150,6 +172,7 @@
       parent.subscriptions.get(child.name)?.end('replaced by a newer subscription');
       const created: Subscription = {
         child,
+        reportedVersion: child.version,
         receiveHeartbeat: (heartbeat) =>
           receive(parent, () => {
             if (child.loop?.offer(link, heartbeat)) {
@@ -258,6 +281,8 @@
       lagMs: 0,
       undisturbedSince: 0,
       version: 0,
+      settledVersion: 0,
+      lastVersion: 0,
       life: 0,
       subscriptions: new Map(),
       admission: createChildAdmission(0),
@@ -270,7 +295,11 @@
       }),
     };
     processes.set(process.address, process);
-    timer.every(heartbeatMs, () => sendHeartbeats(process));
+    timer.every(heartbeatMs, () => {
+      sendHeartbeats(process);
+      process.settledVersion = process.lastVersion;
+      process.lastVersion = process.version;
+    });
     return process;
   };
 
@@ -281,6 +310,8 @@
     node.state = 'running';
     node.lagMs = 0;
     node.version = 0;
+    node.settledVersion = 0;
+    node.lastVersion = 0;
     node.undisturbedSince = timer.now();
     node.subscriptions = new Map();
     node.admission = createChildAdmission(timer.now());
--- a/src/core/distribution/childAdmission.ts
+++ b/src/core/distribution/childAdmission.ts
@@ -28,6 +28,8 @@
   readonly canFeed: boolean;
   /** Number of nodes in the subtree of a child. */
   countNodes(child: string): number;
+  /** True if a child has not reported a version that it should have by now. */
+  isBehind(child: string): boolean;
 }
 
 export type AdmissionDecision =
@@ -83,8 +85,11 @@
     (now - child.redirectedAt < recentRedirectMs ? child.redirects : 0);
 
   const chooseTargets = (request: ChildRequest, parent: ParentState, now: number): string[] => {
-    const targets = nodeChildren()
-      .filter(({ name, address }) => name !== request.name && address !== '')
+    const others = nodeChildren().filter(
+      ({ name, address }) => name !== request.name && address !== '',
+    );
+    const current = others.filter(({ name }) => !parent.isBehind(name));
+    const targets = (current.length > 0 ? current : others)
       .map((child) => ({ child, weight: weightOf(child, parent, now) }))
       .sort((a, b) => a.weight - b.weight)
       .slice(0, maxRedirectTargets)
--- a/src/plugins/distribution/feedServer.ts
+++ b/src/plugins/distribution/feedServer.ts
@@ -31,7 +31,7 @@
   ConfigurationCursor,
   ConfigurationStore,
 } from '../../core/distribution/configurationStore.js';
-import { noVersion } from '../../core/agreement/version.js';
+import { isNewer, noVersion } from '../../core/agreement/version.js';
 import { Failure } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
@@ -165,6 +165,19 @@
   const admission: ChildAdmission = createChildAdmission(timer.now());
   const cancels: Cancel[] = [];
   let isStopped = false;
+  let lastHead = noVersion;
+  /** Newest version of at least one heartbeat period ago, which children report by now. */
+  let settledHead = noVersion;
+
+  const head = (): Version => store.queries.newest()?.version ?? noVersion;
+
+  const settleHead = () => {
+    settledHead = lastHead;
+    lastHead = head();
+  };
+
+  const isBehind = (child: string): boolean =>
+    isNewer(settledHead, floors.queries.floorOf(child) ?? noVersion);
 
   const wakeAll = () => subscriptions.forEach((subscription) => subscription.wake());
 
@@ -219,7 +232,7 @@
         subscriptionId: id,
         path: [...publication.path()],
         floor: floor && writeVersion(floor),
-        headVersion: writeVersion(store.queries.newest()?.version ?? noVersion),
+        headVersion: writeVersion(head()),
         peers: peersFor(subscriber),
         controls: publication.controls().map(controlRecord),
       },
@@ -231,7 +244,7 @@
       case: 'heartbeat',
       value: {
         confirmedAgeMs: BigInt(publication.confirmedAgeMs()),
-        headVersion: writeVersion(store.queries.newest()?.version ?? noVersion),
+        headVersion: writeVersion(head()),
         path: [...publication.path()],
         rootDataCentre: publication.rootDataCentre(),
         controls: controls.map(controlRecord),
@@ -322,6 +335,7 @@
         path: publication.path(),
         canFeed: publication.rootDataCentre() !== '' || store.queries.newest() !== undefined,
         countNodes: publication.countNodes,
+        isBehind,
       },
       timer.now(),
     );
@@ -436,6 +450,7 @@
   cancels.push(
     timer.every(heartbeatMs, sendHeartbeats),
     timer.every(heartbeatMs, closeUnresponsive),
+    timer.every(heartbeatMs, settleHead),
   );
 
   return {
