Feed: attach again within 1 s after parents that end one after the other

What callers saw: late changes and 404 on added routes while machines are replaced in waves.

Cause: each loss of a parent doubled the wait before the next attempt, up to 5 s, and only an attachment of 5 s reset it. While parents are stopped every few seconds the wait alone exceeds the 2 s in which a change has to be in force. Class: a limit that is longer than the bound it is part of.

Change: 1 s at most, and an attachment of two heartbeats resets it. Storms are bounded by the admission of parents, 16 children at once and 8 a second.

--- a/__tests__/parentLoop.test.ts
+++ b/__tests__/parentLoop.test.ts
@@ -185,6 +185,24 @@
   ),
 );
 
+// Guards against a backoff that goes on growing while parents end one after the other.
+it('attaches again within 2 s each time while its parents end after a short while', async () => {
+  let longestMs = 0;
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const simulation = createSimulation(seed, 'none');
+    simulation.setStates('fresh', 'fresh', 'fresh');
+    simulation.loop.start();
+    for (let parents = 0; parents < 10; parents += 1) {
+      longestMs = Math.max(longestMs, await simulation.waitUntil(simulation.attachedToControl));
+      await simulation.advance(1_500);
+      simulation.loop.link()?.end('the parent ended the stream');
+      await simulation.advance(25);
+    }
+    await simulation.loop.stop();
+  }
+  assert.ok(longestMs <= attachLimitMs, `${longestMs} ms`);
+});
+
 describe('a node whose parent is cut off from the source', () => {
   const seeds = Array.from({ length: 20 }, (_, index) => index + 1);
   const [own, second, third] = controls.map(({ address }) => address);
--- a/src/core/distribution/parentChoice.ts
+++ b/src/core/distribution/parentChoice.ts
@@ -5,7 +5,8 @@
  * together do not reconnect at the same moment.
  */
 export const minBackoffMs = 100;
-export const maxBackoffMs = 5_000;
+/** A node without a parent has to attach and receive a change within 2 s. */
+export const maxBackoffMs = 1_000;
 /**
  * An unresponsive parent is skipped for this time, while others are tried. Most freezes and network
  * partitions last longer, but after a power failure all control instances come back together.
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -23,8 +23,8 @@
 
 /** Wait before the next choice when no address is known. */
 const noParentWaitMs = 1_000;
-/** An attachment that lasted this long resets the reconnect delays. */
-const stableAttachmentMs = 5_000;
+/** An attachment that lasted this long, two heartbeats, resets the reconnect delays. */
+const stableAttachmentMs = 1_000;
 /** Mean time between searches for a control instance of the own data centre, before the factor. */
 const searchPeriodMs = 3_000;
 /** Mean time before the first search while the parent is cut off. It doubles with each search. */
