Feed: confirm a version by a heartbeat that came before it

Cause: a parent sends a due heartbeat before the configuration that it names. The node dropped that confirmation, since it did not hold the version yet, and waited for the next heartbeat.

Change: the confirmation of the last heartbeat is applied again when a version arrives and when it comes into force. It says that no newer version had been accepted then, which holds for a version that arrives later as well.

Test: feedParents; never confirmed before.

--- a/__tests__/feedParents.test.ts
+++ b/__tests__/feedParents.test.ts
@@ -150,6 +150,16 @@
     await waitUntil(() => parent.subscriptions.length > 1, 'another subscription');
   });
 
+  // Guards against a node that counts as unconfirmed after each change until the next heartbeat.
+  it('is confirmed by a heartbeat that arrived before the version that it names', async () => {
+    const { parent, node } = await attach('confirmed');
+    parent.sendHeartbeats({ head: { term: 1, index: 1 }, path: ['fake'] });
+    parent.stopHeartbeats();
+    parent.send(fullUpdate(empty, 1));
+    await waitUntil(() => activeIndex(node) === 1, 'the version');
+    assert.ok(node.feed.view.queries.confirmedAgeMs() < 2_000);
+  });
+
   it('is detached when confirmations of its own version are missing', async () => {
     const { parent, node } = await attach('detached');
     parent.send(fullUpdate(empty, 1));
--- a/src/plugins/distribution/nodeFeed.ts
+++ b/src/plugins/distribution/nodeFeed.ts
@@ -117,7 +117,9 @@
   const listeners = new Set<(active: ActiveConfiguration) => void>();
   const cancels: Cancel[] = [];
   let refusals = 0;
+  /** Head version of the last heartbeat, with the age of its confirmation in ms. */
   let headVersion = noVersion;
+  let confirmation: { readonly ageMs: number; readonly heardAt: number } | undefined;
   /** Highest number heard of: in a partition, each side knows only a part of the nodes. */
   let fleetNodes = 0;
   let firstHeartbeatAt = Infinity;
@@ -141,11 +143,29 @@
     }
   };
 
+  /**
+   * Applies the confirmation of the last heartbeat to the versions held, unless they are older than
+   * the confirmed one. That version often arrives after the heartbeat that names it.
+   */
+  const confirmHeldVersions = () => {
+    if (!confirmation) {
+      return;
+    }
+    const { ageMs, heardAt } = confirmation;
+    if (!isNewer(headVersion, newest())) {
+      freshness.commands.confirm(ageMs, heardAt);
+    }
+    if (!isNewer(headVersion, inForce())) {
+      inForceFreshness.commands.confirm(ageMs, heardAt);
+    }
+  };
+
   const activate = () => {
     const before = inForce();
     const active = serving.commands.activate(timer.now());
     notify(active);
     if (active && isNewer(active.version, before)) {
+      confirmHeldVersions();
       const stagedMs = timer.now() - (receivedAt ?? timer.now());
       receivedAt = undefined;
       log.info('version in force', {
@@ -203,6 +223,7 @@
     stored: () => {
       refusals = 0;
       receivedAt ??= timer.now();
+      confirmHeldVersions();
       server.publish();
       stageNewest();
     },
@@ -272,17 +293,11 @@
 
   const onHeartbeat = (message: Heartbeat, heartbeat: ParentHeartbeat) => {
     const now = timer.now();
-    const { confirmedAgeMs } = heartbeat;
     headVersion = heartbeat.headVersion;
+    confirmation = { ageMs: heartbeat.confirmedAgeMs, heardAt: now };
     fleetNodes = Math.max(fleetNodes, message.fleetNodes);
     firstHeartbeatAt = Math.min(firstHeartbeatAt, now);
-    // A confirmation applies to a version only if that is not older than the confirmed one.
-    if (!isNewer(headVersion, newest())) {
-      freshness.commands.confirm(confirmedAgeMs, now);
-    }
-    if (!isNewer(headVersion, inForce())) {
-      inForceFreshness.commands.confirm(confirmedAgeMs, now);
-    }
+    confirmHeldVersions();
     choice.commands.learnControls(readControls(message.controls));
     parents.receiveHeartbeat(heartbeat);
   };
