Feed: split the search from the parent loop; subscribe once to a slow parent

With one known address, a node whose parent took more than 0.4 s to answer subscribed there a second time. The parent ends the first subscription of a name when it admits the second, so that the answer came on a link that was about to end. An address that is being tried is now waited for.

The search for a better parent is a module of its own; its rules are the same.

--- a/__tests__/parentLoop.test.ts
+++ b/__tests__/parentLoop.test.ts
@@ -25,15 +25,19 @@
 const applyLimitMs = 2_000;
 const staleAgeMs = 60_000;
 
-/** A control instance answers nothing, is connected to the source, or is cut off from it. */
-type ControlState = 'off' | 'fresh' | 'stale';
+/**
+ * A control instance answers nothing, is connected to the source (`slow`: and answers late), or is
+ * cut off from it.
+ */
+type ControlState = 'off' | 'fresh' | 'slow' | 'stale';
+const slowAnswerMs = 700;
 
 const heartbeatOf = (address: string, state: ControlState): ParentHeartbeat => ({
   headVersion: version,
-  confirmedAgeMs: state === 'fresh' ? 0 : staleAgeMs,
+  confirmedAgeMs: state === 'stale' ? staleAgeMs : 0,
   path: [address],
   rootDataCentre:
-    state === 'fresh'
+    state === 'fresh' || state === 'slow'
       ? (controls.find((control) => control.address === address)?.dataCentre ?? '')
       : '',
 });
@@ -53,7 +57,7 @@
   });
 
 /** Simulates a node. All control instances are off until their state is set. */
-const createSimulation = (seed: number, peerKind: PeerKind) => {
+const createSimulation = (seed: number, peerKind: PeerKind, known = controls) => {
   const timer = createManualTimer();
   const random = createRandom(seed);
   const states = new Map<string, ControlState>();
@@ -65,7 +69,7 @@
   const choice = createParentChoice({
     dataCentre: 'dc-0',
     ownAddress: '10.0.1.9:1',
-    controls,
+    controls: known,
     peers: peerKind === 'none' ? [] : peers,
     random,
   });
@@ -76,6 +80,7 @@
       new Promise<LinkOutcome>((resolve) => {
         attempts.push(address);
         if (stateOf(address) === 'off') {
+          finish = resolve;
           timer.after(welcomeTimeoutMs, () => resolve(lost('silent', true)));
           return;
         }
@@ -91,9 +96,14 @@
             loop.receiveHeartbeat(heartbeat);
           }
         };
-        timer.after(1, sendHeartbeat);
-        const cancelHeartbeats = timer.every(500, sendHeartbeat);
+        const answerMs = stateOf(address) === 'slow' ? slowAnswerMs : 1;
+        let cancelHeartbeats: () => void = () => undefined;
+        const cancelAnswer = timer.after(answerMs, () => {
+          cancelHeartbeats = timer.every(500, sendHeartbeat);
+          sendHeartbeat();
+        });
         finish = (outcome) => {
+          cancelAnswer();
           cancelHeartbeats();
           resolve(outcome);
         };
@@ -185,6 +195,19 @@
   ),
 );
 
+// Guards against a second subscription to a slow parent, which ends the first one there.
+it('subscribes once to a parent that answers late if it knows no other', async () => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const simulation = createSimulation(seed, 'none', controls.slice(0, 1));
+    simulation.setStates('slow');
+    simulation.loop.start();
+    const waitedMs = await simulation.waitUntil(simulation.attachedToControl);
+    assert.deepEqual(simulation.attempts, [controls[0]!.address]);
+    assert.ok(waitedMs < attachLimitMs, `seed ${seed}: ${waitedMs} ms`);
+    await simulation.loop.stop();
+  }
+});
+
 // Guards against a backoff that goes on growing while parents end one after the other.
 it('attaches again within 2 s each time while its parents end after a short while', async () => {
   let longestMs = 0;
--- a/src/core/distribution/parentHealth.ts
+++ b/src/core/distribution/parentHealth.ts
@@ -32,6 +32,10 @@
   readonly rootDataCentre: string;
 }
 
+/** Whether the sender is attached to a control instance and was confirmed lately. */
+export const isFresh = ({ confirmedAgeMs, rootDataCentre }: ParentHeartbeat): boolean =>
+  confirmedAgeMs <= staleParentMs && rootDataCentre !== '';
+
 /** Result of a heartbeat's evaluation: keep the parent, or why to leave it. */
 export type ParentVerdict = 'keep' | 'cycle' | 'lags';
 
--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -1,41 +1,29 @@
 /**
  * Keeps a node attached to one parent of the fan-out tree. It chooses a parent, follows redirects
- * and leaves a parent that lags, is part of a cycle or is unresponsive. While the current parent is
- * quiet or cut off from the source, or its root is in another data centre, it searches for a better
- * one. A link is a candidate until its first heartbeat shows that it works. The current parent is
+ * and leaves a parent that lags, is part of a cycle or is unresponsive, or for which a search found
+ * a better one. A link is a candidate until its first heartbeat shows that it works. The current parent is
  * kept until then, so that a node is not without a parent while it tries slow ones.
  */
 import type { Version } from '../../types/public.js';
 import type { ParentChoice } from '../../core/distribution/parentChoice.js';
 import {
   createParentHealth,
-  staleParentMs,
+  isFresh,
   type ParentHeartbeat,
   type ParentHealth,
   type SearchReason,
 } from '../../core/distribution/parentHealth.js';
-import { compareVersions, isNewer } from '../../core/agreement/version.js';
+import { isNewer } from '../../core/agreement/version.js';
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { FeedLink, LinkOutcome, ProbeResult } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
-import { readHeartbeat } from './feedMessages.js';
+import { createParentSearch } from './parentSearch.js';
 
 /** Wait before the next choice when no address is known. */
 const noParentWaitMs = 1_000;
 /** An attachment that lasted this long, two heartbeats, resets the reconnect delays. */
 const stableAttachmentMs = 1_000;
-/** Mean time between searches for a control instance of the own data centre, before the factor. */
-const searchPeriodMs = 3_000;
-/** Mean time before the first search while the parent is cut off. It doubles with each search. */
-const detachedSearchMs = 200;
-/** With the probe timeout of 1 s, a recovered source can go unnoticed for 2 s. */
-const maxDetachedSearchMs = 500;
-/** Maximum factor by which a node searches less often than one at path length 1. */
-const maxSearchFactor = 4;
-/** Factor for `searchPeriodMs` while the root of the path is in another data centre. */
-const foreignSearchFactor = 4;
-const maxProbes = 3;
 const searchCheckMs = 250;
 /** Candidates at the same time. Each one is a new connection, which costs more than a message. */
 const maxCandidates = 2;
@@ -46,6 +34,7 @@
 const hedgeMs = 400;
 /** Redirects that a move to a better parent follows. */
 const maxMoveAttempts = 4;
+
 export interface ParentLoopOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -101,12 +90,6 @@
   const candidates = new Set<Attachment>();
   let current: Attachment | undefined;
   let running: Promise<void> = Promise.resolve();
-  let isSearching = false;
-  let nextSearchAt = 0;
-  /** Reason for which the next search was planned. */
-  let searchedFor: SearchReason | undefined;
-  /** Number of searches since the parent was last healthy. */
-  let searches = 0;
   /** Since when the node has had no parent; undefined while it has one. */
   let parentlessSince: number | undefined = timer.now();
   /** Number of parents tried since then. */
@@ -134,15 +117,16 @@
     }
   };
 
-  const isFresh = ({ confirmedAgeMs, rootDataCentre: root }: ParentHeartbeat): boolean =>
-    confirmedAgeMs <= staleParentMs && root !== '';
+  const isUntried = (address: string): boolean =>
+    address !== current?.address && ![...candidates].some((each) => each.address === address);
 
-  const isOtherParent = (address: string): boolean => address !== current?.address;
+  const searchReason = (): SearchReason | undefined =>
+    current && health.queries.searchReason(timer.now());
 
   const isBetter = (address: string, heartbeat: ParentHeartbeat): boolean => {
-    const reason = health.queries.searchReason(timer.now());
+    const reason = searchReason();
     const { headVersion } = heartbeat;
-    if (reason === undefined || heartbeat.path.includes(name) || !isOtherParent(address)) {
+    if (!reason || heartbeat.path.includes(name) || address === current?.address) {
       return false;
     }
     if (isNewer(options.newest(), headVersion)) {
@@ -168,7 +152,7 @@
     candidates.delete(next);
     parentlessSince = undefined;
     attempts = 0;
-    nextSearchAt = 0;
+    search.reset();
     health.commands.attached();
     next.settle();
     candidates.forEach(({ link }) => link.end('another parent answered first'));
@@ -194,21 +178,6 @@
     return true;
   };
 
-  const searchTargets = (): string[] => {
-    const { localControls, remoteControls, peers } = choice.queries;
-    if (health.queries.searchReason(timer.now()) === 'foreign') {
-      return localControls();
-    }
-    const pick = (addresses: string[], count: number) =>
-      addresses
-        .filter(isOtherParent)
-        .map((address) => ({ address, order: random() }))
-        .sort((a, b) => a.order - b.order)
-        .slice(0, count)
-        .map(({ address }) => address);
-    return [...pick(localControls(), 1), ...pick(remoteControls(), 1), ...pick(peers(), 1)];
-  };
-
   /**
    * Tries a better parent, and those to which it redirects, beside the current one. If the current
    * one is failing, a target that is slow to answer is kept while the next one is tried.
@@ -216,8 +185,8 @@
   const moveTo = async (target: string) => {
     const targets = [target];
     for (let tries = 0; tries < maxMoveAttempts; tries += 1) {
-      const reason = health.queries.searchReason(timer.now());
-      const address = targets.find(isOtherParent);
+      const reason = searchReason();
+      const address = targets.find(isUntried);
       if (!address || !reason || candidates.size >= maxCandidates || stopping.signal.aborted) {
         return;
       }
@@ -236,80 +205,6 @@
     }
   };
 
-  const search = async () => {
-    let isFound = false;
-    const results = await Promise.all(
-      searchTargets()
-        .slice(0, maxProbes)
-        .map(async (address) => {
-          const result = await options.probe(address);
-          const heartbeat = result && readHeartbeat(result.heartbeat);
-          // The other targets may be unresponsive, and are not waited for.
-          if (!isFound && heartbeat && isFresh(heartbeat) && isBetter(address, heartbeat)) {
-            isFound = true;
-            await moveTo(address);
-          }
-          return heartbeat && { address, heartbeat };
-        }),
-    );
-    if (isFound) {
-      return;
-    }
-    const better = results
-      .filter((result) => result !== undefined)
-      .filter(({ address, heartbeat }) => isBetter(address, heartbeat))
-      .sort(
-        ({ heartbeat: a }, { heartbeat: b }) =>
-          compareVersions(b.headVersion, a.headVersion) || a.confirmedAgeMs - b.confirmedAgeMs,
-      )[0];
-    if (better) {
-      await moveTo(better.address);
-    }
-  };
-
-  // A node further down searches less often, since a new parent of a node above it helps both.
-  const searchDelayMs = (): number => {
-    if (health.queries.searchReason(timer.now()) === 'foreign') {
-      return searchPeriodMs * foreignSearchFactor * (0.5 + random());
-    }
-    if (health.queries.searchReason(timer.now()) === 'quiet') {
-      // No node above can find a better parent for this one.
-      return 0;
-    }
-    const factor = Math.min(maxSearchFactor, Math.max(1, path().length - 1));
-    const periodMs = Math.min(maxDetachedSearchMs, detachedSearchMs * 2 ** Math.min(searches, 10));
-    return periodMs * factor * (0.5 + random());
-  };
-
-  const searchIfDue = () => {
-    const now = timer.now();
-    const reason = health.queries.searchReason(now);
-    if (reason !== searchedFor) {
-      // A search for a parent in the own data centre is planned too late for one that is cut off.
-      searchedFor = reason;
-      searches = 0;
-      nextSearchAt = 0;
-    }
-    if (!reason) {
-      return;
-    }
-    if (isSearching || !current) {
-      return;
-    }
-    if (nextSearchAt === 0 || now < nextSearchAt) {
-      nextSearchAt ||= now + searchDelayMs();
-      return;
-    }
-    isSearching = true;
-    searches += 1;
-    nextSearchAt = now + searchDelayMs();
-    search()
-      .catch((error: unknown) => log.warn('search for a parent failed', { error: String(error) }))
-      .finally(() => {
-        isSearching = false;
-      });
-  };
-
   const handleOutcome = (outcome: LinkOutcome, address: string) => {
     if (outcome.outcome === 'redirected') {
       choice.commands.redirected(outcome.addresses, outcome.retryAfterMs, timer.now(), address);
@@ -372,12 +267,19 @@
     return attachment;
   };
 
+  const settleOfAny = () => Promise.race([...candidates].map(({ settled }) => settled));
+
   const connectNext = async () => {
     const attempt = choice.commands.chooseParent(timer.now());
     await timer.sleep(attempt?.delayMs ?? noParentWaitMs, stopping.signal);
     if (!attempt || current || stopping.signal.aborted) {
       return;
     }
+    if (!isUntried(attempt.address)) {
+      // A second subscription would end the first one just when it is answered.
+      await settleOfAny();
+      return;
+    }
     const candidate = connect(attempt.address);
     await Promise.race([candidate.settled, timer.sleep(hedgeMs, stopping.signal)]);
     if (candidates.has(candidate)) {
@@ -392,14 +294,27 @@
       } else if (candidates.size < maxCandidates) {
         await connectNext();
       } else {
-        await Promise.race([...candidates].map(({ settled }) => settled));
+        await settleOfAny();
       }
     }
   };
 
+  const search = createParentSearch({
+    choice,
+    timer,
+    log,
+    random,
+    reason: searchReason,
+    pathLength: () => path().length,
+    isUntried,
+    isBetter,
+    probe: options.probe,
+    moveTo,
+  });
+
   return {
     start: () => {
-      cancels.push(timer.every(searchCheckMs, searchIfDue));
+      cancels.push(timer.every(searchCheckMs, search.check));
       running = loop();
     },
     stop: async () => {
