Tests: wait until the missed changes are published before the restart

Cause: a control instance publishes a configuration each 200 ms at most. The restarted node attached 150 ms after its start to a control instance that had published 2.497, and got 2.503, the last change, 50 ms later as a second update (trace of a failed run: parent attached 42.710, 2.497 in force 42.717, 2.503 in force at 42.760 on all nodes).

Change: the test starts the node once the running nodes have the last change. It still allows exactly one update for the 500 changes.

--- a/__tests__/distribution.process.test.ts
+++ b/__tests__/distribution.process.test.ts
@@ -162,6 +162,7 @@
       const changes = await applyTargets(deployment);
       const [restarted, suspended] = deployment.nodes.slice(-2);
       assert.ok(restarted && suspended, 'no nodes');
+      const running = deployment.nodes.slice(0, -2);
       const counter = 'auburnsill_feed_messages_total{direction="received",kind="configuration"}';
       const countBefore = await readMetric(suspended, counter);
       await restarted.process.end('SIGKILL');
@@ -170,6 +171,9 @@
       for (let change = 0; change < 500; change += 1) {
         version = await changes.apply(formatTargets(['lookup'], 1 + (change % 100)));
       }
+      // A control instance publishes every 200 ms: a node that starts faster than that would miss
+      // one change less, and receive it by itself.
+      await waitForVersion(running, version);
       restarted.process.start();
       suspended.process.resume();
       await waitForVersion(deployment.nodes, version);
