--- a/__tests__/feedFailover.test.ts
+++ b/__tests__/feedFailover.test.ts
@@ -69,6 +69,16 @@
     fleet.nodes
       .filter(() => fleet.random() < 0.5)
       .forEach((node) => restart(fleet, node, 800 + 400 * fleet.random())),
+  'nodes that freeze one group after the other': (fleet) => {
+    const freezeGroup = () => {
+      fleet.nodes
+        .filter(({ state }) => state === 'running' && fleet.random() < 0.15)
+        .forEach((node) => fleet.silence(node, 3_500));
+    };
+    for (let atMs = 0; atMs < 9_000; atMs += 300 + 1_500 * fleet.random()) {
+      fleet.timer.after(atMs, freezeGroup);
+    }
+  },
   'waves of stops while others are silent or late': (fleet) => {
     fleet.nodes
       .filter(() => fleet.random() < 0.15)
