Feed: ask all targets of a redirect at the same time

Cause: a full parent redirects to up to three children. A frozen one looks like any other until it misses a report, its kernel accepts connections, and the node tried the targets one after the other, 0.4 s each. With the detection of the silent parent (0.75 to 1 s) and a second redirect, the sum exceeds 2 s. Class: limits in a row on a single path.

Change: a node that has a configuration probes all targets of a redirect at once and subscribes to the first that is fresh; those that do not answer within 0.4 s are skipped for 1 s. A node that starts spares the probes. The line 'parent attached' names the attempts that failed and their times.

Why it works: a frozen target costs nothing as long as one of three answers.

--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -13,12 +13,13 @@
   type ParentHealth,
   type SearchReason,
 } from '../../core/distribution/parentHealth.js';
-import { isNewer } from '../../core/agreement/version.js';
+import { isNewer, noVersion } from '../../core/agreement/version.js';
 import type { Log } from '../../utils/log.js';
 import type { Cancel, Timer } from '../../utils/timer.js';
 import type { FeedLink, LinkOutcome, ProbeResult } from './feedClient.js';
 import type { FeedMetrics } from './feedMetrics.js';
 import { createParentSearch } from './parentSearch.js';
+import { createRedirectTargets } from './redirectTargets.js';
 
 /** Wait before the next choice when no address is known. */
 const noParentWaitMs = 1_000;
@@ -34,6 +35,8 @@
 const hedgeMs = 400;
 /** Redirects that a move to a better parent follows. */
 const maxMoveAttempts = 4;
+/** Number of failed attempts that are named when the node is attached again. */
+const maxLoggedAttempts = 8;
 
 export interface ParentLoopOptions {
   readonly name: string;
@@ -71,6 +74,9 @@
   lastHeartbeat(): { readonly heartbeat: ParentHeartbeat | undefined; readonly heardAgoMs: number };
 }
 
+type Redirection = Extract<LinkOutcome, { outcome: 'redirected' }>;
+type Loss = Extract<LinkOutcome, { outcome: 'lost' }>;
+
 interface Attachment {
   readonly link: FeedLink;
   readonly address: string;
@@ -92,8 +98,9 @@
   let running: Promise<void> = Promise.resolve();
   /** Since when the node has had no parent; undefined while it has one. */
   let parentlessSince: number | undefined = timer.now();
-  /** Number of parents tried since then. */
+  /** Number of parents tried since the last attachment, and how the last of them failed. */
   let attempts = 0;
+  let failures: string[] = [];
 
   const path = (): readonly string[] => [...(health.queries.lastHeartbeat()?.path ?? []), name];
   const rootDataCentre = (): string => health.queries.lastHeartbeat()?.rootDataCentre ?? '';
@@ -146,12 +153,14 @@
       confirmed_age_ms: heartbeat.confirmedAgeMs,
       without_parent_ms: Math.round(withoutParentMs),
       attempts,
+      ...(failures.length > 0 && { failures: failures.join(', ') }),
     });
     metrics?.parentFound(withoutParentMs);
     current = next;
     candidates.delete(next);
     parentlessSince = undefined;
     attempts = 0;
+    failures = [];
     search.reset();
     health.commands.attached();
     next.settle();
@@ -200,16 +209,32 @@
         }
       } else if (candidate !== current) {
         const outcome = await candidate.ended;
-        targets.unshift(...(outcome.outcome === 'redirected' ? outcome.addresses : []));
+        targets.unshift(
+          ...(outcome.outcome === 'redirected' ? await chooseTargets(outcome.addresses) : []),
+        );
       }
     }
   };
 
-  const handleOutcome = (outcome: LinkOutcome, address: string) => {
-    if (outcome.outcome === 'redirected') {
-      choice.commands.redirected(outcome.addresses, outcome.retryAfterMs, timer.now(), address);
-      return;
+  /** A node that has just started has no version that could be late, and spares the questions. */
+  const chooseTargets = async (addresses: readonly string[]): Promise<readonly string[]> => {
+    const targets = isNewer(options.newest(), noVersion)
+      ? await redirectTargets.choose(addresses.filter(isUntried))
+      : addresses;
+    if (targets.length === 0) {
+      addresses.forEach((address) => choice.commands.silent(address, timer.now()));
+    }
+    return targets;
+  };
+
+  const handleRedirect = async ({ addresses, retryAfterMs }: Redirection, from: string) => {
+    const targets = await chooseTargets(addresses);
+    if (targets.length > 0 || addresses.length === 0) {
+      choice.commands.redirected(targets, retryAfterMs, timer.now(), from);
     }
+  };
+
+  const handleLoss = (outcome: Loss, address: string) => {
     if (outcome.isRefused) {
       choice.commands.refused();
     }
@@ -218,18 +243,28 @@
     }
   };
 
-  const handleEnd = (attachment: Attachment, outcome: LinkOutcome) => {
-    const { address, startedAt } = attachment;
-    const isCandidate = candidates.delete(attachment);
-    attachment.settle();
-    // The redirects of a candidate that should replace the parent are followed by the move.
-    if (!isCandidate || !current) {
-      handleOutcome(outcome, address);
-    }
-    if (isCandidate) {
-      return;
+  const recordFailure = ({ address, startedAt }: Attachment, outcome: LinkOutcome) => {
+    const reason = outcome.outcome === 'lost' ? outcome.reason : outcome.outcome;
+    failures.push(`${address} ${reason} ${Math.round(timer.now() - startedAt)} ms`);
+    failures.splice(0, Math.max(0, failures.length - maxLoggedAttempts));
+  };
+
+  const handleCandidateEnd = async (attachment: Attachment, outcome: LinkOutcome) => {
+    const { address } = attachment;
+    recordFailure(attachment, outcome);
+    if (outcome.outcome === 'lost') {
+      handleLoss(outcome, address);
+    } else if (!current) {
+      // The redirects of a candidate that should replace the parent are followed by the move.
+      await handleRedirect(outcome, address);
     }
+    attachment.settle();
+  };
+
+  const handleParentEnd = (attachment: Attachment, outcome: LinkOutcome) => {
+    const { address, startedAt } = attachment;
     if (outcome.outcome === 'lost') {
+      handleLoss(outcome, address);
       log.info('parent lost', { address, reason: outcome.reason });
       metrics?.parentLost(outcome.reason);
     }
@@ -251,8 +286,12 @@
     const settled = new Promise<void>((resolve) => {
       settle = resolve;
     });
-    const ended = link.run().then((outcome) => {
-      handleEnd(attachment, outcome);
+    const ended = link.run().then(async (outcome) => {
+      if (candidates.delete(attachment)) {
+        await handleCandidateEnd(attachment, outcome);
+      } else {
+        handleParentEnd(attachment, outcome);
+      }
       return outcome;
     });
     const attachment: Attachment = {
@@ -299,6 +338,12 @@
     }
   };
 
+  const redirectTargets = createRedirectTargets({
+    timer,
+    probe: options.probe,
+    stopping: stopping.signal,
+  });
+
   const search = createParentSearch({
     choice,
     timer,
