--- a/src/plugins/distribution/parentLoop.ts
+++ b/src/plugins/distribution/parentLoop.ts
@@ -101,6 +101,7 @@
   /** Number of parents tried since the last attachment, and how the last of them failed. */
   let attempts = 0;
   let failures: string[] = [];
+  let attachedAt = -Infinity;
 
   const path = (): readonly string[] => [...(health.queries.lastHeartbeat()?.path ?? []), name];
   const rootDataCentre = (): string => health.queries.lastHeartbeat()?.rootDataCentre ?? '';
@@ -161,6 +162,7 @@
     parentlessSince = undefined;
     attempts = 0;
     failures = [];
+    attachedAt = timer.now();
     search.reset();
     health.commands.attached();
     next.settle();
@@ -244,6 +246,9 @@
   };
 
   const recordFailure = ({ address, startedAt }: Attachment, outcome: LinkOutcome) => {
+    if (startedAt < attachedAt) {
+      return;
+    }
     const reason = outcome.outcome === 'lost' ? outcome.reason : outcome.outcome;
     failures.push(`${address} ${reason} ${Math.round(timer.now() - startedAt)} ms`);
     failures.splice(0, Math.max(0, failures.length - maxLoggedAttempts));
