Review: case 6, a control machine removed without SIGTERM and a lost disk end control

The entry of KNOWN-RED.txt that was found by reading: with four voters, of which one is gone for good, the loss of one disk leaves no majority; the acknowledged configuration can't be read any more (CONFIG).

--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -325,6 +325,35 @@
     machine.process?.kill(name);
   };
 
+  /** Adds a machine with a disk that is empty; its seeds are the other ones that run. */
+  const addControl = (zone: string): Machine => {
+    const running = controls.filter(({ isDown }) => !isDown).map(({ control }) => control);
+    seeds.splice(0, seeds.length, ...running.slice(0, 3));
+    const machine = addMachine('control', zone, '');
+    controls.push(machine);
+    writeSettings(machine, false);
+    launch(machine);
+    recorder.line(`${machine.name} is added, with an empty disk, at ${machine.ip}`);
+    return machine;
+  };
+
+  /** A machine loses its power; it comes back after `forMs`, or never. */
+  const powerOff = async (machine: Machine, forMs = Infinity, losesDisk = false) => {
+    Object.assign(machine, { isDown: true });
+    signal(machine, 'SIGKILL');
+    if (forMs === Infinity) {
+      return;
+    }
+    await sleep(forMs);
+    if (losesDisk) {
+      rmSync(join(folder, `${machine.name}.data`), { recursive: true, force: true });
+    }
+    Object.assign(machine, { isDown: false });
+    writeSettings(machine, false);
+    launch(machine);
+    recorder.line(`${machine.name} is back, ${losesDisk ? 'with an empty disk' : 'with its disk'}`);
+  };
+
   /** The operator sends a configuration, also again, until it has a clear answer. */
   const put = async (body: string | Buffer, limitMs = 15_000): Promise<Answer> => {
     const until = now() + limitMs;
@@ -383,6 +412,8 @@
     put,
     get: (address: string) => send(address, { path: '/Config.Get', limitMs: 2_000 }),
     signal,
+    addControl,
+    powerOff,
     isReady,
     waitUntilReady,
     writeSettings,
