Review: case 6, the first acknowledged configuration is lost with one disk

A change is accepted with two voters of three. If the machine that acknowledged the first one loses its disk before the third is a voter, no majority is left, and the configuration can't be read any more (CONFIG). The other cases are renumbered: 6 is now 7, 7 is 8, 8 is 9, 9 is 10.

--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -1,26 +1,38 @@
 /**
- * The whole system starts for the first time. The process of the first seed is killed a moment later
- * and starts again, as every process that ends. With TROUBLE=0 it is not killed.
+ * A control machine is replaced: the new one is added first, and the old one is removed without
+ * SIGTERM later. Right after a change has been acknowledged, another one loses its disk. With
+ * TROUBLE=0 that one keeps its disk.
  */
 import {
   createDocument,
   createRecorder,
-  host,
-  nextRequestId,
   now,
   runCase,
-  send,
   sleep,
   startDeployment,
+  type Deployment,
 } from '../support-2/deployment.js';
 import { startEndpoint } from '../support-2/endpoint.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const service = 'orders';
-/** Time after the start at which the process is killed, in ms. */
-const killAtMs = 150;
-/** Time for which the operator sends the first configuration, in ms. */
-const operatorMs = 30_000;
+/** Time that the new machine has before the old one is removed: more than `catch_up_s`, in ms. */
+const catchUpMs = 10_000;
+/** Time between the removal and the loss of the disk, in ms. */
+const untilLossMs = 1_000;
+const downMs = 3_000;
+const recoveryMs = 15_000;
+
+const readVersion = async (deployment: Deployment, address: string) => {
+  const first = await deployment.get(address);
+  const read =
+    first.status === 307
+      ? await deployment.get(new URL(String(first.headers.location)).host)
+      : first;
+  return read.status === 200
+    ? `version ${(JSON.parse(read.body) as { version: number }).version}`
+    : `${read.status || read.error}`;
+};
 
 runCase(async () => {
   const recorder = createRecorder(process.argv[2]!);
@@ -29,39 +41,42 @@
     zones: ['a', 'b', 'c'].map((name) => ({ name, services: [service] })),
   });
   try {
-    const [first] = deployment.controls;
-    const startedAt = now();
-    recorder.line('all processes start, with bootstrap=true');
-    await sleep(killAtMs);
-    if (hasTrouble) {
-      deployment.signal(first!, 'SIGKILL');
-    }
     await sleep(1_500);
-    await Promise.all(
-      deployment.nodes.map((machine, index) =>
-        startEndpoint({ machine, id: `i-${index + 1}`, recorder }),
-      ),
-    );
-    const routes = [{ name: 'r-look', prefix: '/look/', kind: 'safe' as const, service }];
-    const text = JSON.stringify(createDocument(1, 0, routes, [service]));
-    const put = await deployment.put(text, operatorMs);
-    recorder.line(
-      `the first configuration was sent for ${now() - startedAt} ms; last answer ${put.status} ${put.body}`,
-    );
-    await sleep(3_000);
-    const statuses: number[] = [];
-    for (const machine of [...deployment.nodes, ...deployment.nodes, ...deployment.nodes]) {
-      const answer = await send(machine.outbound, {
-        path: '/look/1',
-        headers: { host, 'request-id': nextRequestId(), 'deadline-ms': '1000' },
-        limitMs: 2_000,
-      });
-      statuses.push(answer.status);
+    await startEndpoint({ machine: deployment.nodes[0]!, id: 'i-1', recorder });
+    let version = 0;
+    const change = async () => {
+      const routes = [
+        { name: 'r-look', prefix: `/look${version + 1}/`, kind: 'safe' as const, service },
+      ];
+      const document = createDocument(version + 1, version, routes, [service]);
+      const { status } = await deployment.put(JSON.stringify(document));
+      recorder.line(`configuration ${version + 1}: ${status}`);
+      version += status === 200 ? 1 : 0;
+      return status === 200;
+    };
+    await change();
+    await sleep(4_000);
+    const [first, second, third] = deployment.controls;
+    const added = deployment.addControl('a');
+    await sleep(catchUpMs);
+    await change();
+    recorder.line(`${first!.name} is removed for good`);
+    await deployment.powerOff(first!);
+    await sleep(untilLossMs);
+    const isAcknowledged = await change();
+    if (!isAcknowledged) {
+      throw new Error('the change was not acknowledged');
+    }
+    await deployment.powerOff(second!, downMs, hasTrouble);
+    const backAt = now();
+    const running = [second!, third!, added];
+    let reads: string[] = [];
+    while (now() < backAt + recoveryMs + 5_000) {
+      await sleep(2_500);
+      reads = await Promise.all(running.map(({ control }) => readVersion(deployment, control)));
+      recorder.line(`reads ${now() - backAt} ms after it is back: ${reads.join(', ')}`);
     }
-    recorder.line(`requests of consumers were answered ${statuses.join(', ')}`);
-    const read = await deployment.get(deployment.controls[1]!.control);
-    recorder.line(`read of the configuration: ${read.status} ${read.body.slice(0, 80)}`);
-    return put.status !== 200 && !statuses.includes(200);
+    return !reads.includes(`version ${version}`);
   } finally {
     await deployment.stop();
   }
--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -1,7 +1,7 @@
 /**
- * The time of day jumps back on the machine of an endpoint, which crashes and starts again under its
- * id meanwhile. Its new start lies before the earlier one. Later it leaves as planned. With TROUBLE=0
- * the time of day does not jump.
+ * An endpoint deregisters, and the node that acknowledged it is killed and starts again. Two
+ * check-ins that the endpoint had sent before it deregistered arrive seconds late, after that.
+ * With TROUBLE=0 the node is not killed.
  */
 import {
   bounds,
@@ -17,11 +17,10 @@
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const service = 'orders';
-const jumpMs = hasTrouble ? 3_900 : 0;
-/** Time for which the time of day is set back, and for which the endpoint is up or down, in ms. */
-const jumpForMs = 6_000;
-const flapMs = 1_400;
-const servesAfterAckMs = 6_000;
+/** The endpoint serves this long after the acknowledgement, then it exits. */
+const servesAfterAckMs = 7_500;
+/** Time after their sending at which the two late check-ins arrive, in ms. */
+const lateMs = [4_500, 4_000] as const;
 
 runCase(async () => {
   const recorder = createRecorder(process.argv[2]!);
@@ -34,16 +33,18 @@
     ],
   });
   try {
-    await sleep(1_500);
     const endpoints = await Promise.all(
-      deployment.nodes.map((machine, index) =>
-        startEndpoint({ machine, id: `i-${index + 1}`, recorder }),
-      ),
+      deployment.nodes.map(async (machine, index) => {
+        // The endpoint runs from the start, and its node listens a moment later.
+        await sleep(1_500);
+        return startEndpoint({ machine, id: `i-${index + 1}`, recorder });
+      }),
     );
     const routes = [{ name: 'r-order', prefix: '/order/', kind: 'unsafe' as const, service }];
     const put = await deployment.put(JSON.stringify(createDocument(1, 0, routes, [service])));
     recorder.line(`configuration 1: ${put.status}`);
     await deployment.waitUntilReady();
+    await sleep(4_000);
     const traffic = startTraffic({
       machines: deployment.nodes,
       perSecond: 120,
@@ -52,45 +53,48 @@
       deadlineMs: 1_500,
       recorder,
     });
-    await sleep(5_000);
+    await sleep(4_000);
 
+    const [leaving] = endpoints;
     const [machine] = deployment.nodes;
-    const start = (born: number) => {
-      recorder.line(`endpoint i-1 starts, born ${born}`);
-      return startEndpoint({ machine: machine!, id: 'i-1', recorder, born });
-    };
-    await endpoints[0]!.exit();
-    await sleep(flapMs);
-    const before = await start(Date.now());
-    const jumpedAt = now();
-    recorder.line(`time of day of ${machine!.name} jumps by ${-jumpMs} ms`);
-    await sleep(flapMs);
-    await before.exit();
-    await sleep(flapMs);
-    const leaving = await start(Date.now() - jumpMs);
-    await sleep(jumpedAt + jumpForMs - now());
-    const inTouchSince = now() + bounds.stabilityMs;
-    recorder.line(`time of day of ${machine!.name} jumps back`);
-    await sleep(bounds.stabilityMs + 2_000);
-    const status = await leaving.drain();
+    leaving!.stopBeats();
+    const startedAt = now();
+    const lateCheckIns = [leaving!.createCheckIn()];
+    recorder.line('the endpoint sends a check-in that will be late');
+    await sleep(bounds.heartbeatMs);
+    lateCheckIns.push(leaving!.createCheckIn());
+    recorder.line('the endpoint sends a second check-in that will be late');
+    const secondAt = now();
+    await sleep(100);
+    const status = await leaving!.deregister();
     const ackedAt = now();
-    recorder.line(`draining of i-1 answered ${status}`);
+    recorder.line(`deregistration of ${leaving!.id} answered ${status}`);
     if (status !== 200) {
-      throw new Error('the check-in was not acknowledged');
+      throw new Error('the deregistration was not acknowledged');
     }
-    await sleep(servesAfterAckMs);
-    recorder.line(`deregistration of i-1 answered ${await leaving.deregister()}`);
-    await leaving.exit();
+    await sleep(100);
+    if (hasTrouble) {
+      deployment.signal(machine!, 'SIGKILL');
+    }
+    await sleep(startedAt + lateMs[0] - now());
+    recorder.line(`first late check-in: ${await leaving!.sendCheckIn(lateCheckIns[0]!)}`);
+    await sleep(secondAt + lateMs[1] - now());
+    recorder.line(`second late check-in: ${await leaving!.sendCheckIn(lateCheckIns[1]!)}`);
+    await sleep(ackedAt + servesAfterAckMs - now());
+    await leaving!.exit();
     await sleep(1_000);
     await traffic.stop();
 
-    const late = leaving.arrivals.filter(
-      ({ at, hasRun }) => hasRun && at > ackedAt + bounds.drainMs && at > inTouchSince,
+    const inTouchSince = machine!.startedAt + bounds.stabilityMs;
+    const late = leaving!.arrivals.filter(
+      ({ at, hasRun }) => hasRun && at > ackedAt + bounds.drainMs,
     );
-    const cut = new Set(late.filter(({ isAnswered }) => !isAnswered).map(({ id }) => id));
+    const counted = late.filter(({ at }) => at > inTouchSince);
+    const cut = new Set(counted.filter(({ isAnswered }) => !isAnswered).map(({ id }) => id));
     const lost = traffic.sent.filter(({ id, status: ended }) => cut.has(id) && ended !== 200);
-    late.forEach(({ id, at }) =>
-      recorder.line(`${id} arrived at i-1 ${at - ackedAt} ms after the acknowledgement`),
+    recorder.line(`acknowledged at ${ackedAt} ms; node in touch since ${inTouchSince} ms`);
+    counted.forEach(({ id, at }) =>
+      recorder.line(`${id} arrived at ${leaving!.id} ${at - ackedAt} ms after the acknowledgement`),
     );
     lost.forEach(({ id, status: ended }) =>
       recorder.line(`${id} was cut when the endpoint exited, and was answered ${ended}`),
@@ -101,12 +105,13 @@
     );
     recorder.line(`sent ${traffic.sent.length}, answered ${JSON.stringify([...statuses])}`);
     recorder.line(
-      `arrivals later than drain_ms, machine in touch: ${late.length}, lost at the exit: ${lost.length}`,
+      `arrivals later than drain_ms: ${late.length}, ${counted.length} of them with both machines ` +
+        `in touch, ${lost.length} lost at the exit`,
     );
     if (traffic.sent.filter(({ status: ended }) => ended === 200).length < 100) {
       throw new Error('the deployment did not serve');
     }
-    return late.length > 0;
+    return counted.length > 0;
   } finally {
     await deployment.stop();
   }
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -201,9 +201,11 @@
 export interface DeploymentOptions {
   readonly zones: readonly { readonly name: string; readonly services: readonly string[] }[];
   readonly recorder: Recorder;
+  /** Time after the others at which the last machine with a disk starts, in ms. Default: 0. */
+  readonly lastStartMs?: number;
 }
 
-export const startDeployment = async ({ zones, recorder }: DeploymentOptions) => {
+export const startDeployment = async ({ zones, recorder, lastStartMs = 0 }: DeploymentOptions) => {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const network = await findNetwork();
   const machines: Machine[] = [];
@@ -317,7 +319,11 @@
 
   machines.forEach((machine) => {
     writeSettings(machine, true);
-    launch(machine);
+    if (machine === controls.at(-1)) {
+      setTimeout(() => launch(machine), lastStartMs);
+    } else {
+      launch(machine);
+    }
   });
 
   const signal = (machine: Machine, name: NodeJS.Signals) => {
