Upstreams: store an end at the control instances before it is acknowledged

Cause: a node has no disk and kept ends in memory; after a start a second check-in of a process counted as proof of life.

Change: an end, by deregistration or by `draining`, is stored in the log of the configuration group before it is acknowledged. A node that starts uses an endpoint older than itself only after the leader has listed the ends that the node acknowledged. Without a leader an end is not acknowledged, and an older endpoint is used after the longest delay of a report. Two related paths: a deregistration without the start of the process now ends all processes older than the node, and the report of one endpoint no longer confirms another one.

upstreamReports.test, "waits for a second report", now waits for the answer of the store between the reports; its assertions are unchanged.

--- a/__tests__/endpointVersion.test.ts
+++ b/__tests__/endpointVersion.test.ts
@@ -13,6 +13,7 @@
 import { createSilentLog } from '../src/utils/log.js';
 import { createManualTimer } from '../src/utils/timer.js';
 import { startMesh } from './support/callMesh.js';
+import { createMemoryEnds } from './support/memoryEnds.js';
 import {
   createConfiguration,
   createEndpoint,
@@ -87,6 +88,7 @@
         announce: (endpoint) => announced.push(endpoint),
         withdraw: () => undefined,
       },
+      ends: createMemoryEnds(),
       upstream,
       timer,
       log: createSilentLog(),
--- a/__tests__/support/callMesh.ts
+++ b/__tests__/support/callMesh.ts
@@ -23,6 +23,7 @@
 import { createSilentLog, type Log } from '../../src/utils/log.js';
 import type { VersionOutcomeCounter } from '../../src/core/rollouts/versionOutcomes.js';
 import { createTimer } from '../../src/utils/timer.js';
+import { createMemoryEnds } from './memoryEnds.js';
 
 export const lookupTargets = `
 [class.lookup]
@@ -354,6 +355,7 @@
       },
       announcer,
       ledger: fakeLedger.ledger,
+      upstreamEnds: createMemoryEnds(),
       metrics: createMetrics(),
       outcomes: options.outcomes,
       timer,
--- a/__tests__/support/platformEndpoint.ts
+++ b/__tests__/support/platformEndpoint.ts
@@ -166,6 +166,8 @@
 
   return {
     id: options.id,
+    /** Start of the endpoint, in ms since the Unix epoch. */
+    born,
     service: options.service,
     address: `${options.host}:${port}`,
     arrived: receivedRequests,
--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -9,6 +9,7 @@
 import type { Endpoint } from '../src/types/public.js';
 import { createSilentLog } from '../src/utils/log.js';
 import { createManualTimer } from '../src/utils/timer.js';
+import { createMemoryEnds, type MemoryEnds } from './support/memoryEnds.js';
 
 const report = (fields: Partial<UpstreamReport> = {}): UpstreamReport => ({
   service: 's',
@@ -22,7 +23,7 @@
   ...fields,
 });
 
-const createFixture = (startMs = 0) => {
+const createFixture = (startMs = 0, ends: MemoryEnds = createMemoryEnds()) => {
   const timer = createManualTimer(startMs);
   const announced: Endpoint[] = [];
   const withdrawn: string[] = [];
@@ -35,6 +36,7 @@
       withdraw: (id) => withdrawn.push(id),
     },
     renewWithinMs: 4_500,
+    ends,
     upstream,
     timer,
     log: createSilentLog(),
@@ -43,6 +45,11 @@
   return { timer, announced, withdrawn, upstream, announcement };
 };
 
+const answerOfStore = () =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
 describe('the handler of reports of an upstream', () => {
   it('does not restore an endpoint by a report that arrives after its deregistration', () => {
     const { announcement, upstream, announced, withdrawn } = createFixture();
@@ -82,9 +89,10 @@
     assert.deepEqual(withdrawn, ['e-1']);
   });
 
-  it('waits for a second report of an upstream that started before this process', () => {
+  it('waits for a second report of an upstream that started before this process', async () => {
     const { announcement, upstream } = createFixture(50_000);
     announcement.apply(report({ sequence: 7 }));
+    await answerOfStore();
     assert.equal(upstream.queries.hasFreeSlot('s'), false, 'it may have ended meanwhile');
     announcement.apply(report({ sequence: 6 }));
     assert.equal(upstream.queries.hasFreeSlot('s'), false, 'another delayed report');
@@ -92,6 +100,7 @@
     assert.equal(upstream.queries.hasFreeSlot('s'), true);
     const other = createFixture(50_000);
     other.announcement.apply(report({ sequence: 7 }));
+    await answerOfStore();
     other.announcement.apply(report({ sequence: 9, state: 'leaving' }));
     other.announcement.apply(report({ sequence: 8 }));
     assert.equal(other.upstream.queries.hasFreeSlot('s'), false);
@@ -137,3 +146,116 @@
     assert.deepEqual(failures, ['no_upstream not_run']);
   });
 });
+
+describe('a node that has acknowledged the end of its upstream and restarts', () => {
+  type Report = Partial<UpstreamReport>;
+
+  /** Lets the node acknowledge an end, restarts it, and returns the announcement after it. */
+  const restartAfter = async (
+    end: (announcement: ReturnType<typeof createFixture>['announcement']) => void,
+    ends = createMemoryEnds(),
+  ) => {
+    const before = createFixture(0, ends);
+    before.announcement.apply(report({ sequence: 3 }));
+    end(before.announcement);
+    await before.announcement.endsStored();
+    return createFixture(50_000, ends);
+  };
+
+  const applyLate = async (
+    { announcement }: ReturnType<typeof createFixture>,
+    reports: readonly Report[],
+  ) => {
+    for (const late of reports) {
+      announcement.apply(report(late));
+      await answerOfStore();
+    }
+  };
+
+  // Guards against requests that reach an upstream seconds after its end was acknowledged.
+  it('ignores late reports from before the deregistration, however many', async () => {
+    const restarted = await restartAfter(({ deregister }) => deregister('e-1', 1_000));
+    await applyLate(restarted, [{ sequence: 4 }, { sequence: 5 }, { sequence: 6 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
+    assert.deepEqual(restarted.announced, []);
+  });
+
+  it('ignores late reports from before the upstream reported that it leaves', async () => {
+    const restarted = await restartAfter(({ apply }) =>
+      apply(report({ sequence: 9, state: 'leaving' })),
+    );
+    await applyLate(restarted, [{ sequence: 7 }, { sequence: 8 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
+  });
+
+  it('ignores late reports of an upstream whose deregistration did not name its process', async () => {
+    const restarted = createFixture(50_000);
+    restarted.announcement.deregister('e-1', undefined);
+    await applyLate(restarted, [{ sequence: 7 }, { sequence: 8 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
+  });
+
+  it('ignores late reports of the later one of two upstreams that have ended', async () => {
+    const restarted = await restartAfter(({ apply, deregister }) => {
+      deregister('e-1', 1_000);
+      apply(report({ instance: 'e-2', startedAt: 20_000 }));
+      deregister('e-2', 20_000);
+    });
+    await applyLate(restarted, [
+      { sequence: 4, state: 'leaving' },
+      { instance: 'e-2', startedAt: 20_000, sequence: 2 },
+      { instance: 'e-2', startedAt: 20_000, sequence: 3 },
+    ]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
+  });
+
+  it('uses the next process of the upstream, also under the same id', async () => {
+    const restarted = await restartAfter(({ deregister }) => deregister('e-1', 1_000));
+    await applyLate(restarted, [
+      { startedAt: 30_000, sequence: 1 },
+      { startedAt: 30_000, sequence: 2 },
+    ]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), true);
+  });
+
+  // Guards against an endpoint that stays unused while no control instance can be reached.
+  it('waits for the ends that it acknowledged as long as a report can be late', async () => {
+    const ends = createMemoryEnds();
+    ends.setReachable(false);
+    const restarted = createFixture(50_000, ends);
+    await applyLate(restarted, [{ sequence: 4 }, { sequence: 5 }, { sequence: 6 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
+    restarted.timer.advance(10_001);
+    await applyLate(restarted, [{ sequence: 12 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), true);
+  });
+
+  it('does not acknowledge an end that is not stored, and sends no more calls', async () => {
+    const ends = createMemoryEnds();
+    const { announcement, upstream } = createFixture(0, ends);
+    announcement.apply(report());
+    ends.setReachable(false);
+    announcement.deregister('e-1', 1_000);
+    await assert.rejects(announcement.endsStored(), /no quorum/);
+    assert.equal(upstream.queries.hasFreeSlot('s'), false);
+    ends.setReachable(true);
+    announcement.deregister('e-1', 1_000);
+    await announcement.endsStored();
+    assert.deepEqual(
+      ends.marks.map(({ endpoint }) => endpoint),
+      ['e-1'],
+    );
+  });
+
+  it('stores each end once, although an upstream that leaves repeats its report', async () => {
+    const ends = createMemoryEnds();
+    const { announcement } = createFixture(0, ends);
+    for (let sequence = 1; sequence < 5; sequence += 1) {
+      announcement.apply(report({ sequence, state: 'leaving' }));
+      await announcement.endsStored();
+    }
+    announcement.deregister('e-1', 1_000);
+    await announcement.endsStored();
+    assert.equal(ends.marks.length, 2);
+  });
+});
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -31,6 +31,7 @@
 import { handleLeave, leaveGroup } from '../plugins/agreement/leaving.js';
 import { mirrorMembership } from '../plugins/agreement/ledgerMembership.js';
 import { createLedgerService } from '../plugins/agreement/ledgerService.js';
+import { createUpstreamEndService } from '../plugins/agreement/upstreamEndService.js';
 import { createQuotaService, type QuotaService } from '../plugins/quota/quotaService.js';
 import { createMetrics, type Metrics } from '../plugins/metrics.js';
 import {
@@ -419,6 +420,7 @@
         return from.incarnation;
       },
     });
+    const addUpstreamEnds = createUpstreamEndService({ group: configuration, history });
     const addRollouts = createRolloutRpc({
       group: configuration,
       orders: rolloutService.orders,
@@ -452,6 +454,7 @@
       addCommands(router);
       addQueries(router);
       addRollouts(router);
+      addUpstreamEnds(router);
     };
   };
 
--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -17,6 +17,7 @@
 import { createQuotaClient } from '../plugins/quota/quotaClient.js';
 import { createNodeRuntime, type NodeRuntime } from '../plugins/calls/nodeRuntime.js';
 import { nativeCallInterface } from '../plugins/calls/nativeCallInterface.js';
+import { createUpstreamEndsClient } from '../plugins/calls/upstreamEndsClient.js';
 import { warmUp } from '../plugins/calls/warmUp.js';
 import { createRpcServer, parseAddress, type Address } from '../plugins/rpc.js';
 import { createVersionOutcomeCounter } from '../core/rollouts/versionOutcomes.js';
@@ -110,6 +111,14 @@
   observePeerTraffic(metrics.registry, peerServer.traffic);
   observeConfirmation(metrics.registry, feed.view.queries.confirmedAgeMs);
   const ledger = createLedgerClient({ addresses: sortControlAddresses(settings), access, timer });
+  const upstreamEnds = createUpstreamEndsClient({
+    node: node.name,
+    addresses: () => [
+      ...new Set([...control, ...feed.controls()].map((instance) => instance.address)),
+    ],
+    access,
+    timer,
+  });
   const quota = createQuotaClient({
     ...settings.quota,
     dataCentre: node.dataCentre,
@@ -143,6 +152,7 @@
     configurationView: feed.view,
     announcer: feed.announcer,
     ledger,
+    upstreamEnds,
     quota,
     metrics,
     outcomes,
--- a/src/core/agreement/configurationHistory.ts
+++ b/src/core/agreement/configurationHistory.ts
@@ -15,6 +15,7 @@
 import { Failure } from '../../utils/failure.js';
 import type { EndedOrder, RolloutOrder } from '../rollouts/rolloutState.js';
 import { createRolloutEntries, type RolloutEntry } from './rolloutEntries.js';
+import { createUpstreamEnds, type UpstreamEnd, type UpstreamEndEntry } from './upstreamEnds.js';
 import { compareVersions, noVersion } from './version.js';
 
 /** Maximum number of changes whose outcomes are kept. */
@@ -141,6 +142,8 @@
     precheckDocument(change: DocumentChange): AppliedChange | undefined;
     /** The result of an order of a rollout if it starts none now; undefined if it would. */
     precheckRollout(order: RolloutOrder): AppliedChange | undefined;
+    /** Ends of the upstreams beside the node, oldest first. */
+    upstreamEnds(node: string): readonly UpstreamEnd[];
   };
 }
 
@@ -156,11 +159,13 @@
   | { readonly type: 'targets'; readonly command: Command }
   | { readonly type: 'document'; readonly command: DocumentChange }
   | { readonly type: 'drain'; readonly command: DrainChange }
-  | { readonly type: 'rollout'; readonly command: RolloutEntry };
+  | { readonly type: 'rollout'; readonly command: RolloutEntry }
+  | { readonly type: 'upstreamEnd'; readonly command: UpstreamEnd };
 
 interface Snapshot {
   readonly records: readonly ChangeRecord[];
   readonly endedOrders?: readonly EndedOrder[];
+  readonly upstreamEnds?: readonly UpstreamEnd[];
   readonly configurations: readonly (Omit<StoredConfiguration, 'digest' | 'configuration'> & {
     /** Unset for a document, because the configuration is parsed from its text. */
     readonly configuration?: string;
@@ -191,6 +196,7 @@
     | { readonly drain: DrainChange }
     | { readonly document: DocumentChange }
     | RolloutEntry
+    | UpstreamEndEntry
     | (Change & { configuration: string });
   if ('drain' in content) {
     return { type: 'drain', command: content.drain };
@@ -201,6 +207,9 @@
   if ('rolloutOrder' in content || 'rolloutStep' in content) {
     return { type: 'rollout', command: content };
   }
+  if ('upstreamEnd' in content) {
+    return { type: 'upstreamEnd', command: content.upstreamEnd };
+  }
   const { configuration, ...change } = content;
   const command = { ...change, configuration: decodeConfiguration(encodeText(configuration)) };
   return { type: 'targets', command };
@@ -297,6 +306,7 @@
 }: { readDocument?: DocumentReader } = {}): ConfigurationHistory => {
   let records = new Map<string, ChangeRecord>();
   let configurations: StoredConfiguration[] = [];
+  const upstreamEnds = createUpstreamEnds();
 
   const head = () => configurations.at(-1);
   const headVersion = () => head()?.version ?? noVersion;
@@ -447,6 +457,10 @@
     if (entry.type === 'rollout') {
       return rolloutEntries.commands.apply(entry.command, version);
     }
+    if (entry.type === 'upstreamEnd') {
+      upstreamEnds.commands.add(entry.command);
+      return { result: { outcome: 'unchanged', version: headVersion() }, replayed: false };
+    }
     return entry.type === 'drain'
       ? decide(summarizeDrain(entry.command), () => decideDrain(entry.command, version))
       : decide(summarizeTargets(entry.command), () => decideTargets(entry.command, version));
@@ -456,6 +470,7 @@
     const content: Snapshot = {
       records: [...records.values()],
       endedOrders: rolloutEntries.queries.endedOrders(),
+      upstreamEnds: upstreamEnds.queries.all(),
       configurations: configurations.map((stored) => {
         const { version, targets, acceptedAtMs, documentNumber, drains, rollouts } = stored;
         const fields = { version, targets, acceptedAtMs, documentNumber, drains, rollouts };
@@ -483,6 +498,7 @@
       );
     });
     rolloutEntries.commands.restore(content.endedOrders);
+    upstreamEnds.commands.restore(content.upstreamEnds);
   };
 
   return {
@@ -504,6 +520,7 @@
         return replay ?? (conflict && { result: conflict, replayed: false });
       },
       precheckRollout: rolloutEntries.queries.precheck,
+      upstreamEnds: upstreamEnds.queries.at,
     },
   };
 };
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -107,13 +107,15 @@
   const { announcement, log, timer } = options;
   const handleHeartbeat = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
-    announcement.apply(
-      readHeartbeat(
-        instance,
-        parseJsonText(await readText(request, maxHeartbeatBytes)),
-        timer.wallClock(),
-      ),
+    const report = readHeartbeat(
+      instance,
+      parseJsonText(await readText(request, maxHeartbeatBytes)),
+      timer.wallClock(),
     );
+    announcement.apply(report);
+    if (report.state === 'leaving') {
+      await announcement.endsStored();
+    }
     sendJson(response, 200, {});
   };
 
@@ -123,6 +125,7 @@
     const text = await readText(request, maxHeartbeatBytes);
     const { output } = checkValue(text && parseJsonText(text), 'departure', deregistrationSchema);
     announcement.deregister(instance, output?.born);
+    await announcement.endsStored();
     sendJson(response, 200, {});
   };
 
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -18,6 +18,7 @@
   ActiveConfiguration,
   ConfigurationView,
   LedgerClient,
+  UpstreamEndStore,
   StopTimes,
 } from '../../types/internal.js';
 import { createQuasiRandom } from '../../core/calls/quasiRandom.js';
@@ -81,6 +82,8 @@
   readonly configurationView: ConfigurationView;
   readonly announcer: Announcer;
   readonly ledger: LedgerClient;
+  /** Where the ends of the upstream beside the node are stored. */
+  readonly upstreamEnds: UpstreamEndStore;
   /** Limit on the rate of each tenant. Default: no limit. */
   readonly quota?: QuotaGate;
   readonly metrics: Metrics;
@@ -243,6 +246,7 @@
     forwardAddress: () => forwardAddress,
     announcer: options.announcer,
     renewWithinMs: options.renewWithinMs,
+    ends: options.upstreamEnds,
     upstream,
     timer,
     log: log.part('upstream'),
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -7,7 +7,7 @@
 import { isIPv4 } from 'node:net';
 import type { Polka, PolkaRequest } from 'polka';
 import * as z from 'zod';
-import type { Announcer } from '../../types/internal.js';
+import type { Announcer, UpstreamEndStore } from '../../types/internal.js';
 import type { Endpoint } from '../../types/public.js';
 import { Failure } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
@@ -15,6 +15,7 @@
 import { formatFinding } from '../../utils/findings.js';
 import type { Timer } from '../../utils/timer.js';
 import { sendError, sendJson } from '../operators/adminServer.js';
+import { createAcknowledgedEnds, lastSequence } from './acknowledgedEnds.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { readText } from '../readText.js';
 import { maxSoftwareVersionLength } from '../../core/operators/targets.js';
@@ -32,8 +33,6 @@
 const startToleranceMs = 1_000;
 /** Reports are delayed by seconds at most; after this time one report is enough, in ms. */
 const maxReportDelayMs = 10_000;
-/** Number of ended upstreams to remember; a node has one upstream at a time. */
-const maxDeregistered = 64;
 
 const announcementSchema = z.strictObject({
   service: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$/, 'the name of a service'),
@@ -73,6 +72,8 @@
   readonly upstream: LocalUpstream;
   /** Time within which the upstream has to renew its announcement, in ms. Default: 3 s. */
   readonly renewWithinMs?: number;
+  /** Where ends are stored that outlive this process. */
+  readonly ends: UpstreamEndStore;
   readonly timer: Timer;
   readonly log: Log;
 }
@@ -87,6 +88,11 @@
    * `startedAt` is undefined if the upstream did not say which of its processes ended.
    */
   deregister(instance: string, startedAt: number | undefined): void;
+  /**
+   * Resolves once the ends that were reported may be acknowledged, since a restart of this node does
+   * not forget them. Rejects with `no_quorum` if they cannot be stored in time.
+   */
+  endsStored(): Promise<void>;
   /** Withdraws the endpoint and refuses later announcements of `ready`. */
   withdraw(): void;
   isAnnounced(): boolean;
@@ -130,8 +136,7 @@
   let newest: UpstreamReport | undefined;
   /** Report of an upstream that started before this process; see `isConfirmed`. */
   let unconfirmed: UpstreamReport | undefined;
-  /** Start of the latest process that has ended, by the id of its upstream. */
-  const deregisteredStarts = new Map<string, number>();
+  const ends = createAcknowledgedEnds({ store: options.ends, maxReportDelayMs, timer, log });
   let renewedAt = 0;
   let isStopping = false;
 
@@ -165,38 +170,49 @@
 
   const idOf = ({ instance }: UpstreamReport): string => instance ?? node.name;
 
+  const markOf = (report: UpstreamReport) => {
+    const { startedAt = 0, sequence: number = 0 } = report;
+    return { endpoint: idOf(report), startedAt, sequence: number };
+  };
+
   const isOutdated = (report: UpstreamReport): boolean => {
     const { startedAt = 0, sequence: number = 0 } = report;
-    if ((deregisteredStarts.get(idOf(report)) ?? -1) >= startedAt) {
+    if (ends.queries.covers(markOf(report))) {
       return true;
     }
     const { startedAt: newestStart = 0, sequence: newestNumber = 0 } = newest ?? {};
     return startedAt < newestStart || (startedAt === newestStart && number < newestNumber);
   };
 
+  const isSameProcess = (a: UpstreamReport | undefined, b: UpstreamReport): boolean =>
+    a !== undefined && idOf(a) === idOf(b) && a.startedAt === b.startedAt;
+
   /**
    * An upstream that ran before this process may have ended meanwhile, with one of its earlier
-   * reports still in transit. It is accepted once a later report says the same.
+   * reports still in transit. It is accepted once a later report says the same, and once it is known
+   * that an earlier process of this node did not acknowledge its end.
    */
   const isConfirmed = (report: UpstreamReport): boolean => {
     const { startedAt, sequence: number = 0 } = report;
     const isOlder = startedAt !== undefined && startedAt < incarnation - startToleranceMs;
-    if (newest !== undefined || !isOlder || timer.now() - createdAt > maxReportDelayMs) {
+    const isDelayPast = timer.now() - createdAt > maxReportDelayMs;
+    if (isSameProcess(newest, report) || !isOlder || isDelayPast) {
       return true;
     }
-    const isRepeated =
-      unconfirmed?.startedAt === startedAt && number > (unconfirmed?.sequence ?? 0);
+    ends.commands.load();
+    const isRepeated = isSameProcess(unconfirmed, report) && number > (unconfirmed?.sequence ?? 0);
     unconfirmed = report;
-    return isRepeated;
+    return isRepeated && ends.queries.isLoaded();
   };
 
   const resumeIfLeaving = (report: UpstreamReport) => {
-    const isSameProcess = report.startedAt === upstream.queries.description()?.startedAt;
-    if (upstream.queries.isLeaving() && isSameProcess) {
+    const isCurrent = report.startedAt === upstream.queries.description()?.startedAt;
+    if (upstream.queries.isLeaving() && isCurrent) {
       if (upstream.queries.inFlight() > 0) {
         throw new Failure('leaving', 'the calls that are still in flight have to finish first');
       }
       upstream.commands.resume();
+      ends.commands.forgetRecord(idOf(report));
     }
   };
 
@@ -229,16 +245,22 @@
 
   const handlers: Record<UpstreamReport['state'], (report: UpstreamReport) => void> = {
     ready: handleReady,
-    leaving: handleLeaving,
+    leaving: (report) => {
+      handleLeaving();
+      // Without a start of the process, no late report can be told from one of its successor.
+      if (report.startedAt !== undefined) {
+        ends.commands.record(markOf(report));
+      }
+    },
   };
 
   const deregister = (instance: string, startedAt: number | undefined) => {
     const isCurrent = newest !== undefined && idOf(newest) === instance;
-    const endedStart = startedAt ?? (isCurrent ? newest?.startedAt : undefined) ?? 0;
-    deregisteredStarts.set(instance, Math.max(endedStart, deregisteredStarts.get(instance) ?? 0));
-    if (deregisteredStarts.size > maxDeregistered) {
-      deregisteredStarts.delete(deregisteredStarts.keys().next().value!);
-    }
+    // A process that this one has not heard of started before it.
+    const endedStart = startedAt ?? (isCurrent ? newest?.startedAt : undefined) ?? incarnation;
+    const mark = { endpoint: instance, startedAt: endedStart, sequence: lastSequence };
+    ends.commands.add(mark);
+    ends.commands.record(mark);
     if (isCurrent && (newest?.startedAt ?? 0) <= endedStart) {
       log.info('upstream has ended', { endpoint: instance, startedAt: endedStart });
       handleLeaving();
@@ -300,6 +322,7 @@
     },
     apply,
     deregister,
+    endsStored: ends.queries.stored,
     withdraw: () => {
       isStopping = true;
       withdraw('the node is stopping');
--- a/src/plugins/operators/leaderOperations.ts
+++ b/src/plugins/operators/leaderOperations.ts
@@ -83,5 +83,8 @@
       timer.sleep(outcomeLimitMs).then(() => undefined),
     ]);
 
-  return { commands: { propose }, queries: { isLeading, notLeader, voters: queries.confirmedVoters, run } };
+  return {
+    commands: { propose },
+    queries: { isLeading, notLeader, voters: queries.confirmedVoters, run },
+  };
 };
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -129,6 +129,24 @@
   onChange(listener: (held: ActiveConfiguration) => void): () => void;
 }
 
+/** Reports of a process of an upstream up to this one are outdated. */
+export interface EndMark {
+  /** Id of the upstream. */
+  readonly endpoint: string;
+  /** Start of the upstream's process in ms of its own clock. */
+  readonly startedAt: number;
+  /** Number of the process's last report that counts; the highest safe integer after its end. */
+  readonly sequence: number;
+}
+
+/** Ends of the upstreams beside a node, stored by a quorum of the control instances. */
+export interface UpstreamEndStore {
+  /** Resolves once the end is stored. Rejects with `no_quorum` after the limit. */
+  record(mark: EndMark, limitMs: number): Promise<void>;
+  /** Resolves with all ends that were stored before. Rejects with `no_quorum` after the limit. */
+  list(limitMs: number): Promise<readonly EndMark[]>;
+}
+
 /** Announces the endpoint of a node to the mesh. */
 export interface Announcer {
   announce(endpoint: Endpoint): void;
