Upstreams: ends of an earlier process of the node count as long as a report can be late

Cause: an end that outlives the node's process would also make it ignore, for good, a process that starts under the same id after the clock was set back; before, a restart of the node ended that. Change: a loaded end counts for 10 s after the start, when late reports can still arrive.

--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -218,6 +218,17 @@
     assert.equal(restarted.upstream.queries.hasFreeSlot('s'), true);
   });
 
+  // Guards against an upstream that is ignored for good if its clock was set back before it started
+  // under the id of the one that has ended.
+  it('forgets ends that it acknowledged before once no report from then can arrive', async () => {
+    const restarted = await restartAfter(({ deregister }) => deregister('e-1', 1_000));
+    await applyLate(restarted, [{ startedAt: 900, sequence: 1 }, { startedAt: 900, sequence: 2 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
+    restarted.timer.advance(10_001);
+    await applyLate(restarted, [{ startedAt: 900, sequence: 3 }]);
+    assert.equal(restarted.upstream.queries.hasFreeSlot('s'), true);
+  });
+
   // Guards against an endpoint that stays unused while no control instance can be reached.
   it('waits for the ends that it acknowledged as long as a report can be late', async () => {
     const ends = createMemoryEnds();
--- a/src/plugins/calls/acknowledgedEnds.ts
+++ b/src/plugins/calls/acknowledgedEnds.ts
@@ -59,6 +59,8 @@
   const { store, maxReportDelayMs, timer, log } = options;
   const createdAt = timer.now();
   const marks = new Map<string, EndMark>();
+  /** Marks of earlier processes of this node; they count while reports from before can arrive. */
+  const loadedMarks = new Map<string, EndMark>();
   const recorded = new Map<string, EndMark>();
   const pending = new Map<string, { readonly mark: EndMark; readonly stored: Promise<void> }>();
   let isLoading = false;
@@ -106,7 +108,7 @@
     try {
       const ends = await store.list(maxReportDelayMs);
       ends.forEach((mark) => {
-        add(mark);
+        setBounded(loadedMarks, mark.endpoint, mark);
         setBounded(recorded, mark.endpoint, mark);
       });
       hasListed = true;
@@ -118,6 +120,11 @@
     }
   };
 
+  const isDelayPast = () => timer.now() - createdAt > maxReportDelayMs;
+
+  const isUpTo = (mark: EndMark | undefined, report: EndMark): boolean =>
+    mark !== undefined && compareMarks(report, mark) <= 0;
+
   const stored = async () => {
     if (pending.size === 0) {
       return;
@@ -143,11 +150,10 @@
       },
     },
     queries: {
-      covers: (report) => {
-        const mark = marks.get(report.endpoint);
-        return mark !== undefined && compareMarks(report, mark) <= 0;
-      },
-      isLoaded: () => hasListed || timer.now() - createdAt > maxReportDelayMs,
+      covers: (report) =>
+        isUpTo(marks.get(report.endpoint), report) ||
+        (!isDelayPast() && isUpTo(loadedMarks.get(report.endpoint), report)),
+      isLoaded: () => hasListed || isDelayPast(),
       stored,
     },
   };
