--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -222,7 +222,10 @@
   // under the id of the one that has ended.
   it('forgets ends that it acknowledged before once no report from then can arrive', async () => {
     const restarted = await restartAfter(({ deregister }) => deregister('e-1', 1_000));
-    await applyLate(restarted, [{ startedAt: 900, sequence: 1 }, { startedAt: 900, sequence: 2 }]);
+    await applyLate(restarted, [
+      { startedAt: 900, sequence: 1 },
+      { startedAt: 900, sequence: 2 },
+    ]);
     assert.equal(restarted.upstream.queries.hasFreeSlot('s'), false);
     restarted.timer.advance(10_001);
     await applyLate(restarted, [{ startedAt: 900, sequence: 3 }]);
