Agreement: report a promoted voter once the repeated membership is stored

Cause: the status listed a promoted instance as a voter from the append on, and the test, like an operator, ended the leader right then. Until a quorum has the repeated membership, the voters before the promotion are needed: one of the two was the lost leader.

Change: the status, the log line of the membership and the role of a follower wait for the repeated membership, after which any one member can be lost.

--- a/__tests__/documents.test.ts
+++ b/__tests__/documents.test.ts
@@ -61,6 +61,7 @@
         role: () => role,
         leader: () => undefined,
         members: () => [],
+        settledMembers: () => [],
         intactVoters: () => 0,
         confirmedVoters: () => 0,
         commitIndex: () => 0,
--- a/__tests__/lostVoters.test.ts
+++ b/__tests__/lostVoters.test.ts
@@ -230,6 +230,29 @@
     assert.equal(lastIndexOf(driver), 3);
   });
 
+  // Guards against an operator, or a test, that takes a promoted voter for one that counts: if the leader
+  // is lost before a quorum has the repeated membership, the members before the promotion are needed.
+  it('lists a promoted voter as a learner until a quorum has the repeated membership', () => {
+    const driver = createDriver(membershipLog('ab', 'abc'));
+    runElection(driver, 'b');
+    driver.sync();
+    const kindOfC = () =>
+      driver.core.queries.status().settledMembers.find(({ name }) => name === 'c')?.kind;
+    driver.ack('b', 3);
+    driver.ack('c', 3);
+    assert.deepEqual([commitIndexOf(driver), kindOfC()], [3, 'learner']);
+    driver.advance(heartbeatMs);
+    driver.sync();
+    assert.deepEqual([lastIndexOf(driver), kindOfC()], [4, 'learner']);
+    driver.ack('c', 4);
+    assert.deepEqual([commitIndexOf(driver), kindOfC()], [4, 'voter']);
+  });
+
+  it('has the role of a learner until its log repeats the membership that made it a voter', () => {
+    assert.equal(roleOf(createDriver(membershipLog('bc', 'abc'))), 'learner');
+    assert.equal(roleOf(createDriver(membershipLog('bc', 'abc', 'abc'))), 'follower');
+  });
+
   it('counts changes as stored on few disks until the addition of a voter is confirmed', () => {
     const driver = createDriver(membershipLog('a', 'ab'));
     runElection(driver, 'b');
--- a/__tests__/quotaConnections.test.ts
+++ b/__tests__/quotaConnections.test.ts
@@ -64,6 +64,7 @@
         role: () => 'leader',
         leader: () => self,
         members: () => members ?? [self],
+        settledMembers: () => [],
         intactVoters: () => 0,
         confirmedVoters: () => 0,
         commitIndex: () => 1,
--- a/__tests__/rolloutOrders.test.ts
+++ b/__tests__/rolloutOrders.test.ts
@@ -66,6 +66,7 @@
       role: () => state.role,
       leader: () => undefined,
       members: () => [],
+      settledMembers: () => [],
       intactVoters: () => 0,
       confirmedVoters: () => 0,
       commitIndex: () => 0,
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -336,7 +336,7 @@
   let loggedMembers = '';
   const logMembership = () => {
     const status = groups.configuration?.status();
-    if (!status?.isMembershipCommitted) {
+    if (!status?.isMembershipSettled) {
       return;
     }
     const { members } = status;
--- a/src/core/agreement/consensus.ts
+++ b/src/core/agreement/consensus.ts
@@ -54,9 +54,11 @@
   confirmedVoters,
   findMember,
   intactVoters,
+  isMembershipSettled,
   mayChangeMembers,
   nextAutomaticMembers,
   recordLostFolder,
+  settledMembers,
 } from './consensusMembership.js';
 import { compact, handleInstallSnapshot, handleSnapshotAnswer } from './consensusSnapshot.js';
 
@@ -69,8 +71,10 @@
   readonly lastIndex: number;
   readonly snapshotIndex: number;
   readonly members: readonly Member[];
-  /** False while the newest change of the members may still be undone, as far as is known here. */
-  readonly isMembershipCommitted: boolean;
+  /** The members, without the votes of those whose promotion is not settled, see `settledMembers`. */
+  readonly settledMembers: readonly Member[];
+  /** False while the group may need the members before the newest change as well. */
+  readonly isMembershipSettled: boolean;
   /** Number of voters whose data folders are not known to be lost. */
   readonly intactVoters: number;
   /** The same without a voter whose addition is not confirmed by the log yet. */
@@ -415,7 +419,8 @@
         lastIndex: queries.lastIndex(),
         snapshotIndex: queries.snapshot().index,
         members: currentMembers(replica),
-        isMembershipCommitted: queries.membershipIndex() <= replica.commitIndex,
+        settledMembers: settledMembers(replica),
+        isMembershipSettled: isMembershipSettled(replica),
         intactVoters: intactVoters(replica),
         confirmedVoters: confirmedVoters(replica),
       }),
--- a/src/core/agreement/consensusElection.ts
+++ b/src/core/agreement/consensusElection.ts
@@ -38,11 +38,11 @@
 };
 
 /**
- * A learner that was promoted is a follower once the promotion is known to be committed: until then
- * the group cannot do without any of the voters before it.
+ * A learner that was promoted is a follower once its log confirms the promotion: until then the group
+ * cannot do without any of the voters before it.
  */
 const nonLeaderRole = (replica: Replica): ReplicaRole =>
-  isConfirmedVoter(replica, replica.options.self) ? 'follower' : 'learner';
+  isConfirmedVoter(replica) ? 'follower' : 'learner';
 
 const changeRole = (replica: Replica, role: ReplicaRole): void => {
   if (replica.role !== role) {
--- a/src/core/agreement/consensusLog.ts
+++ b/src/core/agreement/consensusLog.ts
@@ -36,6 +36,8 @@
     members(): readonly Member[];
     /** Membership before the current one; empty if that is compacted or does not exist. */
     previousMembers(): readonly Member[];
+    /** The last memberships, the newest one last. */
+    recentMemberships(count: number): readonly (readonly Member[])[];
     /** Index of the entry that contains the current membership. */
     membershipIndex(): number;
     membersAt(index: number): readonly Member[];
@@ -129,6 +131,7 @@
       snapshot: () => snapshot,
       members: () => memberships.at(-1)!.members,
       previousMembers: () => memberships.at(-2)?.members ?? [],
+      recentMemberships: (count) => memberships.slice(-count).map(({ members }) => members),
       membershipIndex: () => memberships.at(-1)!.index,
       membersAt: (index) => membershipAt(index).members,
       syncedIndex: () => syncedIndex,
--- a/src/core/agreement/consensusMembership.ts
+++ b/src/core/agreement/consensusMembership.ts
@@ -46,10 +46,6 @@
   return outgoing.length > 0 ? [outgoing, voters(replica)] : [voters(replica)];
 };
 
-/** True if the member is a voter of each membership that has to contribute a quorum. */
-export const isConfirmedVoter = (replica: Replica, sender: MemberId): boolean =>
-  votersOfEach(replica).every((listed) => listed.some((voter) => isSameMember(voter, sender)));
-
 /** All members except this one; its incarnation is ignored. */
 export const otherMembers = (replica: Replica): readonly Member[] => {
   const current = currentMembers(replica);
@@ -132,6 +128,56 @@
 const hasVoters = (members: readonly Member[]): boolean =>
   members.some(({ kind }) => kind === 'voter');
 
+/** True if the log shows that the newest change of the voters was committed. */
+const isConfirmed = (replica: Replica): boolean => {
+  const { queries } = replica.log;
+  const voterKeys = (members: readonly Member[]) =>
+    members
+      .filter(({ kind }) => kind === 'voter')
+      .map(keyOf)
+      .sort()
+      .join();
+  const previous = queries.previousMembers();
+  return !hasVoters(previous) || voterKeys(previous) === voterKeys(queries.members());
+};
+
+/**
+ * True if the group can do without any one member of the previous membership: the newest change of
+ * the voters is confirmed by an entry that a quorum is known to have stored.
+ */
+export const isMembershipSettled = (replica: Replica): boolean =>
+  replica.log.queries.membershipIndex() <= replica.commitIndex && isConfirmed(replica);
+
+/**
+ * The members, of which a promoted voter counts as a learner until the promotion is settled: until
+ * then one of the last three memberships is that before the promotion.
+ */
+export const settledMembers = (replica: Replica): readonly Member[] => {
+  const members = currentMembers(replica);
+  if (isMembershipSettled(replica)) {
+    return members;
+  }
+  const recent = replica.log.queries.recentMemberships(3).filter(hasVoters);
+  const isVoterOfAll = (member: Member) =>
+    recent.every((listed) =>
+      listed.some((other) => other.kind === 'voter' && isSameMember(other, member)),
+    );
+  return members.map((member) =>
+    isVoterOfAll(member) ? member : { ...member, kind: 'learner' as const },
+  );
+};
+
+/**
+ * True if this replica is a voter, and its log holds the entry that confirms it: the group can then
+ * do without any one of the other members.
+ */
+export const isConfirmedVoter = (replica: Replica): boolean => {
+  const previous = replica.log.queries.previousMembers();
+  const isVoterOf = (members: readonly Member[]) =>
+    members.some((member) => member.kind === 'voter' && isSameMember(member, replica.options.self));
+  return isVoterOf(currentMembers(replica)) && (!hasVoters(previous) || isVoterOf(previous));
+};
+
 const countIntact = (replica: Replica, members: readonly Member[]): number =>
   members.filter((member) => member.kind === 'voter' && !replica.lostFolders.has(keyOf(member)))
     .length;
@@ -279,19 +325,6 @@
   );
 };
 
-/** True if the log shows that the newest change of the voters was committed. */
-const isConfirmed = (replica: Replica): boolean => {
-  const { queries } = replica.log;
-  const voterKeys = (members: readonly Member[]) =>
-    members
-      .filter(({ kind }) => kind === 'voter')
-      .map(keyOf)
-      .sort()
-      .join();
-  const previous = queries.previousMembers();
-  return !hasVoters(previous) || voterKeys(previous) === voterKeys(queries.members());
-};
-
 /**
  * Returns the members after the next change that the leader makes by itself, if there is one. It
  * removes a member that was replaced, turns a member that returned with another data folder into a
--- a/src/plugins/agreement/replicaGroup.ts
+++ b/src/plugins/agreement/replicaGroup.ts
@@ -470,6 +470,7 @@
       role: () => replica.queries.status().role,
       leader: replica.queries.leader,
       members: () => replica.queries.status().members,
+      settledMembers: () => replica.queries.status().settledMembers,
       intactVoters: () => replica.queries.status().intactVoters,
       confirmedVoters: () => replica.queries.status().confirmedVoters,
       commitIndex: () => replica.queries.status().commitIndex,
--- a/src/plugins/operators/operatorQueries.ts
+++ b/src/plugins/operators/operatorQueries.ts
@@ -130,7 +130,7 @@
   const status = () => ({
     version: toWireVersion(headVersion()),
     dataCentres: dataCentreNames().map((name) => toDataCentre(name, currentlyAttached())),
-    members: group.queries.members().map(toMember),
+    members: group.queries.settledMembers().map(toMember),
     services: [...fleet.inventory().clusters.values()].map(({ service, endpoints }) =>
       toService(service, endpoints),
     ),
--- a/src/types/internal.ts
+++ b/src/types/internal.ts
@@ -62,6 +62,8 @@
     role(): ReplicaRole;
     leader(): Member | undefined;
     members(): readonly Member[];
+    /** The members, of which a promoted voter counts as a learner until the log confirms that. */
+    settledMembers(): readonly Member[];
     /** Number of voters whose data folders are not known to be lost. */
     intactVoters(): number;
     /** The same without a voter whose addition is not confirmed by the log yet. */
