--- a/__tests__/consensus.property.test.ts
+++ b/__tests__/consensus.property.test.ts
@@ -203,6 +203,13 @@
   },
 ];
 
+interface Scenario {
+  readonly size: number;
+  readonly first: number;
+  readonly steps: readonly Action[];
+  readonly randomSeed: number;
+}
+
 const lossScenario = fc.record({
   size: fc.constantFrom(2, 4, 4, 4, 5, 6),
   first: fc.nat({ max: 40 }),
@@ -222,42 +229,52 @@
   return () => unsafeUniformIntDistribution(0, 999_999, generator) / 1_000_000;
 };
 
+type Counter = keyof ReplicaSimulation['counters'];
+
+/** Plays the scenarios and checks that they reached the states that the counters stand for. */
+const playScenarios = (
+  scenarios: fc.Arbitrary<Scenario>,
+  seedOfRuns: number,
+  numRuns: number,
+  counters: readonly Counter[],
+) => {
+  const totals = new Map(counters.map((name) => [name, 0]));
+  fc.assert(
+    fc.property(scenarios, ({ size, first, steps, randomSeed }) => {
+      const world = createReplicaSimulation(size, 1, createRandom(randomSeed));
+      world.runRounds(first);
+      steps.forEach((act) => act(world));
+      counters.forEach((name) => totals.set(name, totals.get(name)! + world.counters[name]));
+    }),
+    { seed: seedOfRuns, numRuns, endOnFailure: true },
+  );
+  console.log(`seed ${seedOfRuns}, ${numRuns} runs: ${JSON.stringify(Object.fromEntries(totals))}`);
+  // Guards against a generator whose interleavings no longer reach the interesting states.
+  totals.forEach((count, name) => assert.ok(count > numRuns / 10, name));
+};
+
 describe('replicated log under faults', () => {
   it('keeps committed entries, elects one leader per term and reads only from that leader', () => {
-    const totals = { commits: 0, leaders: 0, reads: 0, lostDisks: 0, promotions: 0, snapshots: 0 };
-    fc.assert(
-      fc.property(scenario, ({ size, first, steps, randomSeed }) => {
-        const world = createReplicaSimulation(size, 1, createRandom(randomSeed));
-        world.runRounds(first);
-        steps.forEach((act) => act(world));
-        Object.keys(totals).forEach((key) => {
-          totals[key as keyof typeof totals] += world.counters[key as keyof typeof totals];
-        });
-      }),
-      { seed, numRuns: runs, endOnFailure: true },
-    );
-    console.log(`seed ${seed}, ${runs} runs: ${JSON.stringify(totals)}`);
-    // Guards against a generator whose interleavings no longer reach the interesting states.
-    Object.entries(totals).forEach(([name, count]) => assert.ok(count > runs / 10, name));
+    playScenarios(scenario, seed, runs, [
+      'commits',
+      'leaders',
+      'reads',
+      'lostDisks',
+      'promotions',
+      'snapshots',
+    ]);
   });
 
   lossSeeds.forEach((lossSeed) => {
     // Guards against smaller quorums, without voters that lost their disks, that do not intersect.
     it(`keeps committed entries through any losses of disks, seed ${lossSeed}`, () => {
-      const totals = { commits: 0, leaders: 0, lostDisks: 0, promotions: 0, reducedQuorums: 0 };
-      fc.assert(
-        fc.property(lossScenario, ({ size, first, steps, randomSeed }) => {
-          const world = createReplicaSimulation(size, 1, createRandom(randomSeed));
-          world.runRounds(first);
-          steps.forEach((act) => act(world));
-          Object.keys(totals).forEach((key) => {
-            totals[key as keyof typeof totals] += world.counters[key as keyof typeof totals];
-          });
-        }),
-        { seed: lossSeed, numRuns: lossRuns, endOnFailure: true },
-      );
-      console.log(`seed ${lossSeed}, ${lossRuns} runs: ${JSON.stringify(totals)}`);
-      Object.entries(totals).forEach(([name, count]) => assert.ok(count > lossRuns / 10, name));
+      playScenarios(lossScenario, lossSeed, lossRuns, [
+        'commits',
+        'leaders',
+        'lostDisks',
+        'promotions',
+        'reducedQuorums',
+      ]);
     });
   });
 });
