Bodies: refuse what is not valid UTF-8

Cause: `readText` replaced invalid bytes before the document was parsed. Two bodies became one text and with it one change id, so that the second counted as the first one sent again.

Change: all bodies are decoded strictly, with a byte order mark kept, so equal texts mean equal bodies. Changes, rollout orders, check-ins, deregistrations and announcements get 400; so do strings in JSON at the RPC interface. Names with lone surrogates, which escapes in JSON can form, get digests of their own; software versions with them are refused.

--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -78,11 +78,23 @@
 const validName = /^[a-z0-9][a-z0-9-]{0,62}$/;
 const digestNameLength = 40;
 
+/** A byte that never occurs in UTF-8. */
+const illFormedMark = Buffer.from([0xff]);
+
+/**
+ * Bytes of a name, different for different names. Escapes in JSON can form lone surrogates, which
+ * UTF-8 cannot encode: they would all become the same replacement character.
+ */
+const nameBytes = (name: string): Buffer =>
+  name.isWellFormed()
+    ? Buffer.from(name)
+    : Buffer.concat([illFormedMark, Buffer.from(name, 'utf16le')]);
+
 /** Replaces a name that is not valid in a configuration by one derived from its SHA-256 digest. */
 export const sanitizeName = (name: string): string =>
   validName.test(name)
     ? name
-    : `x-${createHash('sha256').update(name).digest('hex').slice(0, digestNameLength)}`;
+    : `x-${createHash('sha256').update(nameBytes(name)).digest('hex').slice(0, digestNameLength)}`;
 
 const importanceOf = (rank: number): number => Math.max(1, Math.round(maxImportance / 2 ** rank));
 
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -15,7 +15,7 @@
 import { parseJsonText, readText } from '../plugins/readText.js';
 import type { Address } from '../utils/address.js';
 import { isConnectable } from '../utils/address.js';
-import { maxSoftwareVersionLength } from '../core/operators/targets.js';
+import { maxSoftwareVersionLength, wellFormedText } from '../core/operators/targets.js';
 import { maxSlots } from '../core/distribution/usableEndpoints.js';
 import { Failure } from '../utils/failure.js';
 import { formatFinding } from '../utils/findings.js';
@@ -36,7 +36,7 @@
   service: z.string().min(1),
   address: z.string().refine(isConnectable, 'ip:port'),
   zone: z.string().min(1),
-  version: z.string().max(maxSoftwareVersionLength),
+  version: z.string().max(maxSoftwareVersionLength).regex(wellFormedText, 'well-formed Unicode'),
   slots: z.int().min(1).max(maxSlots),
   state: z.enum(['ready', 'draining']),
   cold_remaining_ms: z.number().min(0),
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -18,7 +18,7 @@
 import { createAcknowledgedEnds, lastSequence } from './acknowledgedEnds.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { readText } from '../readText.js';
-import { maxSoftwareVersionLength } from '../../core/operators/targets.js';
+import { maxSoftwareVersionLength, wellFormedText } from '../../core/operators/targets.js';
 import { maxSlots } from '../../core/distribution/usableEndpoints.js';
 import { isConnectable } from '../../utils/address.js';
 
@@ -41,7 +41,12 @@
   connections: z.int().min(1).max(maxSlots),
   state: z.enum(['ready', 'leaving']),
   load: z.number().min(0).optional(),
-  version: z.string().min(1).max(maxSoftwareVersionLength).optional(),
+  version: z
+    .string()
+    .min(1)
+    .max(maxSoftwareVersionLength)
+    .regex(wellFormedText, 'well-formed Unicode')
+    .optional(),
 });
 
 type Announcement = z.infer<typeof announcementSchema>;
@@ -296,7 +301,10 @@
       throw new Failure('unauthorized', 'announcements are accepted from this instance only');
     }
     const announcement = parseAnnouncement(
-      await readText(request, maxAnnouncementBytes, 'bad_request'),
+      await readText(request, maxAnnouncementBytes, {
+        tooLarge: 'bad_request',
+        notUtf8: 'bad_request',
+      }),
     );
     apply(announcement);
     if (announcement.state === 'leaving') {
--- a/src/plugins/readText.ts
+++ b/src/plugins/readText.ts
@@ -4,12 +4,20 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { Failure, type FailureReason } from '../utils/failure.js';
+import { decodeUtf8 } from '../utils/utf8.js';
 
-/** Reads a body as text. Throws a Failure with `reason` if it exceeds `maxBytes`. */
+export interface BodyFailures {
+  readonly tooLarge: FailureReason;
+  readonly notUtf8: FailureReason;
+}
+
+const defaultFailures: BodyFailures = { tooLarge: 'body_too_large', notUtf8: 'malformed_message' };
+
+/** Reads a body as text. Throws a Failure if it exceeds `maxBytes` or is not valid UTF-8. */
 export const readText = async (
   request: IncomingMessage,
   maxBytes: number,
-  reason: FailureReason = 'body_too_large',
+  failures: BodyFailures = defaultFailures,
 ): Promise<string> => {
   const parts: Buffer[] = [];
   let bytes = 0;
@@ -17,10 +25,10 @@
     parts.push(part as Buffer);
     bytes += (part as Buffer).length;
     if (bytes > maxBytes) {
-      throw new Failure(reason, `more than ${maxBytes} bytes`);
+      throw new Failure(failures.tooLarge, `more than ${maxBytes} bytes`);
     }
   }
-  return Buffer.concat(parts).toString('utf8');
+  return decodeUtf8(Buffer.concat(parts), failures.notUtf8);
 };
 
 /** Parses JSON. Throws `malformed_message`. */
--- a/src/plugins/rpc.ts
+++ b/src/plugins/rpc.ts
@@ -9,6 +9,7 @@
 import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
 import { Failure } from '../utils/failure.js';
 import type { Address } from '../utils/address.js';
+import { strictDecoder } from '../utils/utf8.js';
 import { createRpcSessionManager } from './rpcSessions.js';
 
 /** Largest message that a process accepts, in bytes. */
@@ -26,6 +27,8 @@
 const pingTimeoutMs = 3_000;
 const idleConnectionTimeoutMs = 60_000;
 const defaultCallTimeoutMs = 5_000;
+/** Strings in the binary format are always checked; JSON needs a strict decoder for that. */
+const jsonOptions = { ignoreUnknownFields: true, textDecoder: strictDecoder };
 
 export { formatAddress, parseAddress, type Address } from '../utils/address.js';
 
@@ -68,6 +71,7 @@
   const handler = connectNodeAdapter({
     routes,
     interceptors,
+    jsonOptions,
     readMaxBytes: maxMessageBytes,
     writeMaxBytes: maxMessageBytes,
   });
