Upstreams: one report no longer shuts out a sound endpoint for good

Causes: the service, address and data centre of a check-in were compared with nothing; and the newest report by its own claim was remembered for ever, whoever sent it.

Change: a check-in has to agree with the settings of the machine, which are read again before it is refused (409). `reportOrder` lets a process count again whose superseded reports go on for longer than reports can be late, while the newest process is silent: they were sent after its last report. Superseded reports are no longer acknowledged; that an upstream leaves is believed if the newest process is silent. Deregistrations with an unreadable start are refused, and a wrong later start no longer covers other processes for good.

--- a/__tests__/platformAdapter.test.ts
+++ b/__tests__/platformAdapter.test.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import { createCallInterface } from '../src/platform/callInterface.js';
 import { findHeader } from '../src/plugins/calls/callHeaders.js';
-import { readHeartbeat } from '../src/platform/heartbeats.js';
+import { readDeregistration, readHeartbeat } from '../src/platform/heartbeats.js';
 import { createDocumentReader, sanitizeName } from '../src/platform/documents.js';
 import { readNodeFeatures } from '../src/platform/arguments.js';
 import {
@@ -216,6 +216,31 @@
     );
     assert.equal(readHeartbeat('i-1', heartbeat, now).instance, 'i-1');
   });
+
+  // Guards against a deregistration of another writer that ends the process in use, since the start
+  // that it names cannot be read.
+  it('are deregistered by the start that is named, or by none, and not by an invalid one', () => {
+    const now = heartbeat.born + 60_000;
+    const read = (text: string, id = 'i-1') => readDeregistration(id, text, now);
+    assert.equal(read(''), undefined);
+    assert.equal(read('{}'), undefined);
+    assert.equal(read(`{"born":${heartbeat.born}}`), heartbeat.born);
+    const others = [
+      '{"born":"1790000000000"}',
+      '{"born":null}',
+      '{"born":1.5}',
+      '{"born":-1}',
+      `{"born":${now + 2 * 86_400_000}}`,
+      '[]',
+      'null',
+      '7',
+      '{"born":',
+    ];
+    others.forEach((text) =>
+      assert.throws(() => read(text), { reason: 'malformed_message' }, text),
+    );
+    assert.throws(() => read('', 'i'.repeat(129)), { reason: 'malformed_message' });
+  });
 });
 
 describe('calls of the platform', () => {
--- a/__tests__/undecodableBodies.test.ts
+++ b/__tests__/undecodableBodies.test.ts
@@ -236,7 +236,10 @@
     const [controlPort, readyPort] = [await freePort(), await freePort()];
     const applied: string[] = [];
     const announcement: Partial<UpstreamAnnouncement> = {
-      apply: () => applied.push('check-in') > 0,
+      apply: () => {
+        applied.push('check-in');
+        return 'applied';
+      },
       deregister: () => applied.push('deregistration'),
       endsStored: async () => undefined,
     };
--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -7,7 +7,7 @@
   type UpstreamReport,
 } from '../src/plugins/calls/upstreamAnnouncement.js';
 import type { Endpoint } from '../src/types/public.js';
-import { createSilentLog } from '../src/utils/log.js';
+import { createSilentLog, type Log } from '../src/utils/log.js';
 import { createManualTimer } from '../src/utils/timer.js';
 import { createMemoryEnds, type MemoryEnds } from './support/memoryEnds.js';
 
@@ -23,7 +23,11 @@
   ...fields,
 });
 
-const createFixture = (startMs = 0, ends: MemoryEnds = createMemoryEnds()) => {
+const createFixture = (
+  startMs = 0,
+  ends: MemoryEnds = createMemoryEnds(),
+  log: Log = createSilentLog(),
+) => {
   const timer = createManualTimer(startMs);
   const announced: Endpoint[] = [];
   const withdrawn: string[] = [];
@@ -39,7 +43,7 @@
     ends,
     upstream,
     timer,
-    log: createSilentLog(),
+    log,
   });
   announcement.start();
   return { timer, announced, withdrawn, upstream, announcement };
@@ -55,7 +59,7 @@
     const { announcement, upstream, announced, withdrawn } = createFixture();
     announcement.apply(report());
     announcement.deregister('e-1', undefined);
-    assert.equal(announcement.apply(report({ sequence: 5 })), false);
+    assert.equal(announcement.apply(report({ sequence: 5 })), 'ended');
     assert.equal(upstream.queries.hasFreeSlot('s'), false);
     assert.deepEqual([announced.length, withdrawn], [1, ['e-1']]);
   });
@@ -63,19 +67,19 @@
   it('rejects a report of a process that was deregistered first, as after a restart', () => {
     const { announcement, upstream } = createFixture();
     announcement.deregister('e-1', 1_000);
-    assert.equal(announcement.apply(report()), false);
+    assert.equal(announcement.apply(report()), 'ended');
     assert.equal(upstream.queries.hasFreeSlot('s'), false);
-    assert.equal(announcement.apply(report({ startedAt: 1_001 })), true);
+    assert.equal(announcement.apply(report({ startedAt: 1_001 })), 'applied');
     assert.equal(upstream.queries.hasFreeSlot('s'), true);
   });
 
   it('ignores reports of an earlier process and reports with an older number', () => {
     const { announcement, upstream } = createFixture();
     announcement.apply(report({ sequence: 7 }));
-    assert.equal(announcement.apply(report({ sequence: 6, state: 'leaving' })), false);
+    assert.equal(announcement.apply(report({ sequence: 6, state: 'leaving' })), 'superseded');
     assert.equal(upstream.queries.hasFreeSlot('s'), true);
     announcement.apply(report({ instance: 'e-2', startedAt: 2_000, service: 't' }));
-    assert.equal(announcement.apply(report({ sequence: 9 })), false);
+    assert.equal(announcement.apply(report({ sequence: 9 })), 'superseded');
     assert.equal(upstream.queries.hasFreeSlot('s'), false);
     assert.equal(upstream.queries.hasFreeSlot('t'), true);
   });
@@ -84,7 +88,7 @@
     const { announcement, upstream, withdrawn } = createFixture();
     announcement.apply(report({ sequence: 90 }));
     announcement.apply(report({ sequence: 91, state: 'leaving' }));
-    assert.equal(announcement.apply(report({ startedAt: 3_000, sequence: 1 })), true);
+    assert.equal(announcement.apply(report({ startedAt: 3_000, sequence: 1 })), 'applied');
     assert.equal(upstream.queries.hasFreeSlot('s'), true);
     assert.deepEqual(withdrawn, ['e-1']);
   });
@@ -273,3 +277,94 @@
     assert.equal(ends.marks.length, 2);
   });
 });
+
+describe('a wrong report about an upstream', () => {
+  const heartbeatMs = 1_500;
+
+  /** Applies reports of the sound upstream at its heartbeats for a time. */
+  const goOn = (
+    { timer, announcement }: ReturnType<typeof createFixture>,
+    forMs: number,
+    fields: Partial<UpstreamReport> = {},
+  ) => {
+    const outcomes: string[] = [];
+    const from = timer.now();
+    for (let elapsed = heartbeatMs; elapsed <= forMs; elapsed += heartbeatMs) {
+      timer.advance(heartbeatMs);
+      const sequence = 2 + Math.round((from + elapsed) / heartbeatMs);
+      outcomes.push(announcement.apply(report({ sequence, ...fields })));
+    }
+    return outcomes;
+  };
+
+  const wrongReports: Readonly<Record<string, Partial<UpstreamReport>>> = {
+    'of another instance': { instance: 'w-1', startedAt: 90_000 },
+    'of another instance that leaves': { instance: 'w-1', startedAt: 90_000, state: 'leaving' },
+    'with a number far ahead': { sequence: 1_000_000 },
+    'with a start in the future': { startedAt: 86_000_000, sequence: 1 },
+  };
+  Object.entries(wrongReports).forEach(([what, fields]) => {
+    // Guards against a sound upstream whose reports are ignored, and acknowledged, for good.
+    it(`${what} does not end the use of the sound one for good`, () => {
+      const fixture = createFixture();
+      fixture.announcement.apply(report());
+      goOn(fixture, 6_000);
+      fixture.announcement.apply(report(fields));
+      const outcomes = goOn(fixture, 15_000);
+      assert.equal(outcomes[0], 'superseded');
+      assert.equal(outcomes.at(-1), 'applied');
+      assert.equal(fixture.upstream.queries.hasFreeSlot('s'), true);
+      assert.equal(fixture.announced.at(-1)?.id, 'e-1');
+      assert.equal(fixture.announcement.isAnnounced(), true);
+    });
+  });
+
+  // Guards against a deregistration that covers every process which starts before the one it names.
+  it('that deregisters a later process does not end the use of the sound one for good', () => {
+    const fixture = createFixture();
+    fixture.announcement.apply(report());
+    fixture.announcement.deregister('e-1', 80_000_000);
+    assert.equal(fixture.upstream.queries.hasFreeSlot('s'), false);
+    assert.equal(goOn(fixture, 15_000).at(-1), 'applied');
+    assert.equal(fixture.upstream.queries.hasFreeSlot('s'), true);
+  });
+
+  it('does not bring back a process that has said that it ended, however long it reports', () => {
+    [1_000, undefined].forEach((startedAt) => {
+      const fixture = createFixture();
+      fixture.announcement.apply(report());
+      fixture.announcement.deregister('e-1', startedAt);
+      assert.deepEqual(new Set(goOn(fixture, 40_000)), new Set(['ended']));
+      assert.equal(fixture.upstream.queries.hasFreeSlot('s'), false);
+    });
+  });
+
+  // Guards against an end that is acknowledged and ignored, after a clock that was set back.
+  it('is believed that it leaves once the newest process is silent, and not before', () => {
+    const fixture = createFixture();
+    const { announcement, upstream, timer } = fixture;
+    announcement.apply(report({ startedAt: 9_000 }));
+    const leaving = report({ startedAt: 5_100, sequence: 2, state: 'leaving' });
+    assert.equal(announcement.apply(leaving), 'superseded');
+    assert.equal(upstream.queries.hasFreeSlot('s'), true);
+    timer.advance(4_501);
+    assert.equal(announcement.apply({ ...leaving, sequence: 5 }), 'applied');
+    assert.equal(upstream.queries.hasFreeSlot('s'), false);
+    assert.equal(announcement.apply(report({ startedAt: 9_000, sequence: 9 })), 'applied');
+    assert.equal(upstream.queries.hasFreeSlot('s'), true, 'the newest process was alive');
+  });
+
+  // Guards against lines that repeat with each heartbeat.
+  it('is logged once for each process', () => {
+    const lines: string[] = [];
+    const record = (message: string) => lines.push(message);
+    const log: Log = { ...createSilentLog(), info: record, warn: record };
+    const fixture = createFixture(0, createMemoryEnds(), log);
+    fixture.announcement.apply(report());
+    fixture.announcement.apply(report({ instance: 'w-1', startedAt: 90_000 }));
+    goOn(fixture, 15_000);
+    const ignored = lines.filter((line) => line.includes('superseded report'));
+    const adopted = lines.filter((line) => line.includes('went on'));
+    assert.deepEqual([ignored.length, adopted.length], [1, 1]);
+  });
+});
--- a/src/bin/nodeInstance.ts
+++ b/src/bin/nodeInstance.ts
@@ -17,6 +17,7 @@
 import { createQuotaClient } from '../plugins/quota/quotaClient.js';
 import { createNodeRuntime, type NodeRuntime } from '../plugins/calls/nodeRuntime.js';
 import { nativeCallInterface } from '../plugins/calls/nativeCallInterface.js';
+import type { UpstreamReport } from '../plugins/calls/upstreamAnnouncement.js';
 import { createUpstreamEndsClient } from '../plugins/calls/upstreamEndsClient.js';
 import { warmUp } from '../plugins/calls/warmUp.js';
 import { createRpcServer, parseAddress, type Address } from '../plugins/rpc.js';
@@ -37,6 +38,8 @@
   readonly retryBudgets: RetryBudgetsOptions;
   /** An announcement of the upstream expires unless it is renewed within this time, in ms. */
   readonly renewWithinMs: number;
+  /** Throws a Failure if a report is not about the upstream that belongs beside the node. */
+  readonly checkReport?: (report: UpstreamReport) => void;
   /** Servers of the adapter; they are started after the node's own and closed last. */
   start(runtime: Pick<NodeRuntime, 'ready' | 'announcement'>): {
     listen(): Promise<unknown>;
@@ -145,6 +148,7 @@
     stopTimes: adapter?.stopTimes,
     retryBudgets: adapter?.retryBudgets,
     renewWithinMs: adapter?.renewWithinMs,
+    checkReport: adapter?.checkReport,
     wholeCall: settings.admission.whole_call,
     linkMbps: settings.link?.rate_mbps,
     adaptivePace: settings.routing.adaptive_pace,
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -20,6 +20,7 @@
 import { Failure } from '../utils/failure.js';
 import { formatFinding } from '../utils/findings.js';
 import type { Log } from '../utils/log.js';
+import { createRateLimitedLog } from '../utils/rateLimitedLog.js';
 import { checkValue } from '../utils/settings.js';
 import type { Timer } from '../utils/timer.js';
 import { sanitizeName } from './documents.js';
@@ -54,10 +55,42 @@
  */
 const maxClockSkewMs = 24 * 60 * 60 * 1_000;
 
-const deregistrationSchema = z.object({ born: z.int().min(0) });
+/** All fields are optional, since a deregistration may have no body. */
+const deregistrationSchema = z.object({ born: z.int().min(0).optional() });
 
 const endpointStates = { ready: 'ready', draining: 'leaving' } as const;
 
+const checkInstance = (instance: string) => {
+  if (!instancePattern.test(instance)) {
+    throw new Failure('malformed_message', 'id: 1 to 128 visible ASCII characters');
+  }
+};
+
+const checkStart = (born: number, now: number) => {
+  if (born > now + maxClockSkewMs) {
+    throw new Failure('malformed_message', `born ${born}: not reached yet`);
+  }
+};
+
+/**
+ * Decodes the body of a deregistration, which may be empty. Returns the start of the process that has
+ * ended, if it is named. Throws `malformed_message` if the body is invalid.
+ */
+export const readDeregistration = (
+  instance: string,
+  text: string,
+  now: number,
+): number | undefined => {
+  checkInstance(instance);
+  const value = text === '' ? {} : parseJsonText(text);
+  const { output, findings } = checkValue(value, 'departure', deregistrationSchema);
+  if (!output) {
+    throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
+  }
+  checkStart(output.born ?? 0, now);
+  return output.born;
+};
+
 /**
  * Decodes a heartbeat that arrived at the time of day `now`, in ms. Throws `malformed_message` if
  * it is invalid.
@@ -67,13 +100,12 @@
   if (!output) {
     throw new Failure('malformed_message', findings.map(formatFinding).join('; '));
   }
-  const { service, address, version, slots, state, sequence, born } = output;
-  if (!instancePattern.test(instance)) {
-    throw new Failure('malformed_message', 'id: 1 to 128 visible ASCII characters');
-  }
+  const { service, address, zone, version, slots, state, sequence, born } = output;
+  checkInstance(instance);
+  checkStart(born, now);
   // An endpoint sends far fewer than one heartbeat per millisecond.
-  if (born > now + maxClockSkewMs || sequence > now - born + maxClockSkewMs) {
-    throw new Failure('malformed_message', `born ${born}, sequence ${sequence}: not reached yet`);
+  if (sequence > now - born + maxClockSkewMs) {
+    throw new Failure('malformed_message', `sequence ${sequence}: not reached yet`);
   }
   return {
     service: sanitizeName(service),
@@ -84,6 +116,7 @@
     instance,
     startedAt: born,
     sequence,
+    dataCentre: zone,
     ...(version !== '' && { version }),
   };
 };
@@ -112,7 +145,9 @@
       parseJsonText(await readText(request, maxHeartbeatBytes)),
       timer.wallClock(),
     );
-    announcement.apply(report);
+    if (announcement.apply(report) === 'superseded') {
+      throw new Failure('superseded_report');
+    }
     if (report.state === 'leaving') {
       await announcement.endsStored();
     }
@@ -123,17 +158,18 @@
   const handleDeregistration = async (request: PolkaRequest, response: ServerResponse) => {
     const instance = request.params.id ?? '';
     const text = await readText(request, maxHeartbeatBytes);
-    const { output } = checkValue(text && parseJsonText(text), 'departure', deregistrationSchema);
-    announcement.deregister(instance, output?.born);
+    announcement.deregister(instance, readDeregistration(instance, text, timer.wallClock()));
     await announcement.endsStored();
     sendJson(response, 200, {});
   };
 
+  const logRejection = createRateLimitedLog(log, timer);
+
   const catchErrors =
     (handle: (request: PolkaRequest, response: ServerResponse) => Promise<void>) =>
     (request: PolkaRequest, response: ServerResponse) => {
       handle(request, response).catch((error: unknown) => {
-        log.warn('heartbeat or deregistration rejected', {
+        logRejection('heartbeat or deregistration rejected', {
           endpoint: request.params.id,
           error: String(error),
         });
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -10,6 +10,7 @@
 import { readAdminPort, readNodeFeatures } from './arguments.js';
 import { createCallInterface } from './callInterface.js';
 import { createHeartbeatServer } from './heartbeats.js';
+import { createReportCheck } from './reportCheck.js';
 import {
   listenAddress,
   platformSettingsFile,
@@ -43,6 +44,7 @@
       timer,
       log,
       adapter: {
+        checkReport: createReportCheck(watch),
         callInterface: createCallInterface(() => watch.current().service),
         stopTimes: { acceptMs, idleMs },
         retryBudgets: toRetryBudgets(settings),
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -65,6 +65,8 @@
   readonly heartbeatMs: number;
   /** Service of the endpoint on this machine; empty on machines without one. */
   readonly service: string;
+  /** Address of that endpoint; empty if it is not known. */
+  readonly endpointAddress: string;
   /** Time from SIGTERM to SIGKILL, in ms. */
   readonly graceMs: number;
   /** Limit on the retries that the endpoints of a service receive from all nodes together. */
@@ -202,6 +204,7 @@
     dataFolder: optional('data_dir'),
     heartbeatMs,
     service: optional('service'),
+    endpointAddress: optional('app_addr'),
     graceMs: graceSeconds * 1_000,
     retryLimit: {
       share: readBound(bounds, 'retry_budget_ratio') ?? defaultRetryLimit.share,
--- a/src/plugins/calls/acknowledgedEnds.ts
+++ b/src/plugins/calls/acknowledgedEnds.ts
@@ -5,6 +5,7 @@
  * end may still arrive.
  */
 import { compareMarks } from '../../core/agreement/upstreamEnds.js';
+import { processKey } from '../../core/calls/reportOrder.js';
 import type { EndMark, UpstreamEndStore } from '../../types/internal.js';
 import { Failure } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
@@ -32,15 +33,21 @@
   readonly commands: {
     /** Asks once for the ends that an earlier process of this node acknowledged. */
     load(): void;
-    /** Ignores the reports up to the mark from now on. */
-    add(mark: EndMark): void;
+    /**
+     * Ignores the reports up to the mark from now on. If the upstream named the process that has
+     * ended, reports of earlier processes are in doubt only: it may have named a wrong one.
+     */
+    add(mark: EndMark, namesProcess: boolean): void;
     /** Stores the mark at the control instances, unless one of the same process is stored. */
     record(mark: EndMark): void;
     /** The upstream is in use again: its next end is stored anew. */
     forgetRecord(endpoint: string): void;
   };
   readonly queries: {
-    covers(report: EndMark): boolean;
+    /** True if the process of the report has ended. */
+    hasEnded(report: EndMark): boolean;
+    /** True if a later process under the same id has ended. */
+    isBeforeEnd(report: EndMark): boolean;
     /** True once the ends from before the start are known, or no report from then can arrive. */
     isLoaded(): boolean;
     /** Resolves once all ends are stored; rejects with `no_quorum` if that takes too long. */
@@ -58,7 +65,11 @@
 export const createAcknowledgedEnds = (options: AcknowledgedEndsOptions): AcknowledgedEnds => {
   const { store, maxReportDelayMs, timer, log } = options;
   const createdAt = timer.now();
-  const marks = new Map<string, EndMark>();
+  /** Ends of the processes that upstreams named, by process. */
+  const namedMarks = new Map<string, EndMark>();
+  /** Latest named end, and latest one without a name, of each upstream. */
+  const latestNamed = new Map<string, EndMark>();
+  const latestUnnamed = new Map<string, EndMark>();
   /** Marks of earlier processes of this node; they count while reports from before can arrive. */
   const loadedMarks = new Map<string, EndMark>();
   const recorded = new Map<string, EndMark>();
@@ -66,10 +77,14 @@
   let isLoading = false;
   let hasListed = false;
 
-  const add = (mark: EndMark) => {
-    const known = marks.get(mark.endpoint);
+  const add = (mark: EndMark, namesProcess: boolean) => {
+    const latest = namesProcess ? latestNamed : latestUnnamed;
+    const known = latest.get(mark.endpoint);
     if (!known || compareMarks(known, mark) < 0) {
-      setBounded(marks, mark.endpoint, mark);
+      setBounded(latest, mark.endpoint, mark);
+    }
+    if (namesProcess) {
+      setBounded(namedMarks, processKey(mark), mark);
     }
   };
 
@@ -150,9 +165,11 @@
       },
     },
     queries: {
-      covers: (report) =>
-        isUpTo(marks.get(report.endpoint), report) ||
+      hasEnded: (report) =>
+        isUpTo(namedMarks.get(processKey(report)), report) ||
+        isUpTo(latestUnnamed.get(report.endpoint), report) ||
         (!isDelayPast() && isUpTo(loadedMarks.get(report.endpoint), report)),
+      isBeforeEnd: (report) => isUpTo(latestNamed.get(report.endpoint), report),
       isLoaded: () => hasListed || isDelayPast(),
       stored,
     },
--- a/src/plugins/calls/nodeRuntime.ts
+++ b/src/plugins/calls/nodeRuntime.ts
@@ -51,7 +51,11 @@
 import { createRemoteSender } from './remoteSender.js';
 import { createRolloutLog } from './rolloutLog.js';
 import { formatAddress, type Address } from '../rpc.js';
-import { createUpstreamAnnouncement, type UpstreamAnnouncement } from './upstreamAnnouncement.js';
+import {
+  createUpstreamAnnouncement,
+  type UpstreamAnnouncement,
+  type UpstreamReport,
+} from './upstreamAnnouncement.js';
 import { nativeCallInterface } from './nativeCallInterface.js';
 import { createNodeLinks } from './nodeLinks.js';
 import { createCallExplanation, readExplainedCall } from './callExplanation.js';
@@ -69,6 +73,8 @@
   readonly callInterface?: CallInterface;
   /** Retry limits. Default: a tenth of the calls of each class and service. */
   readonly retryBudgets?: RetryBudgetsOptions;
+  /** Throws a Failure if a report is not about the upstream that belongs beside this node. */
+  readonly checkReport?: (report: UpstreamReport) => void;
   /** Time within which the upstream renews its announcement, in ms. Default: 3 s. */
   readonly renewWithinMs?: number;
   readonly stopTimes?: StopTimes;
@@ -246,6 +252,7 @@
     forwardAddress: () => forwardAddress,
     announcer: options.announcer,
     renewWithinMs: options.renewWithinMs,
+    checkReport: options.checkReport,
     ends: options.upstreamEnds,
     upstream,
     timer,
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -1,13 +1,14 @@
 /**
  * Announcement of the upstream beside this node, by `PUT /upstream` on the admin address or by an
  * adapter. The upstream has to renew its announcement; if it stops doing so, or refuses
- * connections, its endpoint is withdrawn. A report that arrives after a newer one is ignored.
+ * connections, its endpoint is withdrawn. A superseded report changes nothing, and is acknowledged only
+ * if its process has ended.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { isIPv4 } from 'node:net';
 import type { Polka, PolkaRequest } from 'polka';
 import * as z from 'zod';
-import type { Announcer, UpstreamEndStore } from '../../types/internal.js';
+import type { Announcer, EndMark, UpstreamEndStore } from '../../types/internal.js';
 import type { Endpoint } from '../../types/public.js';
 import { Failure } from '../../utils/failure.js';
 import type { Log } from '../../utils/log.js';
@@ -15,6 +16,7 @@
 import { formatFinding } from '../../utils/findings.js';
 import type { Timer } from '../../utils/timer.js';
 import { sendError, sendJson } from '../operators/adminServer.js';
+import { createReportOrder, isSameProcess, processKey } from '../../core/calls/reportOrder.js';
 import { createAcknowledgedEnds, lastSequence } from './acknowledgedEnds.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { readText } from '../readText.js';
@@ -51,6 +53,9 @@
 
 type Announcement = z.infer<typeof announcementSchema>;
 
+/** Superseded processes that are logged before their lines are repeated. */
+const maxLoggedProcesses = 16;
+
 /** Report of an upstream about itself. */
 export interface UpstreamReport {
   readonly service: string;
@@ -67,8 +72,16 @@
   readonly sequence?: number;
   /** Version of the upstream's software. */
   readonly version?: string;
+  /** Data centre that the upstream is in. */
+  readonly dataCentre?: string;
 }
 
+/**
+ * `unconfirmed`: the upstream is used once a second report says the same. `ended`: the report is late,
+ * since its process has ended. `superseded`: a later process has reported, so nothing was changed.
+ */
+export type ReportOutcome = 'applied' | 'unconfirmed' | 'ended' | 'superseded';
+
 export interface UpstreamAnnouncementOptions {
   readonly node: { readonly name: string; readonly dataCentre: string; readonly region: string };
   /** Address that other nodes use to forward calls to this node. */
@@ -79,6 +92,8 @@
   readonly renewWithinMs?: number;
   /** Where ends are stored that outlive this process. */
   readonly ends: UpstreamEndStore;
+  /** Throws a Failure if a report is not about the upstream that belongs beside this node. */
+  readonly checkReport?: (report: UpstreamReport) => void;
   readonly timer: Timer;
   readonly log: Log;
 }
@@ -86,8 +101,8 @@
 export interface UpstreamAnnouncement {
   routes(router: Polka): void;
   start(): void;
-  /** Applies a report. Returns false if a newer one was applied before. Throws `leaving`. */
-  apply(report: UpstreamReport): boolean;
+  /** Applies a report. Throws `leaving` or the failure of `checkReport`. */
+  apply(report: UpstreamReport): ReportOutcome;
   /**
    * Removes an upstream that has ended. Reports of that process which arrive later are ignored;
    * `startedAt` is undefined if the upstream did not say which of its processes ended.
@@ -138,9 +153,10 @@
   let sequence = 0;
   let announcedFields: string | undefined;
   let announcedId = node.name;
-  let newest: UpstreamReport | undefined;
+  const order = createReportOrder({ maxDelayMs: maxReportDelayMs, renewWithinMs });
   /** Report of an upstream that started before this process; see `isConfirmed`. */
-  let unconfirmed: UpstreamReport | undefined;
+  let unconfirmed: EndMark | undefined;
+  const loggedProcesses = new Set<string>();
   const ends = createAcknowledgedEnds({ store: options.ends, maxReportDelayMs, timer, log });
   let renewedAt = 0;
   let isStopping = false;
@@ -175,38 +191,28 @@
 
   const idOf = ({ instance }: UpstreamReport): string => instance ?? node.name;
 
-  const markOf = (report: UpstreamReport) => {
+  const markOf = (report: UpstreamReport): EndMark => {
     const { startedAt = 0, sequence: number = 0 } = report;
     return { endpoint: idOf(report), startedAt, sequence: number };
   };
 
-  const isOutdated = (report: UpstreamReport): boolean => {
-    const { startedAt = 0, sequence: number = 0 } = report;
-    if (ends.queries.covers(markOf(report))) {
-      return true;
-    }
-    const { startedAt: newestStart = 0, sequence: newestNumber = 0 } = newest ?? {};
-    return startedAt < newestStart || (startedAt === newestStart && number < newestNumber);
-  };
-
-  const isSameProcess = (a: UpstreamReport | undefined, b: UpstreamReport): boolean =>
-    a !== undefined && idOf(a) === idOf(b) && a.startedAt === b.startedAt;
-
   /**
    * An upstream that ran before this process may have ended meanwhile, with one of its earlier
    * reports still in transit. It is accepted once a later report says the same, and once it is known
    * that an earlier process of this node did not acknowledge its end.
    */
   const isConfirmed = (report: UpstreamReport): boolean => {
-    const { startedAt, sequence: number = 0 } = report;
+    const { startedAt } = report;
+    const mark = markOf(report);
     const isOlder = startedAt !== undefined && startedAt < incarnation - startToleranceMs;
     const isDelayPast = timer.now() - createdAt > maxReportDelayMs;
-    if (isSameProcess(newest, report) || !isOlder || isDelayPast) {
+    if (isSameProcess(order.queries.newest(), mark) || !isOlder || isDelayPast) {
       return true;
     }
     ends.commands.load();
-    const isRepeated = isSameProcess(unconfirmed, report) && number > (unconfirmed?.sequence ?? 0);
-    unconfirmed = report;
+    const isRepeated =
+      isSameProcess(unconfirmed, mark) && mark.sequence > (unconfirmed?.sequence ?? 0);
+    unconfirmed = mark;
     return isRepeated && ends.queries.isLoaded();
   };
 
@@ -260,33 +266,88 @@
   };
 
   const deregister = (instance: string, startedAt: number | undefined) => {
-    const isCurrent = newest !== undefined && idOf(newest) === instance;
+    const newest = order.queries.newest();
+    const isCurrent = newest?.endpoint === instance;
     // A process that this one has not heard of started before it.
-    const endedStart = startedAt ?? (isCurrent ? newest?.startedAt : undefined) ?? incarnation;
+    const endedStart = startedAt ?? (isCurrent ? newest.startedAt : incarnation);
     const mark = { endpoint: instance, startedAt: endedStart, sequence: lastSequence };
-    ends.commands.add(mark);
+    ends.commands.add(mark, startedAt !== undefined);
     ends.commands.record(mark);
-    if (isCurrent && (newest?.startedAt ?? 0) <= endedStart) {
+    const isNewestOver = isCurrent && newest.startedAt <= endedStart;
+    if (isNewestOver) {
       log.info('upstream has ended', { endpoint: instance, startedAt: endedStart });
+      order.commands.accept(mark, timer.now());
+    }
+    if (isNewestOver || isSuccessorOfSilent(mark)) {
       handleLeaving();
     }
   };
 
-  const apply = (report: UpstreamReport): boolean => {
-    if (isOutdated(report)) {
-      log.info('outdated report of an upstream ignored', {
-        endpoint: idOf(report),
-        startedAt: report.startedAt,
-        sequence: report.sequence,
-      });
-      return false;
+  const newestFields = () => {
+    const { endpoint, startedAt } = order.queries.newest() ?? {};
+    return { newest: endpoint, newestStartedAt: startedAt };
+  };
+
+  /** Logs a decision on the first report of a process only, since more follow each heartbeat. */
+  const logOnce = (message: string, mark: EndMark) => {
+    const key = `${message} ${processKey(mark)}`;
+    if (loggedProcesses.has(key)) {
+      return;
+    }
+    if (loggedProcesses.size === maxLoggedProcesses) {
+      loggedProcesses.clear();
+    }
+    loggedProcesses.add(key);
+    log.info(message, { ...mark, ...newestFields() });
+  };
+
+  /**
+   * True if the process has the id of the newest one, which is silent. If the clock was set back, it
+   * may be the successor, and calls for the newest one reach it.
+   */
+  const isSuccessorOfSilent = ({ endpoint }: EndMark): boolean =>
+    order.queries.newest()?.endpoint === endpoint && order.queries.isSilent(timer.now());
+
+  /** Handles a superseded report. That an upstream leaves is believed where nothing speaks against it. */
+  const handleSuperseded = (mark: EndMark, { state }: UpstreamReport): ReportOutcome => {
+    if (state === 'leaving' && isSuccessorOfSilent(mark)) {
+      logOnce('upstream leaves that claims an earlier start than a silent one', mark);
+      handleLeaving();
+      ends.commands.record(mark);
+      return 'applied';
+    }
+    logOnce('superseded report of an upstream ignored', mark);
+    return 'superseded';
+  };
+
+  const apply = (report: UpstreamReport): ReportOutcome => {
+    options.checkReport?.(report);
+    const mark = markOf(report);
+    if (ends.queries.hasEnded(mark)) {
+      logOnce('late report of an ended upstream ignored', mark);
+      return 'ended';
+    }
+    const now = timer.now();
+    const isBeforeEnd = ends.queries.isBeforeEnd(mark);
+    const verdict = order.commands.judge(mark, now, { isBeforeEnd });
+    if (verdict === 'superseded') {
+      return handleSuperseded(mark, report);
     }
     if (report.state === 'ready' && !isConfirmed(report)) {
-      return true;
+      return 'unconfirmed';
     }
     handlers[report.state](report);
-    newest = report;
-    return true;
+    if (verdict === 'proven') {
+      log.warn('upstream in use whose reports were superseded and went on', {
+        ...mark,
+        ...newestFields(),
+      });
+    }
+    if (!isSameProcess(order.queries.newest(), mark)) {
+      loggedProcesses.clear();
+    }
+    order.commands.accept(mark, now);
+    return 'applied';
   };
 
   const waitUntilIdle = async () => {
@@ -306,7 +367,10 @@
         notUtf8: 'bad_request',
       }),
     );
-    apply(announcement);
+    const outcome = apply(announcement);
+    if (outcome === 'superseded') {
+      throw new Failure('superseded_report');
+    }
     if (announcement.state === 'leaving') {
       await waitUntilIdle();
     }
--- a/src/utils/failure.ts
+++ b/src/utils/failure.ts
@@ -58,6 +58,18 @@
     run: 'not_run',
     text: 'another rollout of the service is running',
   },
+  foreign_report: {
+    code: 'E212',
+    status: 409,
+    run: 'not_run',
+    text: 'the report is not about the upstream of this node',
+  },
+  superseded_report: {
+    code: 'E213',
+    status: 409,
+    run: 'not_run',
+    text: 'the report is superseded by a newer one',
+  },
   unknown_class: { code: 'E301', status: 404, run: 'not_run', text: 'no class matches the call' },
   no_configuration: {
     code: 'E302',
