Agreement: a voter whose removal is not committed votes and stands

Cause: the removal of a stopping voter had reached it and was not committed. Elections needed the voters before the removal, of whom one was gone and the removed one refused its vote; if the leader that appended the removal is gone, the removed one alone has the newest entry.

Change: a replica votes and stands if the newest membership, or the one before that still counts, lists its incarnation. A leader removes a stopping voter only if enough voters remain that it heard of in the last second, and not while it stops itself.

Check of the simulation: it asked for the newest membership only, which forbids the votes that the rule of both quorums needs. It now reads the last two memberships from the log of the voter and allows the one before only while the newest is not known to be committed.

--- a/__tests__/support/replicaSimulation.ts
+++ b/__tests__/support/replicaSimulation.ts
@@ -12,7 +12,7 @@
   emptySnapshot,
 } from '../../src/core/agreement/consensus.js';
 import type { ReplicaCore } from '../../src/core/agreement/consensus.js';
-import { encodeMembers } from '../../src/core/agreement/consensusLog.js';
+import { decodeMembers, encodeMembers } from '../../src/core/agreement/consensusLog.js';
 import type {
   AnswerMessage,
   HardState,
@@ -226,11 +226,28 @@
     counters.reducedQuorums += Number(intactOf(voters) * 2 <= voters.length);
   };
 
+  /** Memberships in the log of a replica, with their indexes; read from what it has written. */
+  const membershipsOf = ({ disk, unsynced }: SimulatedReplica) => {
+    const { snapshot, entries } = unsynced.reduce(applyWrite, disk);
+    const changes = entries
+      .filter(({ kind }) => kind === 'membership')
+      .map(({ index, payload }) => ({ index, members: decodeMembers(payload) }));
+    return [{ index: snapshot.index, members: snapshot.members }, ...changes];
+  };
+
+  /**
+   * A voter has to be named by the newest membership in its log or, as long as that is not known to be
+   * committed, by the one before: elections need the voters of both.
+   */
   const checkReply = (node: SimulatedReplica, message: AnswerMessage) => {
     if (message.type === 'voteAnswer' && message.granted) {
-      const isNamed = node.core.queries
-        .status()
-        .members.some(({ incarnation }) => incarnation === node.incarnation);
+      const [previous, newest] = membershipsOf(node).slice(-2);
+      const last = newest ?? previous!;
+      const counting =
+        newest && newest.index > node.core.queries.status().commitIndex
+          ? [...previous!.members, ...newest.members]
+          : last.members;
+      const isNamed = counting.some(({ incarnation }) => incarnation === node.incarnation);
       assert.ok(isNamed, `${node.name} votes with a disk whose incarnation is no member`);
     }
   };
--- a/src/bin/controlInstance.ts
+++ b/src/bin/controlInstance.ts
@@ -379,7 +379,8 @@
 
   const handleLeaveRequest: LeaveHandler = (group, member) => {
     const replicaGroup = groups[group as GroupName];
-    return replicaGroup
+    // The next leader decides: it knows which voters go on.
+    return replicaGroup && !isStopping
       ? handleLeave(replicaGroup, member, minVoters)
       : Promise.resolve('not_leader');
   };
--- a/src/core/agreement/consensusElection.ts
+++ b/src/core/agreement/consensusElection.ts
@@ -7,7 +7,8 @@
 import type { Replica, RequestVote, MemberId, TimeoutNow, VoteAnswer } from './consensusTypes.js';
 import {
   isConfirmedVoter,
-  isMember,
+  isListedMember,
+  isListedVoter,
   isQuorum,
   isVoter,
   keyOf,
@@ -158,12 +159,16 @@
   countVotes(replica);
 };
 
-/** Starts an election when the election deadline has passed. A learner only forgets the leader. */
+/**
+ * Starts an election when the election deadline has passed. A learner only forgets the leader. A voter
+ * whose removal may not be committed stands as well: if the leader that removed it is lost, it can be
+ * the only one with the newest entry.
+ */
 export const checkElection = (replica: Replica): void => {
   if (replica.role === 'leader' || replica.now < replica.electionDeadline) {
     return;
   }
-  if (isVoter(replica, replica.options.self)) {
+  if (isListedVoter(replica, replica.options.self)) {
     startPreVote(replica);
   } else {
     replica.leaderName = '';
@@ -184,13 +189,13 @@
     replica.now - replica.lastLeaderContactAt < replica.options.electionTimeoutMs);
 
 /**
- * A replica votes only if the membership in its own log contains its incarnation: after the loss of
- * its disk it no longer knows the votes and entries that it acknowledged before. The candidate does
- * not have to be a member according to this replica's log, which may lack the entry that added it;
- * the candidate counts only votes from its own membership.
+ * A replica votes only if its own log lists its incarnation, in the newest membership or in the one
+ * before that still counts: after the loss of its disk it no longer knows the votes and entries that
+ * it acknowledged before. The candidate does not have to be a member according to this replica's log,
+ * which may lack the entry that added it; the candidate counts only votes of its own memberships.
  */
 const mayVote = (replica: Replica, from: MemberId, message: RequestVote): boolean => {
-  if (!isMember(replica, replica.options.self) || hasNewerLog(replica, message)) {
+  if (!isListedMember(replica, replica.options.self) || hasNewerLog(replica, message)) {
     return false;
   }
   if (message.preVote) {
--- a/src/core/agreement/consensusMembership.ts
+++ b/src/core/agreement/consensusMembership.ts
@@ -24,10 +24,6 @@
 export const isVoter = (replica: Replica, sender: MemberId): boolean =>
   voters(replica).some((member) => isSameMember(member, sender));
 
-/** True if the membership in the local log lists this incarnation, as voter or learner. */
-export const isMember = (replica: Replica, sender: MemberId): boolean =>
-  currentMembers(replica).some((member) => isSameMember(member, sender));
-
 /** Identifies a member and its data folder in sets and maps. */
 export const keyOf = ({ name, incarnation }: MemberId): string => `${name}/${incarnation}`;
 
@@ -40,6 +36,22 @@
   return queries.membershipIndex() > replica.commitIndex ? queries.previousMembers() : [];
 };
 
+const listedMembers = (replica: Replica): readonly Member[] => [
+  ...currentMembers(replica),
+  ...outgoingMembers(replica),
+];
+
+/**
+ * True if a membership that counts lists this incarnation, as voter or learner. While the removal of a
+ * voter is not known to be committed, the group may need its vote.
+ */
+export const isListedMember = (replica: Replica, sender: MemberId): boolean =>
+  listedMembers(replica).some((member) => isSameMember(member, sender));
+
+/** True if this incarnation is a voter of a membership that counts. */
+export const isListedVoter = (replica: Replica, sender: MemberId): boolean =>
+  listedMembers(replica).some((member) => member.kind === 'voter' && isSameMember(member, sender));
+
 /** Voters of each membership that has to contribute a quorum. */
 const votersOfEach = (replica: Replica): readonly (readonly Member[])[] => {
   const outgoing = outgoingMembers(replica).filter(({ kind }) => kind === 'voter');
@@ -196,11 +208,6 @@
   return hasVoters(previous) ? Math.min(countIntact(replica, previous), current) : current;
 };
 
-const listedMembers = (replica: Replica): readonly Member[] => [
-  ...currentMembers(replica),
-  ...outgoingMembers(replica),
-];
-
 /** Forgets the lost folders of incarnations that are no longer listed. */
 const pruneLostFolders = (replica: Replica): void => {
   const listed = new Set(listedMembers(replica).map(keyOf));
--- a/src/plugins/agreement/leaving.ts
+++ b/src/plugins/agreement/leaving.ts
@@ -16,13 +16,32 @@
 const leavePeriodMs = 50;
 /** Longest time that a stop waits for the removal, in ms: one election timeout. */
 const maxLeaveMs = 1_000;
+/** A voter that the leader has not heard of for one election timeout may be gone, in ms. */
+const maxContactAgeMs = 1_000;
 
 type Group = Pick<ReplicaGroup<unknown>, 'commands' | 'queries'>;
 
 const isListed = (members: readonly Member[], { name, incarnation }: MemberId): boolean =>
   members.some((member) => member.name === name && member.incarnation === incarnation);
 
-/** Handles the request of another instance to leave. */
+/**
+ * True if the group keeps enough voters that the leader has heard of lately. A silent one may be gone
+ * for good, and then the one that leaves would be needed.
+ */
+const hasHeardSurplus = (
+  { members, intactVoters, contactAgeMs }: Group['queries'],
+  min: number,
+) => {
+  const silent = members().filter(
+    ({ kind, name }) => kind === 'voter' && contactAgeMs(name) > maxContactAgeMs,
+  );
+  return hasSurplusVoter(intactVoters() - silent.length, min);
+};
+
+/**
+ * Handles the request of another instance to leave. While a voter is silent that would have to stand
+ * in, the outcome is `pending`: it may be heard of before the stop ends.
+ */
 export const handleLeave = async (
   group: Group,
   leaving: MemberId,
@@ -39,6 +58,9 @@
   if (!hasSurplusVoter(queries.intactVoters(), minVoters)) {
     return 'kept';
   }
+  if (!hasHeardSurplus(queries, minVoters)) {
+    return 'pending';
+  }
   const member = members.find(({ name }) => name === leaving.name)!;
   try {
     await commands.changeMembers({ action: 'remove', member });
