--- a/__tests__/twoFaults.process.test.ts
+++ b/__tests__/twoFaults.process.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { join } from 'node:path';
 import { writeFileSync } from 'node:fs';
-import { describe, it } from 'node:test';
+import { afterEach, describe, it } from 'node:test';
 import { withDeployment, type Deployment } from './support/deployment.js';
 import {
   createChangeClient,
@@ -21,8 +21,23 @@
 const exitUnknown = 5;
 const exitUnreachable = 6;
 
-const setUp = async (deployment: Deployment) => {
+/** Ends what a test has opened, also if the test has failed. */
+const closers: (() => unknown)[] = [];
+
+const openChanges = (deployment: Deployment) => {
   const changes = createChangeClient(deployment);
+  closers.push(changes.close);
+  return changes;
+};
+
+const startWatch = (deployment: Deployment) => {
+  const watch = watchForRollbacks(deployment.nodes);
+  closers.push(() => watch.stop().catch(() => undefined));
+  return watch;
+};
+
+const setUp = async (deployment: Deployment) => {
+  const changes = openChanges(deployment);
   await waitForVersion(deployment.nodes, await changes.apply(formatTargets(['lookup'])));
   return changes;
 };
@@ -46,10 +61,15 @@
 };
 
 describe('two faults at once', () => {
+  // Guards against a failed test whose polling keeps the file running to its time limit.
+  afterEach(async () => {
+    await Promise.all(closers.splice(0).map((close) => close()));
+  });
+
   it('a lost leader during a cut: what is told not run is not in force after the repair', async () => {
     await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
       const changes = await setUp(deployment);
-      const watch = watchForRollbacks(deployment.nodes);
+      const watch = startWatch(deployment);
       const inside = deployment.processNamesIn('c');
       deployment.partition(inside, others(deployment, inside));
       await changes.apply(formatTargets(['lookup'], 60), ['c']);
@@ -76,14 +96,13 @@
         assert.notEqual(outcomes.get('no-quorum'), 'accepted', report);
       }
       await watch.stop();
-      changes.close();
     });
   });
 
   it('half of all nodes lost during a partition: no proxy reverts and all recover', async () => {
     await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
       const changes = await setUp(deployment);
-      const watch = watchForRollbacks(deployment.nodes);
+      const watch = startWatch(deployment);
       const inside = deployment.processNamesIn('c');
       deployment.partition(inside, others(deployment, inside));
       const during = await changes.apply(formatTargets(['lookup'], 60), ['c']);
@@ -98,14 +117,13 @@
       await waitForVersion(deployment.nodes, version);
       await waitUntilAttached(deployment.nodes);
       await watch.stop();
-      changes.close();
     });
   });
 
   it('connections dead while the leader is lost: the next change reaches all nodes', async () => {
     await withDeployment({ dataCentres, faultProxies: true }, async (deployment) => {
       const changes = await setUp(deployment);
-      const watch = watchForRollbacks(deployment.nodes);
+      const watch = startWatch(deployment);
       const lost = deployment.control(await leaderName(deployment));
       deployment.controls.forEach(({ name }) =>
         deployment.proxy(name, 'peer').blackholeOpenConnections(),
@@ -113,7 +131,7 @@
       await lost.process.end('SIGKILL');
       changes.close();
 
-      const next = createChangeClient(deployment);
+      const next = openChanges(deployment);
       const version = await next.apply(formatTargets(['lookup'], 60));
       await waitForVersion(deployment.nodes, version);
       lost.process.start();
@@ -121,7 +139,6 @@
       await waitForVersion(deployment.nodes, last);
       await waitUntilAttached(deployment.nodes);
       await watch.stop();
-      next.close();
     });
   });
 });
