--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -146,7 +146,9 @@
       timer.wallClock(),
     );
     if (announcement.apply(report) === 'superseded') {
-      throw new Failure('superseded_report');
+      // Logged once for its process, not at each heartbeat.
+      sendError(response, new Failure('superseded_report'));
+      return;
     }
     if (report.state === 'leaving') {
       await announcement.endsStored();
