Bootstrap: a seed that is gone no longer holds up the first start for good

Cause: the first seed founds once every other seed has answered, and waits without an end.

Change: it waits 2 s for all; after that a majority of the seeds, itself included, is enough. Only the first seed founds, and only on the first start of the system, so that no second founding can take place. A start in which all seeds answer goes as before.

--- a/__tests__/bootstrap.test.ts
+++ b/__tests__/bootstrap.test.ts
@@ -63,6 +63,53 @@
     assert.ok(isEmptyLog(await bootstrapGroup(options)));
   });
 
+  // Guards against a first start that never ends since one seed is gone for good.
+  it('founds with a majority of the seeds on a first start, after it has waited for all', async () => {
+    const { options, timer } = await createOptions({ b: 0 });
+    const startedAt = timer.now();
+    let foundedAt: number | undefined;
+    const bootstrapping = bootstrapGroup({ ...options, othersJoin: true }).then((loaded) => {
+      foundedAt = timer.now();
+      return loaded;
+    });
+    for (let attempt = 0; attempt < 50 && foundedAt === undefined; attempt += 1) {
+      await nextTurn();
+      timer.advance(100);
+    }
+    const { entries } = await bootstrapping;
+    assert.deepEqual(
+      decodeMembers(entries[0]!.payload).map(({ name }) => name),
+      ['a'],
+    );
+    assert.ok(foundedAt! - startedAt >= 2_000, `after ${foundedAt! - startedAt} ms`);
+  });
+
+  it('does not found without a majority of the seeds, or beside a cluster', async () => {
+    for (const terms of [{}, { b: 3 }] as Record<string, number>[]) {
+      const { options, timer } = await createOptions(terms);
+      let isStopped = false;
+      let isDone = false;
+      const bootstrapping = bootstrapGroup({
+        ...options,
+        othersJoin: true,
+        isStopped: () => isStopped,
+      }).finally(() => {
+        isDone = true;
+      });
+      for (let attempt = 0; attempt < 100; attempt += 1) {
+        await nextTurn();
+        timer.advance(100);
+      }
+      assert.equal(isDone, terms.b !== undefined);
+      isStopped = true;
+      while (!isDone) {
+        await nextTurn();
+        timer.advance(1_000);
+      }
+      assert.ok(isEmptyLog(await bootstrapping));
+    }
+  });
+
   it('waits for a member that does not answer, which may belong to a cluster', async () => {
     const terms: Record<string, number | undefined> = { b: 0 };
     const { options, timer, probed } = await createOptions(terms);
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -50,8 +50,8 @@
 const instancePattern = /^[\x21-\x7e]{1,128}$/;
 /**
  * Tolerance for `born` and `sequence`, far above the few seconds by which the clocks of two
- * machines differ. A value further in the future would make all later heartbeats of the endpoint
- * count as outdated.
+ * machines differ. A value further in the future cannot be right, and would make the endpoint's own
+ * heartbeats count as superseded for a while.
  */
 const maxClockSkewMs = 24 * 60 * 60 * 1_000;
 
--- a/src/plugins/agreement/bootstrap.ts
+++ b/src/plugins/agreement/bootstrap.ts
@@ -3,18 +3,23 @@
  * itself as the only voter, and only if every other member in the settings answers that its log is
  * empty. Otherwise a first member that lost its disk could bootstrap a second cluster while the
  * other members continue the first one. The other members start as learners and become voters once
- * they have caught up.
+ * they have caught up. Where members find each other through seeds, the first seed founds on the first
+ * start of the whole system only, so a seed that stays silent does not hold it up for good: a majority
+ * of the seeds is enough then.
  */
 import { encodeMembers } from '../../core/agreement/consensusLog.js';
 import type { LogEntry, RequestVote } from '../../core/agreement/consensusTypes.js';
 import type { Member } from '../../types/internal.js';
 import type { Log } from '../../utils/log.js';
 import type { Timer } from '../../utils/timer.js';
+import { majorityOf } from '../../core/agreement/quorum.js';
 import type { PeerAnswer } from './consensusTransport.js';
 import { retryWhileDiskFull } from './diskSpace.js';
 import type { GroupLog, LoadedLog } from './groupLog.js';
 
 const retryMs = 200;
+/** Time for which all seeds are waited for: they start within 0.3 s of each other. */
+const allSeedsMs = 2_000;
 const firstTerm = 1;
 const firstIndex = 1;
 
@@ -58,8 +63,14 @@
   isStopped,
 }: BootstrapOptions): Promise<{ member: Member; term: number }[]> => {
   const answers = new Map<string, { member: Member; term: number }>();
+  const startedAt = timer.now();
+  const hasEnough = (): boolean => {
+    const hasMajority = answers.size + 1 >= majorityOf(others.length + 1);
+    const mayFoundWithoutAll = othersJoin && timer.now() - startedAt >= allSeedsMs;
+    return answers.size === others.length || (mayFoundWithoutAll && hasMajority);
+  };
   let isReported = false;
-  while (answers.size < others.length && !isStopped()) {
+  while (!hasEnough() && !isStopped()) {
     const missing = others.filter(({ name }) => !answers.has(name));
     await Promise.all(
       missing.map(async (other) => {
@@ -71,7 +82,7 @@
         }
       }),
     );
-    if (answers.size < others.length) {
+    if (!hasEnough()) {
       if (!isReported) {
         const names = missing.map(({ name }) => name).join(', ');
         log.info('waiting for the other members before the cluster is founded', { missing: names });
@@ -112,6 +123,9 @@
     () => storage.write([{ type: 'persist', sequence: 0, hardState, entries: [entry] }]),
     options,
   );
-  log.info('wrote the first membership', { members: members.length });
+  log.info('wrote the first membership', {
+    members: members.length,
+    answered: answers.map(({ member }) => member.name).join(', '),
+  });
   return { ...storage.loaded, hardState, entries: [entry] };
 };
