Upstreams: a number far ahead does not hold up the proof of a process

Seen: in a test only, while the diff was read again. After a report that superseded the sound upstream, one more under its own name with a number far ahead was followed; its own reports never reached that number, so it did not count again for good.

Cause: a followed process kept the highest number that it had named, however long ago.

Change: after a gap of one renewal time, a process is followed anew from the number that it names then. The proof still needs reports with rising numbers for longer than reports can be late, so that late ones of a process that is gone never suffice.

Evidence: "lets an upstream count again after two wrong reports" in `reportOrder.test` failed before; its properties pass as before.

--- a/__tests__/reportOrder.test.ts
+++ b/__tests__/reportOrder.test.ts
@@ -110,6 +110,17 @@
     });
   });
 
+  // Guards against a wrong number of a process that is followed, which its own reports never reach.
+  it('lets an upstream count again after two wrong reports, one of them under its name', () => {
+    const wrong = [
+      { at: 110_000, mark: markOf('other', 90_000, 1) },
+      { at: 112_000, mark: markOf('sound', 1_000, 50_000) },
+    ];
+    const after = countedAt('sound', [...sound, ...wrong]).filter((at) => at > 112_000);
+    assert.ok(after.length > 0, 'it counts again');
+    assert.ok(after[0]! - 112_000 <= maxDelayMs + renewWithinMs + 2 * periodMs);
+  });
+
   it('does not let a process count while a later one is heard of', () => {
     const later = reportsOf('later', 2_000, 104_000, 40);
     const counted = countedAt('sound', [...sound, ...later]);
--- a/src/core/calls/reportOrder.ts
+++ b/src/core/calls/reportOrder.ts
@@ -78,10 +78,11 @@
   const follow = (mark: EndMark, now: number): number => {
     const key = processKey(mark);
     const known = followed.get(key);
-    if (known && mark.sequence <= known.sequence) {
+    const goesOn = known !== undefined && now - known.lastAt <= renewWithinMs;
+    // After a gap it is followed anew, so that a number far ahead does not hold it up for good.
+    if (goesOn && mark.sequence <= known.sequence) {
       return now;
     }
-    const goesOn = known !== undefined && now - known.lastAt <= renewWithinMs;
     const since = goesOn ? known.since : now;
     // Deleted first, so that the process that was silent for longest is dropped.
     followed.delete(key);
