Upstreams: a deregistration ends its process, and no other one for good

Seen: in tests only, while the question whether one report can still shut out an endpoint for good was gone through. After a deregistration without a start, the next process of the endpoint under the same id was never used if its clock was behind; its check-ins got 200.

Cause: without a named start, the end covered every earlier start under the id, and nothing could disprove that. A clock that was set back, or a wrong report with a start in the future before the deregistration, brings such a process about.

Change: the end is final for the process that it names, or for all that were heard of under the id, the newest one and those whose superseded reports are followed. Earlier starts are in doubt, and count again once their reports have gone on for longer than reports can be late.

Why it works: the process that deregisters has been heard of, or its reports end within the bound.

--- a/__tests__/upstreamReports.test.ts
+++ b/__tests__/upstreamReports.test.ts
@@ -329,6 +329,44 @@
     assert.equal(fixture.upstream.queries.hasFreeSlot('s'), true);
   });
 
+  // Guards against a deregistration without a start, or one after a wrong report, that shuts out every
+  // later process of the upstream whose clock shows an earlier time.
+  const laterEnds: Readonly<Record<string, number>> = {
+    'of a process whose clock was ahead': 9_000,
+    'after a report with a start in the future': 80_000_000,
+  };
+  Object.entries(laterEnds).forEach(([what, startedAt]) => {
+    it(`that deregisters without a start, ${what}, does not shut out the next process for good`, () => {
+      const fixture = createFixture();
+      fixture.announcement.apply(report({ startedAt }));
+      fixture.announcement.deregister('e-1', undefined);
+      const outcomes = goOn(fixture, 15_000, { startedAt: 5_100 });
+      assert.notEqual(outcomes[0], 'applied');
+      assert.equal(outcomes.at(-1), 'applied');
+      assert.equal(fixture.upstream.queries.hasFreeSlot('s'), true);
+    });
+  });
+
+  it('that deregisters an upstream not heard of does not shut out the next process for good', () => {
+    const fixture = createFixture(50_000);
+    fixture.announcement.deregister('e-1', undefined);
+    const outcomes = goOn(fixture, 15_000, { startedAt: 49_500 });
+    assert.notEqual(outcomes[0], 'applied');
+    assert.equal(outcomes.at(-1), 'applied');
+  });
+
+  // Guards against an end that counts for the wrong process only, so that the upstream which has
+  // ended is used again.
+  it('does not keep a process in use that deregisters without its start', () => {
+    const fixture = createFixture();
+    fixture.announcement.apply(report());
+    fixture.announcement.apply(report({ startedAt: 90_000 }));
+    goOn(fixture, 3_000);
+    fixture.announcement.deregister('e-1', undefined);
+    assert.deepEqual(new Set(goOn(fixture, 40_000)), new Set(['ended']));
+    assert.equal(fixture.upstream.queries.hasFreeSlot('s'), false);
+  });
+
   it('does not bring back a process that has said that it ended, however long it reports', () => {
     [1_000, undefined].forEach((startedAt) => {
       const fixture = createFixture();
--- a/src/core/calls/reportOrder.ts
+++ b/src/core/calls/reportOrder.ts
@@ -37,14 +37,16 @@
   };
   readonly queries: {
     newest(): EndMark | undefined;
+    /** Processes under an id that were heard of: the newest one, and those whose reports are followed. */
+    heardProcesses(endpoint: string): readonly EndMark[];
     /** True if the newest process was not heard of within the time for its next report. */
     isSilent(now: number): boolean;
   };
 }
 
 interface FollowedProcess {
-  /** Number of its last report. */
-  readonly sequence: number;
+  /** Its last report. */
+  readonly mark: EndMark;
   /** Times of the first and the last of its reports that follow each other. */
   readonly since: number;
   readonly lastAt: number;
@@ -80,13 +82,13 @@
     const known = followed.get(key);
     const goesOn = known !== undefined && now - known.lastAt <= renewWithinMs;
     // After a gap it is followed anew, so that a number far ahead does not hold it up for good.
-    if (goesOn && mark.sequence <= known.sequence) {
+    if (goesOn && mark.sequence <= known.mark.sequence) {
       return now;
     }
     const since = goesOn ? known.since : now;
     // Deleted first, so that the process that was silent for longest is dropped.
     followed.delete(key);
-    followed.set(key, { sequence: mark.sequence, since, lastAt: now });
+    followed.set(key, { mark, since, lastAt: now });
     if (followed.size > maxFollowed) {
       followed.delete(followed.keys().next().value!);
     }
@@ -121,8 +123,17 @@
     followed.clear();
   };
 
+  const heardProcesses = (endpoint: string): readonly EndMark[] =>
+    [newest, ...[...followed.values()].map(({ mark }) => mark)].filter(
+      (mark) => mark?.endpoint === endpoint,
+    ) as EndMark[];
+
   return {
     commands: { judge, accept },
-    queries: { newest: () => newest, isSilent: (now) => now - heardAt > renewWithinMs },
+    queries: {
+      newest: () => newest,
+      heardProcesses,
+      isSilent: (now) => now - heardAt > renewWithinMs,
+    },
   };
 };
--- a/src/plugins/calls/acknowledgedEnds.ts
+++ b/src/plugins/calls/acknowledgedEnds.ts
@@ -34,10 +34,10 @@
     /** Asks once for the ends that an earlier process of this node acknowledged. */
     load(): void;
     /**
-     * Ignores the reports up to the mark from now on. If the upstream named the process that has
-     * ended, reports of earlier processes are in doubt only: it may have named a wrong one.
+     * Ignores the reports of the process from now on. Those of earlier ones under the same id are in
+     * doubt only: the start that was named may be wrong, or the clock may have been set back since.
      */
-    add(mark: EndMark, namesProcess: boolean): void;
+    add(mark: EndMark): void;
     /** Stores the mark at the control instances, unless one of the same process is stored. */
     record(mark: EndMark): void;
     /** The upstream is in use again: its next end is stored anew. */
@@ -65,11 +65,9 @@
 export const createAcknowledgedEnds = (options: AcknowledgedEndsOptions): AcknowledgedEnds => {
   const { store, maxReportDelayMs, timer, log } = options;
   const createdAt = timer.now();
-  /** Ends of the processes that upstreams named, by process. */
-  const namedMarks = new Map<string, EndMark>();
-  /** Latest named end, and latest one without a name, of each upstream. */
-  const latestNamed = new Map<string, EndMark>();
-  const latestUnnamed = new Map<string, EndMark>();
+  const marks = new Map<string, EndMark>();
+  /** Latest end of each upstream. */
+  const latestMarks = new Map<string, EndMark>();
   /** Marks of earlier processes of this node; they count while reports from before can arrive. */
   const loadedMarks = new Map<string, EndMark>();
   const recorded = new Map<string, EndMark>();
@@ -77,14 +75,11 @@
   let isLoading = false;
   let hasListed = false;
 
-  const add = (mark: EndMark, namesProcess: boolean) => {
-    const latest = namesProcess ? latestNamed : latestUnnamed;
-    const known = latest.get(mark.endpoint);
+  const add = (mark: EndMark) => {
+    setBounded(marks, processKey(mark), mark);
+    const known = latestMarks.get(mark.endpoint);
     if (!known || compareMarks(known, mark) < 0) {
-      setBounded(latest, mark.endpoint, mark);
-    }
-    if (namesProcess) {
-      setBounded(namedMarks, processKey(mark), mark);
+      setBounded(latestMarks, mark.endpoint, mark);
     }
   };
 
@@ -166,10 +161,9 @@
     },
     queries: {
       hasEnded: (report) =>
-        isUpTo(namedMarks.get(processKey(report)), report) ||
-        isUpTo(latestUnnamed.get(report.endpoint), report) ||
+        isUpTo(marks.get(processKey(report)), report) ||
         (!isDelayPast() && isUpTo(loadedMarks.get(report.endpoint), report)),
-      isBeforeEnd: (report) => isUpTo(latestNamed.get(report.endpoint), report),
+      isBeforeEnd: (report) => isUpTo(latestMarks.get(report.endpoint), report),
       isLoaded: () => hasListed || isDelayPast(),
       stored,
     },
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -271,7 +271,13 @@
     // A process that this one has not heard of started before it.
     const endedStart = startedAt ?? (isCurrent ? newest.startedAt : incarnation);
     const mark = { endpoint: instance, startedAt: endedStart, sequence: lastSequence };
-    ends.commands.add(mark, startedAt !== undefined);
+    ends.commands.add(mark);
+    if (startedAt === undefined) {
+      // Any of the processes that were heard of under this id may be the one that has ended.
+      order.queries
+        .heardProcesses(instance)
+        .forEach((heard) => ends.commands.add({ ...heard, sequence: lastSequence }));
+    }
     ends.commands.record(mark);
     const isNewestOver = isCurrent && newest.startedAt <= endedStart;
     if (isNewestOver) {
