--- a/__tests__/leavingVoters.test.ts
+++ b/__tests__/leavingVoters.test.ts
@@ -18,7 +18,7 @@
 const leaderOf = (world: ReplicaSimulation): number => world.roles().indexOf('leader');
 
 /**
- * One voter is gone for good, which an even number of voters can do without. Another one asks to
+ * One voter is gone for good, or its disk is, which an even number of voters can do without. Another one asks to
  * leave, and all stop before its removal has reached everyone. They start again with their disks.
  */
 const playStops = (seed: number) => {
@@ -45,7 +45,13 @@
   const isLeaderGone = random() < 0.4;
   const gone = isLeaderGone ? leader : lost;
   all.forEach((at) => world.crash(at, Math.floor(random() * 8)));
-  world.runRounds(100, { isolated: [gone] });
+  // It may also come back with an empty disk, while the others go on or later.
+  const isReplaced = random() < 0.4;
+  if (isReplaced) {
+    world.runRounds(Math.floor(random() * 20), { isolated: [gone] });
+    world.loseDisk(gone, true);
+  }
+  world.runRounds(100, { isolated: isReplaced ? [] : [gone] });
   return { world, gone };
 };
 
