Tests: founding with seeds that start, are killed and are replaced

200 seeds of two to five core machines: a start that founds without a majority of empty seeds, or beside a cluster, fails the test, and so does one that does not found although a majority has answered.

--- a/__tests__/bootstrap.test.ts
+++ b/__tests__/bootstrap.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { unsafeUniformIntDistribution, xoroshiro128plus } from 'pure-rand';
 import { decodeMembers } from '../src/core/agreement/consensusLog.js';
 import {
   bootstrapGroup,
@@ -110,6 +111,66 @@
     }
   });
 
+  // Guards against a founder that waits although a majority has answered, or that founds without one
+  // or beside a cluster, whenever seeds start, are killed or are replaced.
+  it('founds exactly if a majority of the seeds is empty, for any order of starts and kills', async () => {
+    const limitMs = 12_000;
+    const failed: string[] = [];
+    for (let seed = 1; seed <= 200; seed += 1) {
+      const generator = xoroshiro128plus(seed);
+      const random = (most: number) => unsafeUniformIntDistribution(0, most, generator);
+      const { options, timer } = await createOptions({});
+      const names = ['b', 'c', 'd', 'e'].slice(0, 1 + random(3));
+      const startedAt = timer.now();
+      const seeds = new Map(
+        names.map((name) => {
+          const from = random(2) === 0 ? Infinity : random(5_000);
+          return [name, { from, to: from + random(9_000), term: random(6) === 0 ? 3 : 0 }];
+        }),
+      );
+      const heard = new Map<string, number>();
+      let isStopped = false;
+      let founded: boolean | undefined;
+      const bootstrapping = bootstrapGroup({
+        ...options,
+        others: names.map(member),
+        othersJoin: true,
+        isStopped: () => isStopped,
+        probe: async (address) => {
+          const { from, to, term } = seeds.get(address)!;
+          const now = timer.now() - startedAt;
+          if (now < from || now > to) {
+            throw new Error('unreachable');
+          }
+          heard.set(address, term);
+          // A seed that was replaced answers under another name and incarnation.
+          const name = random(3) === 0 ? `${address}-successor` : address;
+          return {
+            from: { name, incarnation: `${name}-0` },
+            message: { type: 'voteAnswer', term, granted: false, preVote: true },
+          };
+        },
+      }).then((loaded) => {
+        founded ??= isStopped ? undefined : !isEmptyLog(loaded);
+      });
+      while (founded === undefined && timer.now() - startedAt < limitMs) {
+        await nextTurn();
+        timer.advance(100);
+      }
+      isStopped = true;
+      while (!(await Promise.race([bootstrapping.then(() => true), nextTurn()]))) {
+        timer.advance(1_000);
+      }
+      const hasMajority = heard.size + 1 > (names.length + 1) / 2;
+      const isClusterHeard = [...heard.values()].some((term) => term > 0);
+      const expected = hasMajority ? !isClusterHeard : undefined;
+      if (founded !== expected) {
+        failed.push(`seed ${seed}: founded ${founded}, expected ${expected}`);
+      }
+    }
+    assert.deepEqual(failed, []);
+  });
+
   it('waits for a member that does not answer, which may belong to a cluster', async () => {
     const terms: Record<string, number | undefined> = { b: 0 };
     const { options, timer, probed } = await createOptions(terms);
