--- a/src/core/calls/reportOrder.ts
+++ b/src/core/calls/reportOrder.ts
@@ -8,7 +8,7 @@
 import type { EndMark } from '../../types/internal.js';
 import { compareMarks } from '../agreement/upstreamEnds.js';
 
-/** Processes other than the newest one that are followed; a node has one upstream at a time. */
+/** Number of superseded processes that are followed; a node has one upstream at a time. */
 const maxFollowed = 8;
 
 export interface ReportOrderOptions {
@@ -26,6 +26,10 @@
   readonly isBeforeEnd?: boolean;
 }
 
+/**
+ * Decides whether a report counts. Times are those of a steady clock: starts and numbers are claims of
+ * the sender, and the time of day may jump.
+ */
 export interface ReportOrder {
   readonly commands: {
     /**
@@ -123,10 +127,10 @@
     followed.clear();
   };
 
-  const heardProcesses = (endpoint: string): readonly EndMark[] =>
-    [newest, ...[...followed.values()].map(({ mark }) => mark)].filter(
-      (mark) => mark?.endpoint === endpoint,
-    ) as EndMark[];
+  const heardProcesses = (endpoint: string): readonly EndMark[] => {
+    const marks = [...followed.values()].map(({ mark }) => mark);
+    return (newest ? [newest, ...marks] : marks).filter((mark) => mark.endpoint === endpoint);
+  };
 
   return {
     commands: { judge, accept },
--- a/src/core/operators/targets.ts
+++ b/src/core/operators/targets.ts
@@ -35,6 +35,12 @@
 export const maxSoftwareVersionLength = 128;
 /** Text without lone surrogates, which escapes in JSON can form and UTF-8 cannot encode. */
 export const wellFormedText = /^\P{Surrogate}*$/u;
+/** Name of a version of an upstream's software, as upstreams and operators give it. */
+export const softwareVersionName = z
+  .string()
+  .min(1)
+  .max(maxSoftwareVersionLength)
+  .regex(wellFormedText, 'well-formed Unicode');
 /** Form of the names of tenants that upstreams receive: text that a header carries unchanged. */
 export const tenantNamePattern = /^[\x21-\x7e](?:[\x20-\x7e]{0,254}[\x21-\x7e])?$/;
 /** Form of the names of services and classes. */
--- a/src/platform/reportCheck.ts
+++ b/src/platform/reportCheck.ts
@@ -34,7 +34,10 @@
   return undefined;
 };
 
-/** Creates a check that throws `foreign_report` if a report differs from the newest settings. */
+/**
+ * Creates a check that throws `foreign_report` if a report differs from the settings. They are read
+ * again before that, since the file changes without a signal.
+ */
 export const createReportCheck =
   ({ current, reload }: SettingsWatch) =>
   (report: UpstreamReport) => {
--- a/src/platform/rolloutHandlers.ts
+++ b/src/platform/rolloutHandlers.ts
@@ -1,6 +1,6 @@
 /** Reads the orders of rollouts that the platform's operators send, and writes their state. */
 import * as z from 'zod';
-import { maxSoftwareVersionLength, wellFormedText } from '../core/operators/targets.js';
+import { softwareVersionName } from '../core/operators/targets.js';
 import type { OrderRequest } from '../plugins/operators/rolloutOrders.js';
 import { parseJsonText } from '../plugins/readText.js';
 import type { Rollout } from '../types/rollouts.js';
@@ -14,11 +14,7 @@
 
 const orderSchema = z.object({
   service: z.string().min(1),
-  target_version: z
-    .string()
-    .min(1)
-    .max(maxSoftwareVersionLength)
-    .regex(wellFormedText, 'well-formed Unicode'),
+  target_version: softwareVersionName,
   period_s: z.number().positive().max(maxPeriodSeconds),
 });
 
--- a/src/plugins/calls/upstreamAnnouncement.ts
+++ b/src/plugins/calls/upstreamAnnouncement.ts
@@ -20,7 +20,7 @@
 import { createAcknowledgedEnds, lastSequence } from './acknowledgedEnds.js';
 import type { LocalUpstream } from './localUpstream.js';
 import { readText } from '../readText.js';
-import { maxSoftwareVersionLength, wellFormedText } from '../../core/operators/targets.js';
+import { softwareVersionName } from '../../core/operators/targets.js';
 import { maxSlots } from '../../core/distribution/usableEndpoints.js';
 import { isConnectable } from '../../utils/address.js';
 
@@ -43,17 +43,12 @@
   connections: z.int().min(1).max(maxSlots),
   state: z.enum(['ready', 'leaving']),
   load: z.number().min(0).optional(),
-  version: z
-    .string()
-    .min(1)
-    .max(maxSoftwareVersionLength)
-    .regex(wellFormedText, 'well-formed Unicode')
-    .optional(),
+  version: softwareVersionName.optional(),
 });
 
 type Announcement = z.infer<typeof announcementSchema>;
 
-/** Superseded processes that are logged before their lines are repeated. */
+/** Number of processes whose ignored reports are remembered as logged, so that the set is bounded. */
 const maxLoggedProcesses = 16;
 
 /** Report of an upstream about itself. */
@@ -268,7 +263,7 @@
   const deregister = (instance: string, startedAt: number | undefined) => {
     const newest = order.queries.newest();
     const isCurrent = newest?.endpoint === instance;
-    // A process that this one has not heard of started before it.
+    // An upstream that this node has not heard of started before the node.
     const endedStart = startedAt ?? (isCurrent ? newest.startedAt : incarnation);
     const mark = { endpoint: instance, startedAt: endedStart, sequence: lastSequence };
     ends.commands.add(mark);
